--- /dev/null
+++ b/cmd/bulrushfalld/main.go
@@ -0,0 +1,5 @@
+// Command bulrushfalld is the daemon of an entry instance.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/ident/ident.go
@@ -0,0 +1,78 @@
+// Package ident defines the identifier types shared by all packages.
+package ident
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Identifiers. Each is a distinct type so that the compiler rejects a mix-up.
+type (
+	// InstanceID names one instance: an entry instance or a backend server.
+	InstanceID string
+	// Incarnation identifies one run of a process. It changes at each restart.
+	Incarnation string
+	// DataCentre names a data centre.
+	DataCentre string
+	// Region names a region, which holds several data centres.
+	Region string
+	// Domain names a fabric domain: a set of instances with a fast interconnect.
+	Domain string
+	// Partner names the firm that runs a set of backend servers.
+	Partner string
+	// GroupID names a group: the instances that together run one replica.
+	GroupID string
+	// Account names a client account.
+	Account string
+	// Team names the team that owns a service document.
+	Team string
+	// ServiceName names a service.
+	ServiceName string
+	// AttemptID identifies one dispatch of a request to a backend server.
+	AttemptID string
+)
+
+// Epoch is the fencing token of a group or lease. It only grows.
+type Epoch uint64
+
+// Revision numbers accepted configuration changes. It only grows.
+type Revision uint64
+
+// Fingerprint identifies a request by its service and content.
+type Fingerprint uint64
+
+// NewFingerprint hashes the service name and the canonical request body.
+func NewFingerprint(service ServiceName, body []byte) Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(service))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string {
+	return fmt.Sprintf("%016x", uint64(f))
+}
+
+// Score returns a pseudo-random weight of owner for key. The owner with the
+// highest score owns the key (rendezvous hashing).
+func Score(key string, owner InstanceID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(owner))
+	return d.Sum64()
+}
+
+// Short returns the first eight hexadecimal digits of the hash of s, for use
+// in names that people read.
+func Short(s string) string {
+	sum := xxhash.Sum64String(s)
+	b := []byte{byte(sum >> 56), byte(sum >> 48), byte(sum >> 40), byte(sum >> 32)}
+	return hex.EncodeToString(b)
+}
--- /dev/null
+++ b/wire/conn.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// conn is one framed connection. Writes are serialised; reads belong to the
+// one goroutine that runs the read loop.
+type conn struct {
+	net net.Conn
+	r   *bufio.Reader
+
+	mu sync.Mutex
+	w  *bufio.Writer
+
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{
+		net:    c,
+		r:      bufio.NewReader(c),
+		w:      bufio.NewWriter(c),
+		closed: make(chan struct{}),
+	}
+}
+
+func (c *conn) write(f *frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.net.SetWriteDeadline(time.Now().Add(SilenceTimeout)); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	return writeFrame(c.w, f)
+}
+
+// read returns the next frame. Silence past SilenceTimeout is an error, because
+// the other end sends heartbeats.
+func (c *conn) read() (*frame, error) {
+	if err := c.net.SetReadDeadline(time.Now().Add(SilenceTimeout)); err != nil {
+		return nil, errors.Wrap(err, "set read deadline")
+	}
+	return readFrame(c.r)
+}
+
+func (c *conn) close() {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		_ = c.net.Close()
+	})
+}
+
+// heartbeat sends pings until the connection closes.
+func (c *conn) heartbeat() {
+	t := time.NewTicker(HeartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-t.C:
+			if err := c.write(&frame{Type: framePing}); err != nil {
+				c.close()
+				return
+			}
+		}
+	}
+}
