--- a/internal/strictyaml/problem.go
+++ b/internal/strictyaml/problem.go
@@ -64,6 +64,12 @@
 	})
 }
 
+// Given tells whether the file names a field.
+func (r *Report) Given(field string) bool {
+	_, ok := r.index[field]
+	return ok
+}
+
 // Err returns the problems in order of their lines, or nil.
 func (r *Report) Err() error {
 	if len(r.problems) == 0 {
--- a/internal/strictyaml/validate.go
+++ b/internal/strictyaml/validate.go
@@ -66,6 +66,8 @@
 		return fmt.Sprintf("%q is not allowed", value), "use one of " + strings.ReplaceAll(f.Param(), " ", ", ")
 	case "min", "gte":
 		return bound(f, value, "below", "at least")
+	case "gt":
+		return fmt.Sprintf("%s is below the limit", value), "use more than " + f.Param()
 	case "max", "lte":
 		return bound(f, value, "above", "at most")
 	case "sha256":
--- a/service/document.go
+++ b/service/document.go
@@ -32,81 +32,82 @@
 
 // Document describes one service.
 type Document struct {
-	Service   ident.ServiceName `yaml:"service" json:"service"`
-	Owner     ident.Team        `yaml:"owner" json:"owner"`
-	Kind      Kind              `yaml:"kind" json:"kind"`
+	Service   ident.ServiceName `yaml:"service" json:"service" validate:"required,name"`
+	Owner     ident.Team        `yaml:"owner" json:"owner" validate:"required,name"`
+	Kind      Kind              `yaml:"kind" json:"kind" validate:"required,oneof=model plain"`
 	Model     Model             `yaml:"model,omitempty" json:"model,omitempty"`
 	Replicas  Replicas          `yaml:"replicas,omitempty" json:"replicas,omitempty"`
 	Placement Placement         `yaml:"placement,omitempty" json:"placement,omitempty"`
-	Class     Class             `yaml:"class" json:"class"`
+	Class     Class             `yaml:"class" json:"class" validate:"oneof=rush interactive batch"`
 	// Priority orders requests within a class; higher runs first.
-	Priority int `yaml:"priority" json:"priority"`
+	Priority int `yaml:"priority" json:"priority" validate:"min=-100,max=100"`
 	// Deadline bounds a request from its arrival to the start of its answer.
-	Deadline time.Duration `yaml:"deadline" json:"deadline"`
-	Methods  []Method      `yaml:"methods,omitempty" json:"methods,omitempty"`
+	Deadline time.Duration `yaml:"deadline" json:"deadline" validate:"min=10ms,max=1h"`
+	Methods  []Method      `yaml:"methods,omitempty" json:"methods,omitempty" validate:"max=256,dive"`
 	Backend  Backend       `yaml:"backend" json:"backend"`
-	Accounts []Account     `yaml:"accounts" json:"accounts"`
+	Accounts []Account     `yaml:"accounts" json:"accounts" validate:"max=1024,dive"`
 	// OutcomeRetention is how long the outcome of a non-idempotent request can
 	// be fetched by a retry.
-	OutcomeRetention time.Duration `yaml:"outcome_retention" json:"outcome_retention"`
+	OutcomeRetention time.Duration `yaml:"outcome_retention" json:"outcome_retention" validate:"min=1m,max=720h"`
 }
 
 // Model names what the groups of a service load.
 type Model struct {
-	Name     string        `yaml:"name" json:"name"`
-	Version  string        `yaml:"version" json:"version"`
-	Adapters []string      `yaml:"adapters,omitempty" json:"adapters,omitempty"`
-	Roles    []engine.Role `yaml:"roles,omitempty" json:"roles,omitempty"`
+	Name     string        `yaml:"name" json:"name" validate:"omitempty,max=128"`
+	Version  string        `yaml:"version" json:"version" validate:"omitempty,max=128"`
+	Adapters []string      `yaml:"adapters,omitempty" json:"adapters,omitempty" validate:"unique,dive,required,max=128"`
+	Roles    []engine.Role `yaml:"roles,omitempty" json:"roles,omitempty" validate:"unique,dive,oneof=combined prefill decode"`
 }
 
 // Replicas says how many groups the service wants.
 type Replicas struct {
-	Wanted int `yaml:"wanted" json:"wanted"`
+	Wanted int `yaml:"wanted" json:"wanted" validate:"min=0,max=10000"`
 	// Minimum is the number that planned changes never go below.
-	Minimum             int `yaml:"minimum" json:"minimum"`
-	InstancesPerReplica int `yaml:"instances_per_replica" json:"instances_per_replica"`
+	Minimum             int `yaml:"minimum" json:"minimum" validate:"min=0,max=10000"`
+	InstancesPerReplica int `yaml:"instances_per_replica" json:"instances_per_replica" validate:"min=1,max=256"`
 	// SparesPerDomain is the number of idle instances per used fabric domain
 	// that keep the weights preloaded.
-	SparesPerDomain int `yaml:"spares_per_domain" json:"spares_per_domain"`
+	SparesPerDomain int `yaml:"spares_per_domain" json:"spares_per_domain" validate:"min=0,max=256"`
 }
 
 // Placement restricts where groups may be formed. Empty means anywhere.
 type Placement struct {
-	DataCentres []ident.DataCentre `yaml:"data_centres,omitempty" json:"data_centres,omitempty"`
-	Partners    []ident.Partner    `yaml:"partners,omitempty" json:"partners,omitempty"`
+	DataCentres []ident.DataCentre `yaml:"data_centres,omitempty" json:"data_centres,omitempty" validate:"unique,dive,name"`
+	Partners    []ident.Partner    `yaml:"partners,omitempty" json:"partners,omitempty" validate:"unique,dive,name"`
 }
 
 // Method tells how calls of a plain service behave. The first match applies;
 // a call that matches none is non-idempotent unless its HTTP method is GET,
 // HEAD or OPTIONS.
 type Method struct {
-	Method     string        `yaml:"method" json:"method"`
-	PathPrefix string        `yaml:"path_prefix" json:"path_prefix"`
+	// Method is an HTTP method; empty matches all.
+	Method     string        `yaml:"method" json:"method" validate:"omitempty,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
+	PathPrefix string        `yaml:"path_prefix" json:"path_prefix" validate:"required,startswith=/"`
 	Idempotent bool          `yaml:"idempotent" json:"idempotent"`
-	Deadline   time.Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
-	Class      Class         `yaml:"class,omitempty" json:"class,omitempty"`
+	Deadline   time.Duration `yaml:"deadline,omitempty" json:"deadline,omitempty" validate:"omitempty,min=10ms,max=1h"`
+	Class      Class         `yaml:"class,omitempty" json:"class,omitempty" validate:"omitempty,oneof=rush interactive batch"`
 }
 
 // Backend limits what one backend server or group holds at a time.
 type Backend struct {
 	// Requests and ColdRequests are concurrent requests when warm and cold.
-	Requests     int `yaml:"requests" json:"requests"`
-	ColdRequests int `yaml:"cold_requests" json:"cold_requests"`
+	Requests     int `yaml:"requests" json:"requests" validate:"min=1,max=100000"`
+	ColdRequests int `yaml:"cold_requests" json:"cold_requests" validate:"min=1,max=100000"`
 	// HeldTokens bounds the context tokens held by running requests.
-	HeldTokens int `yaml:"held_tokens" json:"held_tokens"`
+	HeldTokens int `yaml:"held_tokens" json:"held_tokens" validate:"min=1"`
 	// ColdRamp is the time over which the limit grows from ColdRequests to
 	// Requests after the backend server reports that it is warm.
-	ColdRamp time.Duration `yaml:"cold_ramp" json:"cold_ramp"`
+	ColdRamp time.Duration `yaml:"cold_ramp" json:"cold_ramp" validate:"min=0s,max=1h"`
 }
 
 // Account is a client account with its share of the service.
 type Account struct {
-	Name ident.Account `yaml:"name" json:"name"`
+	Name ident.Account `yaml:"name" json:"name" validate:"required,name"`
 	// KeySHA256 is the hexadecimal SHA-256 of the account's bearer key.
-	KeySHA256 string `yaml:"key_sha256" json:"key_sha256"`
+	KeySHA256 string `yaml:"key_sha256" json:"key_sha256" validate:"required,sha256"`
 	// Weight is the account's share under contention.
-	Weight            int     `yaml:"weight" json:"weight"`
-	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second"`
-	Burst             int     `yaml:"burst" json:"burst"`
-	Concurrency       int     `yaml:"concurrency" json:"concurrency"`
+	Weight            int     `yaml:"weight" json:"weight" validate:"min=1,max=1000"`
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second" validate:"gt=0,max=1000000"`
+	Burst             int     `yaml:"burst" json:"burst" validate:"min=1,max=1000000"`
+	Concurrency       int     `yaml:"concurrency" json:"concurrency" validate:"min=1,max=100000"`
 }
