--- /dev/null
+++ b/cmd/bulrushfalld/daemon.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bulrushfall/bulrushfall/control"
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/gateway"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/settings"
+	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/view"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// Parameters of shutdown and streams.
+const (
+	// lookupGrace is how long a leaving entry instance goes on accepting
+	// callers that kept an older lookup answer.
+	lookupGrace = 3 * time.Second
+	// shutdownGrace bounds the wait for running requests.
+	shutdownGrace = 10 * time.Minute
+	// parkedStreamBytes is what a parked stream is counted as in the budgets.
+	parkedStreamBytes = 16 << 10
+)
+
+// daemon is one entry instance with its listeners.
+type daemon struct {
+	cfg     settings.Config
+	log     *logrus.Logger
+	metrics *telemetry.Metrics
+	node    *wire.Node
+	loop    *control.Loop
+	gateway *gateway.Gateway
+	data    *engine.Data
+}
+
+func newDaemon(cfg settings.Config, documents []service.Document) (*daemon, error) {
+	log, err := telemetry.NewLogger(os.Stderr, cfg.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{cfg: cfg, log: log, metrics: telemetry.New(), data: engine.NewData()}
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	self := view.Entry{
+		Instance:    cfg.Instance,
+		Incarnation: ident.Incarnation(uuid.NewString()),
+		Address:     cfg.Advertise.Callers,
+		PeerAddress: cfg.Advertise.Peers,
+		DataCentre:  cfg.DataCentre,
+		Region:      cfg.Region,
+		Alive:       true,
+	}
+	mux := wire.NewMux()
+	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
+	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
+	store := platform.NewClient(cfg.Platform.URL)
+	d.loop = control.New(control.Options{
+		Self:      self,
+		Table:     store,
+		Objects:   store,
+		Instances: store,
+		Engines:   engine.NewControl(),
+		Node:      d.node,
+		Log:       log,
+		Scope:     d.metrics.Scope,
+		Now:       now,
+		Documents: documents,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Snapshot:             d.loop.Snapshot,
+		Now:                  now,
+		Metrics:              d.metrics,
+		Data:                 d.data,
+		Router:               &gateway.StaticShares{Snapshot: d.loop.Snapshot, Now: now, Self: self.Instance},
+		Self:                 self,
+		LookupTTL:            cfg.LookupTTL,
+		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
+		AccountParkedStreams: int(cfg.Limits.AccountStreamBytes / parkedStreamBytes),
+		ProcessParkedStreams: int(cfg.Limits.StreamMemoryBytes / parkedStreamBytes),
+	})
+	return d, nil
+}
+
+// run serves until the context ends, then drains.
+func (d *daemon) run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", d.cfg.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	peers, err := net.Listen("tcp", d.cfg.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	operators, err := net.Listen("tcp", d.cfg.Listen.Operators)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	callerServer := d.gateway.Server(d.gateway.Handler(), d.cfg.Limits.MaxHeaderBytes)
+	operatorServer := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: time.Second}
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	defer stopLoop()
+
+	var g errgroup.Group
+	g.Go(func() error { return ignoreClosed(callerServer.Serve(d.gateway.Listener(callers))) })
+	g.Go(func() error { return ignoreClosed(operatorServer.Serve(operators)) })
+	g.Go(func() error { return d.node.Serve(peers) })
+	g.Go(func() error { d.loop.Run(loopCtx); return nil })
+	g.Go(func() error {
+		<-ctx.Done()
+		d.drain(callerServer)
+		stopLoop()
+		d.data.Close()
+		d.node.Close()
+		_ = peers.Close()
+		return operatorServer.Close()
+	})
+	d.log.WithField("instance", d.cfg.Instance).Info("entry instance started")
+	err = g.Wait()
+	d.log.WithField("instance", d.cfg.Instance).Info("entry instance stopped")
+	return errors.Wrap(err, "serve")
+}
+
+// drain leaves the lookup answers, keeps serving callers that kept an older
+// answer, and then waits for the running requests.
+func (d *daemon) drain(callers *http.Server) {
+	d.log.Info("entry instance is draining")
+	d.gateway.SetDraining()
+	time.Sleep(lookupGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.WithError(err).Warn("requests were still running at the end of the grace period")
+	}
+	d.gateway.Wait(ctx)
+}
+
+// operatorHandler serves health, readiness and metrics.
+func (d *daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.loop.Snapshot().Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// loadDocuments reads service documents from files.
+func loadDocuments(files []string) ([]service.Document, error) {
+	var out []service.Document
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "read service document")
+		}
+		doc, err := service.Parse(b)
+		if err != nil {
+			return nil, errors.Wrap(err, file)
+		}
+		out = append(out, doc)
+	}
+	return out, nil
+}
--- a/cmd/bulrushfalld/main.go
+++ b/cmd/bulrushfalld/main.go
@@ -1,5 +1,70 @@
 // Command bulrushfalld is the daemon of an entry instance.
 package main
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bulrushfall/bulrushfall/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// version is set by the linker.
+var version = "development"
+
+// flags are the command line of the daemon.
+type flags struct {
+	settings  string
+	documents []string
+}
+
+func parseFlags() flags {
+	f := flags{settings: "bulrushfall.yaml"}
+	flaggy.SetName("bulrushfalld")
+	flaggy.SetDescription("daemon of a bulrushfall entry instance")
+	flaggy.SetVersion(version)
+	flaggy.String(&f.settings, "s", "settings", "settings file (YAML)")
+	flaggy.StringSlice(&f.documents, "d", "document", "service document to start with, for trials without a store")
+	flaggy.Parse()
+	return f
+}
+
 func main() {
+	os.Exit(run(parseFlags()))
+}
+
+func run(f flags) int {
+	cfg, err := settings.Load(f.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	documents, err := loadDocuments(f.documents)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := newDaemon(cfg, documents)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	if err := d.run(ctx); err != nil {
+		d.log.WithError(err).Error("daemon failed")
+		return exitFailure
+	}
+	return exitOK
 }
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,169 @@
+// Package control runs the control goroutine of an entry instance. It owns all
+// control state, drives the decision machines and publishes an immutable
+// snapshot for the traffic goroutines. I/O runs in other goroutines, which send
+// typed events back.
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/view"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// Intervals of the control loop.
+const (
+	// tickInterval drives the machines and the status polls.
+	tickInterval = 250 * time.Millisecond
+	// instancesInterval is the time between reads of the instance list.
+	instancesInterval = time.Second
+	// eventBuffer bounds events that wait for the control goroutine.
+	eventBuffer = 4096
+	// maxPolls bounds concurrent status polls.
+	maxPolls = 64
+)
+
+// Options are the parts that the control loop works with.
+type Options struct {
+	Self      view.Entry
+	Table     platform.Table
+	Objects   platform.ObjectStore
+	Instances platform.InstanceList
+	Engines   *engine.Control
+	Node      *wire.Node
+	Log       logrus.FieldLogger
+	Scope     tally.Scope
+	// Now is the local monotonic clock.
+	Now func() time.Duration
+	// Documents are service documents known at the start.
+	Documents []service.Document
+}
+
+// event is something that happened outside the control goroutine.
+type event interface {
+	apply(l *Loop, now time.Duration)
+}
+
+// memberStatus is the last status report of an engine member.
+type memberStatus struct {
+	status engine.Status
+	// sent is when the poll was sent.
+	sent time.Duration
+	ok   bool
+}
+
+// Loop is the control goroutine with its state.
+type Loop struct {
+	opts     Options
+	events   chan event
+	snapshot atomic.Pointer[view.Snapshot]
+	polls    chan struct{}
+	wg       sync.WaitGroup
+	counters loopCounters
+
+	// The fields below belong to the control goroutine.
+	documents     []service.Document
+	instances     []platform.Instance
+	statuses      map[ident.InstanceID]memberStatus
+	polling       map[ident.InstanceID]bool
+	nextInstances time.Duration
+	listing       bool
+}
+
+type loopCounters struct {
+	pollErrors    tally.Counter
+	listErrors    tally.Counter
+	droppedEvents tally.Counter
+	groups        tally.Gauge
+}
+
+// New returns a control loop. Run starts it.
+func New(opts Options) *Loop {
+	l := &Loop{
+		opts:      opts,
+		events:    make(chan event, eventBuffer),
+		polls:     make(chan struct{}, maxPolls),
+		documents: opts.Documents,
+		statuses:  make(map[ident.InstanceID]memberStatus),
+		polling:   make(map[ident.InstanceID]bool),
+		counters: loopCounters{
+			pollErrors:    opts.Scope.Counter("status_poll_errors_total"),
+			listErrors:    opts.Scope.Counter("instance_list_errors_total"),
+			droppedEvents: opts.Scope.Counter("control_events_dropped_total"),
+			groups:        opts.Scope.Gauge("groups_confirmed"),
+		},
+	}
+	l.snapshot.Store(view.New(view.Snapshot{}))
+	return l
+}
+
+// Snapshot returns the current control state.
+func (l *Loop) Snapshot() *view.Snapshot { return l.snapshot.Load() }
+
+// Run drives the machines until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	defer l.wg.Wait()
+	l.tick(ctx, l.opts.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			l.tick(ctx, l.opts.Now())
+		case e := <-l.events:
+			e.apply(l, l.opts.Now())
+			l.drainEvents()
+		}
+		l.publish(l.opts.Now())
+	}
+}
+
+// drainEvents applies the events that wait already, so that one publication
+// covers them all.
+func (l *Loop) drainEvents() {
+	for range eventBuffer {
+		select {
+		case e := <-l.events:
+			e.apply(l, l.opts.Now())
+		default:
+			return
+		}
+	}
+}
+
+// spawn runs I/O outside the control goroutine and posts the event it returns.
+func (l *Loop) spawn(ctx context.Context, fn func() event) {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		l.post(ctx, fn())
+	}()
+}
+
+func (l *Loop) post(ctx context.Context, e event) {
+	if e == nil {
+		return
+	}
+	select {
+	case l.events <- e:
+	case <-ctx.Done():
+		l.counters.droppedEvents.Inc(1)
+	}
+}
+
+func (l *Loop) tick(ctx context.Context, now time.Duration) {
+	l.listInstances(ctx, now)
+	l.pollMembers(ctx, now)
+}
--- /dev/null
+++ b/control/poll.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// instancesListed carries the platform's instance list.
+type instancesListed struct {
+	instances []platform.Instance
+	err       error
+}
+
+func (e instancesListed) apply(l *Loop, _ time.Duration) {
+	l.listing = false
+	if e.err != nil {
+		l.counters.listErrors.Inc(1)
+		return
+	}
+	l.instances = e.instances
+	l.forgetGone()
+}
+
+// forgetGone drops the statuses of instances that left the list.
+func (l *Loop) forgetGone() {
+	listed := make(map[ident.InstanceID]bool, len(l.instances))
+	for _, inst := range l.instances {
+		listed[inst.ID] = true
+	}
+	for id := range l.statuses {
+		if !listed[id] {
+			delete(l.statuses, id)
+		}
+	}
+}
+
+// listInstances reads the platform's instance list in intervals.
+func (l *Loop) listInstances(ctx context.Context, now time.Duration) {
+	if l.listing || now < l.nextInstances {
+		return
+	}
+	l.listing = true
+	l.nextInstances = now + instancesInterval
+	l.spawn(ctx, func() event {
+		instances, err := l.opts.Instances.Instances(ctx)
+		return instancesListed{instances: instances, err: err}
+	})
+}
+
+// memberPolled carries the answer of one status poll.
+type memberPolled struct {
+	instance ident.InstanceID
+	sent     time.Duration
+	status   engine.Status
+	err      error
+}
+
+func (e memberPolled) apply(l *Loop, _ time.Duration) {
+	delete(l.polling, e.instance)
+	if e.err != nil {
+		l.counters.pollErrors.Inc(1)
+		// The last report stays until it is too old to confirm anything.
+		return
+	}
+	l.statuses[e.instance] = memberStatus{status: e.status, sent: e.sent, ok: true}
+}
+
+// pollMembers polls each engine member that has no poll on the way.
+func (l *Loop) pollMembers(ctx context.Context, now time.Duration) {
+	for _, inst := range l.instances {
+		if inst.Kind != platform.KindEngine || l.polling[inst.ID] {
+			continue
+		}
+		l.polling[inst.ID] = true
+		l.pollMember(ctx, inst.ID, inst.Address)
+	}
+}
+
+func (l *Loop) pollMember(ctx context.Context, id ident.InstanceID, addr string) {
+	l.spawn(ctx, func() event {
+		l.polls <- struct{}{}
+		defer func() { <-l.polls }()
+		sent := l.opts.Now()
+		status, err := l.opts.Engines.Status(ctx, addr)
+		return memberPolled{instance: id, sent: sent, status: status, err: err}
+	})
+}
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/view"
+)
+
+// publish builds the snapshot of the current state.
+func (l *Loop) publish(now time.Duration) {
+	s := view.Snapshot{Ready: l.ready(), Entries: l.entries()}
+	groups := 0
+	for _, doc := range l.documents {
+		svc := &view.Service{Document: doc}
+		switch doc.Kind {
+		case service.KindModel:
+			svc.Groups = l.confirmedGroups(doc, now)
+			groups += len(svc.Groups)
+		case service.KindPlain:
+			svc.Backends = l.plainBackends(doc.Service)
+		}
+		s.Services = append(s.Services, svc)
+	}
+	l.counters.groups.Update(float64(groups))
+	l.snapshot.Store(view.New(s))
+}
+
+// ready reports whether the entry instance knows enough to serve.
+func (l *Loop) ready() bool {
+	return len(l.documents) > 0 && len(l.instances) > 0
+}
+
+// entries lists the entry instances, this one included.
+func (l *Loop) entries() []view.Entry {
+	out := []view.Entry{l.opts.Self}
+	for _, inst := range l.instances {
+		if inst.Kind != platform.KindEntry || inst.ID == l.opts.Self.Instance {
+			continue
+		}
+		out = append(out, view.Entry{
+			Instance:    inst.ID,
+			Address:     inst.Address,
+			PeerAddress: inst.PeerAddress,
+			DataCentre:  inst.DataCentre,
+			Region:      inst.Region,
+			Draining:    inst.State == platform.StateLeaving,
+			Alive:       true,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
+
+// plainBackends lists the backend servers of a plain service.
+func (l *Loop) plainBackends(name ident.ServiceName) []*view.Backend {
+	var out []*view.Backend
+	for _, inst := range l.instances {
+		if inst.Kind == platform.KindPlain && inst.Service == name {
+			b := backendOf(inst)
+			out = append(out, &b)
+		}
+	}
+	return out
+}
+
+func backendOf(inst platform.Instance) view.Backend {
+	return view.Backend{
+		Instance:   inst.ID,
+		Address:    inst.Address,
+		DataCentre: inst.DataCentre,
+		Region:     inst.Region,
+		Partner:    inst.Partner,
+		Draining:   inst.State == platform.StateLeaving,
+	}
+}
+
+// groupKey identifies what the members of one group must agree on.
+type groupKey struct {
+	group ident.GroupID
+	epoch ident.Epoch
+}
+
+// confirmedGroups returns the groups of a service whose members have all
+// recently reported the same group and epoch.
+func (l *Loop) confirmedGroups(doc service.Document, now time.Duration) []*view.Group {
+	members := make(map[groupKey][]platform.Instance)
+	for _, inst := range l.instances {
+		m, ok := l.statuses[inst.ID]
+		if !ok || now-m.sent >= view.ConfirmTTL || m.status.Service != doc.Service || m.status.State != engine.StateReady {
+			continue
+		}
+		key := groupKey{group: m.status.Group, epoch: m.status.Epoch}
+		members[key] = append(members[key], inst)
+	}
+	var out []*view.Group
+	for key, instances := range members {
+		if g := l.completeGroup(doc, key, instances); g != nil {
+			out = append(out, g)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// completeGroup returns the group if each rank is present exactly once.
+func (l *Loop) completeGroup(doc service.Document, key groupKey, instances []platform.Instance) *view.Group {
+	size := l.statuses[instances[0].ID].status.Size
+	if size == 0 || len(instances) != size {
+		return nil
+	}
+	byRank := make([]ident.InstanceID, size)
+	g := &view.Group{ID: key.group, Epoch: key.epoch, Confirmed: l.statuses[instances[0].ID].sent}
+	for _, inst := range instances {
+		m := l.statuses[inst.ID]
+		if m.status.Rank < 0 || m.status.Rank >= size || byRank[m.status.Rank] != "" {
+			return nil
+		}
+		byRank[m.status.Rank] = inst.ID
+		g.Cold = g.Cold || m.status.Cold
+		g.Draining = g.Draining || inst.State == platform.StateLeaving
+		g.Confirmed = min(g.Confirmed, m.sent)
+		if m.status.Rank == 0 {
+			fillLeader(g, inst, m.status)
+		}
+	}
+	g.Members = byRank
+	g.Limit = effectiveLimit(doc, g)
+	return g
+}
+
+// fillLeader sets what the member with rank 0 decides.
+func fillLeader(g *view.Group, inst platform.Instance, status engine.Status) {
+	g.Leader = backendOf(inst)
+	g.Leader.Incarnation = status.Incarnation
+	g.Role = status.Role
+	g.Region, g.DataCentre = inst.Region, inst.DataCentre
+	g.Domain, g.Partner = inst.Domain, inst.Partner
+	g.TokenCapacity = status.TokenCapacity
+	g.Status = status
+}
+
+// effectiveLimit is the smaller of the document's and the engine's limit.
+func effectiveLimit(doc service.Document, g *view.Group) int {
+	limit, engineLimit := doc.Backend.Requests, g.Status.Limit
+	if g.Cold {
+		limit, engineLimit = doc.Backend.ColdRequests, g.Status.ColdLimit
+	}
+	if engineLimit > 0 && engineLimit < limit {
+		return engineLimit
+	}
+	return limit
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Limits of the control client.
+const (
+	// maxControlBytes bounds what the client reads of one control response.
+	maxControlBytes = 1 << 20
+	// controlTimeout bounds a command when its context has no deadline. It is
+	// the longest flight time of a command that lease hand-over waits out.
+	controlTimeout = time.Second
+)
+
+// StaleFencingError is returned when an engine refuses a command because it has
+// seen a higher fencing token.
+type StaleFencingError struct {
+	Highest ident.Epoch `json:"fencing"`
+}
+
+// Error names the engine's token.
+func (e *StaleFencingError) Error() string {
+	return "engine refused a stale fencing token: highest seen is " + strconv.FormatUint(uint64(e.Highest), 10)
+}
+
+// ErrCommandOutcomeUnknown means that a command may have taken effect.
+var ErrCommandOutcomeUnknown = errors.New("outcome of the engine command is unknown: poll the engine's status")
+
+// Control sends status polls and commands to engines.
+type Control struct {
+	http *http.Client
+}
+
+// NewControl returns a control client.
+func NewControl() *Control {
+	return &Control{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     10 * time.Second,
+	}}}
+}
+
+// Status polls one engine member.
+func (c *Control) Status(ctx context.Context, addr string) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
+	defer cancel()
+	var s Status
+	err := c.call(ctx, http.MethodGet, addr, "/status", nil, &s)
+	return s, err
+}
+
+// Assign makes an engine a member of a group.
+func (c *Control) Assign(ctx context.Context, addr string, cmd AssignCommand) error {
+	return c.command(ctx, addr, "/admin/assign", cmd)
+}
+
+// Release ends an engine's part in a group.
+func (c *Control) Release(ctx context.Context, addr string, cmd ReleaseCommand) error {
+	return c.command(ctx, addr, "/admin/release", cmd)
+}
+
+// Preload loads weights ahead of an assignment.
+func (c *Control) Preload(ctx context.Context, addr string, cmd PreloadCommand) error {
+	return c.command(ctx, addr, "/admin/preload", cmd)
+}
+
+// Cancel stops one running attempt.
+func (c *Control) Cancel(ctx context.Context, addr string, cmd CancelCommand) error {
+	return c.command(ctx, addr, "/admin/cancel", cmd)
+}
+
+// CacheEvents returns the events after a sequence number.
+func (c *Control) CacheEvents(ctx context.Context, addr string, after uint64) ([]CacheEvent, error) {
+	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
+	defer cancel()
+	var events []CacheEvent
+	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
+	err := c.call(ctx, http.MethodGet, addr, path, nil, &events)
+	return events, err
+}
+
+func (c *Control) command(ctx context.Context, addr, path string, cmd any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	body, err := json.Marshal(cmd)
+	if err != nil {
+		return errors.Wrap(err, "encode engine command")
+	}
+	return c.call(ctx, http.MethodPost, addr, path, body, nil)
+}
+
+func (c *Control) call(ctx context.Context, method, addr, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build engine request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(ErrCommandOutcomeUnknown, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes))
+	if err != nil {
+		return errors.Wrap(ErrCommandOutcomeUnknown, err.Error())
+	}
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		stale := &StaleFencingError{}
+		_ = json.Unmarshal(b, stale)
+		return stale
+	case resp.StatusCode >= http.StatusBadRequest:
+		return errors.Errorf("engine at %s answered %s: %s", addr, resp.Status, bytes.TrimSpace(b))
+	case out == nil:
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(b, out), "decode engine response")
+}
--- /dev/null
+++ b/gateway/decode.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Limits of decoded requests.
+const (
+	// bytesPerToken estimates context tokens from the length of a prompt.
+	bytesPerToken = 4
+	// defaultMaxTokens applies when a completion does not bound its answer.
+	defaultMaxTokens = 256
+	// maxDeadline bounds what a caller may ask for.
+	maxDeadline = 10 * time.Minute
+	// servicesPrefix starts the paths of plain services.
+	servicesPrefix = "/services/"
+)
+
+// decodeCompletion reads a chat or completion call.
+func (g *Gateway) decodeCompletion(_ context.Context, h *http.Request) (any, error) {
+	r, err := g.decodeCommon(h)
+	if err != nil {
+		return nil, err
+	}
+	r.Completion = &engine.CompletionRequest{}
+	if err := json.Unmarshal(r.Body, r.Completion); err != nil {
+		return nil, ProblemBadRequest.With("body is not a JSON completion request: %v", err)
+	}
+	if !r.Completion.Stream {
+		// Attempts are always streamed, so that they can be resumed.
+		if r.Body, err = withStream(r.Body); err != nil {
+			return nil, ProblemBadRequest.With("body is not a JSON object: %v", err)
+		}
+	}
+	r.Name = ident.ServiceName(r.Completion.Model)
+	r.Idempotent = true
+	r.Tokens = estimateTokens(r.Completion)
+	if err := r.decodeLastEventID(h.Header.Get(HeaderLastEventID)); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// decodePlain reads a call of a plain service.
+func (g *Gateway) decodePlain(_ context.Context, h *http.Request) (any, error) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(h.URL.Path, servicesPrefix), "/")
+	r, err := g.decodeCommon(h)
+	if err != nil {
+		return nil, err
+	}
+	r.Name = ident.ServiceName(name)
+	r.Path = "/" + rest
+	r.Query = h.URL.RawQuery
+	return r, nil
+}
+
+func (g *Gateway) decodeCommon(h *http.Request) (*Request, error) {
+	r := &Request{
+		Arrived:        g.now(),
+		Method:         h.Method,
+		Path:           h.URL.Path,
+		ContentType:    h.Header.Get("Content-Type"),
+		IdempotencyKey: h.Header.Get(HeaderIdempotencyKey),
+		AnswerID:       uuid.NewString(),
+	}
+	if err := r.decodeHeaders(h.Header); err != nil {
+		return nil, err
+	}
+	body, err := readBody(h, g.opts.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = body
+	return r, nil
+}
+
+func (r *Request) decodeHeaders(h http.Header) error {
+	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return ProblemUnknownAccount.With("no bearer key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	r.KeySHA256 = hex.EncodeToString(sum[:])
+	if v := h.Get(HeaderDeadline); v != "" {
+		ms, err := strconv.Atoi(v)
+		if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > maxDeadline {
+			return ProblemBadRequest.With("%s: %q is not a number of milliseconds up to %d", HeaderDeadline, v, maxDeadline.Milliseconds())
+		}
+		r.CallerDeadline = time.Duration(ms) * time.Millisecond
+	}
+	if v := h.Get(HeaderPriority); v != "" {
+		p, err := strconv.Atoi(v)
+		if err != nil {
+			return ProblemBadRequest.With("%s: %q is not a number", HeaderPriority, v)
+		}
+		r.CallerPriority, r.HasPriority = p, true
+	}
+	return nil
+}
+
+// readBody reads a bounded body.
+func readBody(h *http.Request, limit int64) ([]byte, error) {
+	if h.Body == nil || h.ContentLength == 0 {
+		return nil, nil
+	}
+	if h.ContentLength > limit {
+		return nil, ProblemBodyTooLarge.With("limit is %d bytes", limit)
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(nil, h.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, ProblemBodyTooLarge.With("limit is %d bytes", limit)
+	case err != nil:
+		return nil, ProblemBadRequest.With("body could not be read: %v", err)
+	}
+	return b, nil
+}
+
+// decodeLastEventID resumes an answer after the event that the caller saw last.
+func (r *Request) decodeLastEventID(id string) error {
+	if id == "" {
+		return nil
+	}
+	answer, offset, ok := strings.Cut(id, ":")
+	n, err := strconv.Atoi(offset)
+	if !ok || err != nil || n < 0 || answer == "" {
+		return ProblemBadRequest.With("%s: %q is not <answer>:<offset>", HeaderLastEventID, id)
+	}
+	r.AnswerID = answer
+	r.Assembler.StartAt(n + 1)
+	return nil
+}
+
+// withStream returns a completion body with streaming on and all other fields
+// as they were.
+func withStream(body []byte) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
+
+func estimateTokens(c *engine.CompletionRequest) int {
+	n := len(c.Prompt)
+	for _, m := range c.Messages {
+		n += len(m.Content)
+	}
+	answer := c.MaxTokens
+	if answer <= 0 {
+		answer = defaultMaxTokens
+	}
+	return n/bytesPerToken + answer
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/stream"
+	"github.com/bulrushfall/bulrushfall/view"
+)
+
+// maxAttempts bounds the attempts at one request.
+const maxAttempts = 6
+
+// Grant is the right to run one attempt at a group. Release must be called
+// once; further calls have no effect.
+type Grant struct {
+	Group *view.Group
+	// Cold tells whether the credit was given for a cold engine.
+	Cold    bool
+	Release func(Result)
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Err error
+	// FirstToken is the time from dispatch to the first token, or 0.
+	FirstToken time.Duration
+	Tokens     int
+}
+
+// Router picks a group for an attempt and acquires a credit there. It waits
+// until the request's deadline and returns a Problem when there is none.
+// Excluded groups have failed an attempt at this request.
+type Router interface {
+	Acquire(ctx context.Context, r *Request, excluded []ident.GroupID) (Grant, error)
+}
+
+// dispatchCompletion is the last endpoint of model services. It is the only
+// place that retries: a completion is idempotent and resumes from the delivered
+// offset.
+func (g *Gateway) dispatchCompletion(ctx context.Context, r *Request) (*Answer, error) {
+	if r.Sink.Started() {
+		return g.attempts(ctx, r)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(r.Deadline-g.now(), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+	r.startTimer = timer
+	return g.attempts(ctx, r)
+}
+
+func (g *Gateway) attempts(ctx context.Context, r *Request) (*Answer, error) {
+	var excluded []ident.GroupID
+	var last error
+	for range maxAttempts {
+		grant, err := g.opts.Router.Acquire(ctx, r, excluded)
+		if err != nil {
+			if last != nil {
+				return nil, attemptProblem(last)
+			}
+			return nil, err
+		}
+		result := g.attempt(ctx, r, grant)
+		grant.Release(result)
+		switch {
+		case result.Err == nil:
+			return &Answer{Streamed: true}, nil
+		case !retryable(result.Err) || ctx.Err() != nil:
+			return nil, attemptProblem(result.Err)
+		}
+		g.counters.retries.Inc(1)
+		last = result.Err
+		excluded = append(excluded, grant.Group.ID)
+	}
+	return nil, attemptProblem(last)
+}
+
+// attempt runs one attempt and relays its frames.
+func (g *Gateway) attempt(ctx context.Context, r *Request, grant Grant) Result {
+	started := g.now()
+	id := ident.AttemptID(uuid.NewString())
+	s, err := g.opts.Data.Open(ctx, engine.Request{
+		Target: engine.Target{
+			Group:       grant.Group.ID,
+			Epoch:       grant.Group.Epoch,
+			Instance:    grant.Group.Leader.Instance,
+			Address:     grant.Group.Leader.Address,
+			Incarnation: grant.Group.Leader.Incarnation,
+			Cold:        grant.Cold,
+		},
+		Attempt:      id,
+		Path:         r.Path,
+		Body:         r.Body,
+		Priority:     r.Priority,
+		ResumeOffset: r.Assembler.Begin(id),
+	})
+	if err != nil {
+		return Result{Err: err}
+	}
+	defer s.Close()
+	before := r.Assembler.Next()
+	result := Result{}
+	result.Err = g.relay(r, s, func() {
+		result.FirstToken = g.now() - started
+		g.firstToken(r)
+	})
+	result.Tokens = r.Assembler.Next() - before
+	if errors.Is(result.Err, engine.ErrNoProgress) {
+		g.opts.Data.Forget(grant.Group.Leader.Address)
+	}
+	return result
+}
+
+// firstToken ends the deadline of a request whose answer has started.
+func (g *Gateway) firstToken(r *Request) {
+	if r.startTimer == nil {
+		return
+	}
+	r.startTimer.Stop()
+	r.startTimer = nil
+	m := g.opts.Metrics.Request(r.Account.Name, r.Name, r.Class)
+	m.FirstByte.RecordDuration(g.now() - r.Arrived)
+	if g.now() > r.Deadline {
+		m.Late.Inc(1)
+	}
+}
+
+// flusher is a sink that buffers.
+type flusher interface{ Flush() error }
+
+// relay hands the frames of one attempt to the sink.
+func (g *Gateway) relay(r *Request, s *engine.Stream, first func()) error {
+	var f engine.Frame
+	flush, _ := r.Sink.(flusher)
+	for {
+		if err := s.Next(&f); err != nil {
+			return err
+		}
+		if f.Done {
+			if r.Assembler.Finish(f.Attempt, f.Offset) != stream.Deliver {
+				return errors.Wrap(engine.ErrBadFrame, "answer ended with a gap")
+			}
+			return r.Sink.Finish(r.Assembler.Next())
+		}
+		switch r.Assembler.Accept(f.Attempt, f.Offset) {
+		case stream.Skip:
+			continue
+		case stream.Resume:
+			return errors.Wrap(engine.ErrBadFrame, "frame of another attempt or a gap")
+		}
+		if first != nil {
+			first()
+			first = nil
+		}
+		// The caller's pace is not the engine's: the progress deadline rests
+		// while the frame is written.
+		s.Pause()
+		if err := r.Sink.Token(f.Offset, f.Data); err != nil {
+			return err
+		}
+		if flush != nil && !s.Buffered() {
+			if err := flush.Flush(); err != nil {
+				return err
+			}
+		}
+		s.Continue()
+	}
+}
+
+// retryable reports whether another attempt can complete the answer.
+func retryable(err error) bool {
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) {
+		return refused.NotRun || refused.Status >= 500
+	}
+	return errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrBroken) ||
+		errors.Is(err, engine.ErrNoProgress) || errors.Is(err, engine.ErrBadFrame)
+}
+
+// attemptProblem turns the error of an attempt into what the caller gets.
+func attemptProblem(err error) error {
+	var refused *engine.RefusedError
+	switch {
+	case errors.Is(err, errParked), errors.Is(err, errCallerGone):
+		return err
+	case errors.As(err, &refused) && refused.NotRun:
+		return ProblemBackendRefused.With("%v", err)
+	case errors.Is(err, engine.ErrNotSent):
+		return ProblemNoCapacity.With("%v", err).After(time.Second)
+	}
+	return asProblem(err)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,149 @@
+// Package gateway is the callers' HTTP interface: it takes a request through a
+// chain of filters to a backend server and relays the answer.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/view"
+)
+
+// Paths of the callers' interface.
+const (
+	chatPath       = "/v1/chat/completions"
+	completionPath = "/v1/completions"
+	lookupPath     = "/v1/lookup"
+)
+
+// Options are the parts that the gateway works with.
+type Options struct {
+	// Snapshot returns the current control state. It does not block.
+	Snapshot func() *view.Snapshot
+	// Now is the local monotonic clock.
+	Now     func() time.Duration
+	Metrics *telemetry.Metrics
+	Data    *engine.Data
+	Router  Router
+	// Filters run between classification and dispatch, in order.
+	Filters []Filter
+	Self    view.Entry
+	// LookupTTL is how long callers may keep a lookup answer.
+	LookupTTL time.Duration
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// AccountParkedStreams and ProcessParkedStreams bound parked streams. Past
+	// them the stream is closed, and its caller resumes with Last-Event-ID.
+	AccountParkedStreams int
+	ProcessParkedStreams int
+	// ParkAfter is how long a reader may take nothing before it is parked.
+	// 0 means the default.
+	ParkAfter time.Duration
+}
+
+type counters struct {
+	unauthenticated tally.Counter
+	retries         tally.Counter
+	parked          tally.Counter
+	unparked        tally.Counter
+	parkRefused     tally.Counter
+	parkedNow       tally.Gauge
+	lookups         tally.Counter
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	opts       Options
+	counters   counters
+	completion Endpoint
+	plain      Endpoint
+	backends   *plainClient
+	parked     parkedStreams
+	draining   atomic.Bool
+
+	base   context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a gateway.
+func New(opts Options) *Gateway {
+	if opts.ParkAfter == 0 {
+		opts.ParkAfter = parkAfter
+	}
+	s := opts.Metrics.Scope
+	g := &Gateway{
+		opts: opts,
+		counters: counters{
+			unauthenticated: s.Counter("unauthenticated_total"),
+			retries:         s.Counter("attempt_retries_total"),
+			parked:          s.Counter("streams_parked_total"),
+			unparked:        s.Counter("streams_unparked_total"),
+			parkRefused:     s.Counter("streams_park_refused_total"),
+			parkedNow:       s.Gauge("streams_parked"),
+			lookups:         s.Counter("lookups_total"),
+		},
+		backends: newPlainClient(),
+		parked:   newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
+	}
+	g.base, g.cancel = context.WithCancel(context.Background())
+	front := []Filter{g.account, g.authenticate, g.classify}
+	filters := append(front, opts.Filters...)
+	g.completion = chain(g.dispatchCompletion, filters...)
+	g.plain = chain(g.dispatchPlain, filters...)
+	return g
+}
+
+func (g *Gateway) now() time.Duration { return g.opts.Now() }
+
+// SetDraining makes the gateway tell callers to go elsewhere. Requests are
+// still served.
+func (g *Gateway) SetDraining() { g.draining.Store(true) }
+
+// Handler returns the callers' HTTP handler.
+func (g *Gateway) Handler() http.Handler {
+	mux := http.NewServeMux()
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(writeProblem)}
+	completions := kithttp.NewServer(passRequest, g.decodeCompletion, g.encodeCompletion, options...)
+	mux.Handle("POST "+chatPath, completions)
+	mux.Handle("POST "+completionPath, completions)
+	mux.Handle(servicesPrefix, kithttp.NewServer(g.plainEndpoint(), g.decodePlain, encodePlain, options...))
+	mux.Handle("GET "+lookupPath, kithttp.NewServer(g.lookup, decodeLookup, kithttp.EncodeJSONResponse, options...))
+	return mux
+}
+
+// passRequest hands the decoded request to the encoder: the answer of a model
+// service is produced while it is written.
+func passRequest(_ context.Context, request any) (any, error) { return request, nil }
+
+// plainEndpoint adapts the filter chain of plain services to go-kit.
+func (g *Gateway) plainEndpoint() endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		return g.plain(ctx, request.(*Request))
+	}
+}
+
+// Wait waits for parked streams until the context ends, then closes them.
+func (g *Gateway) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		g.parked.closeAll()
+		<-done
+	}
+	g.cancel()
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/view"
+)
+
+// Limits of calls to plain services.
+const (
+	plainDialTimeout = 500 * time.Millisecond
+	// maxPlainAnswerBytes bounds an answer, which is held whole in memory.
+	maxPlainAnswerBytes = 4 << 20
+)
+
+// Errors of a call to a backend server of a plain service.
+var (
+	// ErrBackendNotSent means that the backend server has not received the
+	// request.
+	ErrBackendNotSent = errors.New("request was not sent to the backend server")
+	// ErrBackendNotRun means that the backend server stated that it did not
+	// run the request.
+	ErrBackendNotRun = errors.New("backend server refused the request and did not run it")
+	// ErrBackendOutcomeUnknown means that the request may have run.
+	ErrBackendOutcomeUnknown = errors.New("connection to the backend server failed during the request")
+)
+
+// plainClient calls backend servers of plain services.
+type plainClient struct {
+	idempotent *http.Transport
+	// fresh opens a connection for each request: an established connection may
+	// be silent, and the transport may resend a request on a reused one.
+	fresh *http.Transport
+}
+
+func newPlainClient() *plainClient {
+	dial := (&net.Dialer{Timeout: plainDialTimeout}).DialContext
+	return &plainClient{
+		idempotent: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
+		fresh:      &http.Transport{DialContext: dial, DisableKeepAlives: true},
+	}
+}
+
+// call sends one attempt and returns the whole answer.
+func (c *plainClient) call(ctx context.Context, r *Request, b *view.Backend, attempt ident.AttemptID) (*Answer, error) {
+	url := "http://" + b.Address + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errors.Wrap(ErrBackendNotSent, err.Error())
+	}
+	req.GetBody = nil
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	req.Header.Set(engine.HeaderAttempt, string(attempt))
+	transport := c.fresh
+	if r.Idempotent {
+		transport = c.idempotent
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, plainError(err)
+	}
+	return readAnswer(resp)
+}
+
+func plainError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrBackendNotSent, err.Error())
+	}
+	return errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
+}
+
+func readAnswer(resp *http.Response) (*Answer, error) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswerBytes+1))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
+	case len(body) > maxPlainAnswerBytes:
+		return nil, errors.Wrapf(ErrBackendOutcomeUnknown, "answer exceeds %d bytes", maxPlainAnswerBytes)
+	case resp.Header.Get(engine.HeaderNotRun) != "":
+		return nil, errors.Wrapf(ErrBackendNotRun, "status %d", resp.StatusCode)
+	}
+	header := make(http.Header, 1)
+	if ct := resp.Header.Get("Content-Type"); ct != "" {
+		header.Set("Content-Type", ct)
+	}
+	return &Answer{Status: resp.StatusCode, Header: header, Body: body}, nil
+}
+
+// pickBackend chooses a random backend server in service, local ones first.
+func (g *Gateway) pickBackend(r *Request, excluded []ident.InstanceID) *view.Backend {
+	var local, remote []*view.Backend
+	for _, b := range r.Service.Backends {
+		switch {
+		case b.Draining || contains(excluded, b.Instance):
+		case b.DataCentre == g.opts.Self.DataCentre:
+			local = append(local, b)
+		default:
+			remote = append(remote, b)
+		}
+	}
+	if len(local) == 0 {
+		local = remote
+	}
+	if len(local) == 0 {
+		return nil
+	}
+	return local[rand.IntN(len(local))]
+}
+
+func contains(ids []ident.InstanceID, id ident.InstanceID) bool {
+	for _, have := range ids {
+		if have == id {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatchPlain is the last endpoint of plain services. It retries idempotent
+// calls on other backend servers, and any call that certainly did not run.
+func (g *Gateway) dispatchPlain(ctx context.Context, r *Request) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline-g.now())
+	defer cancel()
+	var excluded []ident.InstanceID
+	last := error(ProblemNoCapacity.With("service %q has no backend server in service", r.Name).After(time.Second))
+	for range maxAttempts {
+		b := g.pickBackend(r, excluded)
+		if b == nil {
+			return nil, plainProblem(last)
+		}
+		a, err := g.backends.call(ctx, r, b, ident.AttemptID(r.AnswerID))
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		if ctx.Err() != nil || (!r.Idempotent && errors.Is(err, ErrBackendOutcomeUnknown)) {
+			return nil, plainProblem(last)
+		}
+		g.counters.retries.Inc(1)
+		excluded = append(excluded, b.Instance)
+	}
+	return nil, plainProblem(last)
+}
+
+func plainProblem(err error) error {
+	switch {
+	case errors.Is(err, ErrBackendNotSent):
+		return ProblemNoCapacity.With("%v", err).After(time.Second)
+	case errors.Is(err, ErrBackendNotRun):
+		return ProblemBackendRefused.With("%v", err)
+	}
+	return asProblem(err)
+}
+
+// encodePlain writes the answer of a plain service.
+func encodePlain(_ context.Context, w http.ResponseWriter, response any) error {
+	a := response.(*Answer)
+	for k, v := range a.Header {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(a.Status)
+	// A failed write means that the caller is gone; nothing can be reported.
+	_, _ = w.Write(a.Body)
+	return nil
+}
