--- /dev/null
+++ b/cmd/bulrush-standin/main.go
@@ -0,0 +1,57 @@
+// Command bulrush-standin runs one stand-in of an outside system on loopback
+// until SIGTERM or SIGINT: the platform, a set of model engines, an order
+// system or the fault proxy.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand: its flags and what it starts.
+type command interface {
+	flags() *flaggy.Subcommand
+	start() (stop func(), err error)
+}
+
+func main() {
+	flaggy.SetName("bulrush-standin")
+	flaggy.SetDescription("stand-ins of outside systems on loopback addresses, for tests and the demo")
+	flaggy.DefaultParser.DisableShowVersionWithVersion()
+	commands := []command{newPlatformCommand(), newEngineCommand(), newOrdersCommand()}
+	subs := make([]*flaggy.Subcommand, len(commands))
+	for i, c := range commands {
+		subs[i] = c.flags()
+		flaggy.AttachSubcommand(subs[i], 1)
+	}
+	flaggy.Parse()
+	for i, c := range commands {
+		if subs[i].Used {
+			os.Exit(run(c))
+		}
+	}
+	flaggy.ShowHelpAndExit("name a stand-in to run")
+}
+
+// run starts a stand-in and waits for a signal.
+func run(c command) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, err := c.start()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	<-signals
+	stop()
+	return 0
+}
+
+// note prints a change of state.
+func note(format string, args ...any) {
+	fmt.Printf(format+"\n", args...)
+}
--- /dev/null
+++ b/cmd/bulrush-standin/register.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// registration describes the instances of a process to the platform stand-in.
+type registration struct {
+	platformURL string
+	prefix      string
+	region      string
+	dataCentre  string
+	domain      string
+	partner     string
+	service     string
+}
+
+func (g *registration) flags(s *flaggy.Subcommand) {
+	s.String(&g.platformURL, "", "platform", "base URL of the platform stand-in to register at")
+	s.String(&g.prefix, "", "prefix", "prefix of instance names")
+	s.String(&g.region, "", "region", "region")
+	s.String(&g.dataCentre, "", "data-centre", "data centre")
+	s.String(&g.domain, "", "domain", "fabric domain, or its prefix")
+	s.String(&g.partner, "", "partner", "partner firm that runs the instances")
+}
+
+func (g *registration) instance(id, address string, kind platform.InstanceKind) platform.Instance {
+	return platform.Instance{
+		ID: ident.InstanceID(id), Kind: kind, State: platform.StateLive, Address: address,
+		Region: ident.Region(g.region), DataCentre: ident.DataCentre(g.dataCentre),
+		Domain: ident.Domain(g.domain), Partner: ident.Partner(g.partner),
+	}
+}
+
+func (g *registration) plain(address string) error {
+	i := g.instance(g.prefix, address, platform.KindPlain)
+	i.Service = ident.ServiceName(g.service)
+	return g.put([]platform.Instance{i})
+}
+
+// put registers instances, if a platform is named.
+func (g *registration) put(instances []platform.Instance) error {
+	if g.platformURL == "" {
+		return nil
+	}
+	b, err := json.Marshal(standin.InstanceChange{Put: instances})
+	if err != nil {
+		return errors.Wrap(err, "encode instances")
+	}
+	resp, err := http.Post(g.platformURL+"/debug/instances", "application/json", bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "register at the platform: check --platform")
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("register at the platform: status %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/platform/http.go
@@ -0,0 +1,182 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/standin/httpd"
+)
+
+// Record is the answer of GET /debug/record.
+type Record struct {
+	Counts  Counts       `json:"counts"`
+	Faults  Faults       `json:"faults"`
+	Dropped uint64       `json:"dropped"`
+	Writes  []TableWrite `json:"writes"`
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /table/txn", s.handleTxn)
+	mux.HandleFunc("POST /table/get", s.handleGet)
+	mux.HandleFunc("POST /table/scan", s.handleScan)
+	mux.HandleFunc("GET /instances", s.handleInstances)
+	mux.HandleFunc("/objects/{key}", s.handleObject)
+	mux.HandleFunc("GET /weights/{model}/{version}", s.handleWeights)
+	mux.HandleFunc("POST /debug/faults", s.handleFaults)
+	mux.HandleFunc("POST /debug/instances", s.handleChange)
+	mux.HandleFunc("GET /debug/record", s.handleRecord)
+	mux.HandleFunc("GET /debug/counts", func(w http.ResponseWriter, _ *http.Request) {
+		httpd.WriteJSON(w, http.StatusOK, s.Counts())
+	})
+	return mux
+}
+
+func (s *Server) handleTxn(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if !httpd.ReadJSON(w, r, &txn) || !s.admit(w, r, s.writes) {
+		return
+	}
+	s.count(func(c *Counts) { c.Writes++ })
+	version, conflicts := s.table.apply(txn)
+	if conflicts != nil {
+		httpd.WriteJSON(w, http.StatusConflict, platform.ConflictError{Rows: conflicts})
+		return
+	}
+	if s.loseAnswer(txn) {
+		httpd.Abort(w)
+		return
+	}
+	httpd.WriteJSON(w, http.StatusOK, platform.TxnResponse{Version: version})
+}
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	var req platform.GetRequest
+	if !httpd.ReadJSON(w, r, &req) || !s.admit(w, r, s.reads) {
+		return
+	}
+	s.count(func(c *Counts) { c.Reads++ })
+	row, ok := s.table.get(req.RowKey)
+	if !ok {
+		http.Error(w, "row not found", http.StatusNotFound)
+		return
+	}
+	httpd.WriteJSON(w, http.StatusOK, row)
+}
+
+func (s *Server) handleScan(w http.ResponseWriter, r *http.Request) {
+	var req platform.ScanRequest
+	if !httpd.ReadJSON(w, r, &req) || !s.admit(w, r, s.reads) {
+		return
+	}
+	s.count(func(c *Counts) { c.Reads++ })
+	rows := s.table.scan(req.Table, req.After, req.Limit)
+	httpd.WriteJSON(w, http.StatusOK, platform.ScanResponse{Rows: rows})
+}
+
+func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
+	if s.pass(w, r) {
+		httpd.WriteJSON(w, http.StatusOK, platform.InstancesResponse{Instances: s.list.read()})
+	}
+}
+
+func (s *Server) handleObject(w http.ResponseWriter, r *http.Request) {
+	if !s.pass(w, r) {
+		return
+	}
+	key := r.PathValue("key")
+	switch r.Method {
+	case http.MethodPut:
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.setObject(key, b)
+		w.WriteHeader(http.StatusNoContent)
+	case http.MethodDelete:
+		s.setObject(key, nil)
+		w.WriteHeader(http.StatusNoContent)
+	case http.MethodGet:
+		b, ok := s.object(key)
+		if !ok {
+			http.Error(w, "object not found", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(b)
+	default:
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+// setObject stores an object; nil deletes it.
+func (s *Server) setObject(key string, b []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b == nil {
+		delete(s.objects, key)
+		return
+	}
+	s.objects[key] = b
+}
+
+func (s *Server) object(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.objects[key]
+	return b, ok
+}
+
+func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
+	if !s.pass(w, r) {
+		return
+	}
+	bytes := s.cfg.WeightBytes
+	if q := r.URL.Query().Get("bytes"); q != "" {
+		n, err := strconv.ParseInt(q, 10, 64)
+		if err != nil || n < 0 {
+			http.Error(w, "bytes must be a non-negative number", http.StatusBadRequest)
+			return
+		}
+		bytes = n
+	}
+	waited, err := s.weight.load(r.Context(), bytes)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	s.count(func(c *Counts) { c.WeightLoads++ })
+	httpd.WriteJSON(w, http.StatusOK, Load{
+		Model: r.PathValue("model"), Version: r.PathValue("version"),
+		Bytes: bytes, WaitedMillis: waited.Milliseconds(),
+	})
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if httpd.ReadJSON(w, r, &f) {
+		s.SetFaults(f)
+		httpd.WriteJSON(w, http.StatusOK, f)
+	}
+}
+
+func (s *Server) handleChange(w http.ResponseWriter, r *http.Request) {
+	var c InstanceChange
+	if httpd.ReadJSON(w, r, &c) {
+		s.list.change(c)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (s *Server) handleRecord(w http.ResponseWriter, r *http.Request) {
+	writes := s.table.history(r.URL.Query().Get("table"))
+	s.mu.Lock()
+	rec := Record{Counts: s.counts, Faults: s.faults, Writes: writes}
+	s.mu.Unlock()
+	s.table.mu.Lock()
+	rec.Dropped = s.table.dropped
+	s.table.mu.Unlock()
+	httpd.WriteJSON(w, http.StatusOK, rec)
+}
--- /dev/null
+++ b/standin/platform/instances.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// InstanceChange registers, removes or marks instances. A change shows in the
+// list after the lag, unless Now is set.
+type InstanceChange struct {
+	Put     []platform.Instance `json:"put,omitempty"`
+	Remove  []ident.InstanceID  `json:"remove,omitempty"`
+	Leaving []ident.InstanceID  `json:"leaving,omitempty"`
+	Now     bool                `json:"now,omitempty"`
+}
+
+type pendingChange struct {
+	at     time.Time
+	change InstanceChange
+}
+
+// instanceList shows each change after a lag.
+type instanceList struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	visible map[ident.InstanceID]platform.Instance
+	pending []pendingChange
+}
+
+func newInstanceList(lag time.Duration) *instanceList {
+	return &instanceList{lag: lag, visible: make(map[ident.InstanceID]platform.Instance)}
+}
+
+func (l *instanceList) change(c InstanceChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := time.Now().Add(l.lag)
+	if c.Now {
+		// Changes keep their order: an immediate one makes the earlier visible too.
+		at = time.Now()
+		for i := range l.pending {
+			l.pending[i].at = at
+		}
+	}
+	l.pending = append(l.pending, pendingChange{at: at, change: c})
+}
+
+func (l *instanceList) read() []platform.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		l.apply(l.pending[0].change)
+		l.pending = l.pending[1:]
+	}
+	out := make([]platform.Instance, 0, len(l.visible))
+	for _, i := range l.visible {
+		out = append(out, i)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+func (l *instanceList) apply(c InstanceChange) {
+	for _, i := range c.Put {
+		if i.State == "" {
+			i.State = platform.StateLive
+		}
+		l.visible[i.ID] = i
+	}
+	for _, id := range c.Remove {
+		delete(l.visible, id)
+	}
+	for _, id := range c.Leaving {
+		if i, ok := l.visible[id]; ok {
+			i.State = platform.StateLeaving
+			l.visible[id] = i
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/table.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// TableWrite is one applied row write in the record.
+type TableWrite struct {
+	At      time.Time `json:"at"`
+	Version uint64    `json:"version"`
+	Table   string    `json:"table"`
+	Key     string    `json:"key"`
+	Value   []byte    `json:"value,omitempty"`
+	Delete  bool      `json:"delete,omitempty"`
+}
+
+// table is a transactional in-memory table. Keys of each table are kept sorted
+// for scans.
+type table struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[platform.RowKey]platform.Row
+	keys    map[string][]string
+	limit   int
+	log     []TableWrite
+	dropped uint64
+}
+
+func newTable(limit int) *table {
+	return &table{
+		rows:  make(map[platform.RowKey]platform.Row),
+		keys:  make(map[string][]string),
+		limit: limit,
+	}
+}
+
+// apply runs a transaction and returns its version, or the rows that conflict.
+func (t *table) apply(txn platform.Txn) (uint64, []platform.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var conflicts []platform.Row
+	for _, c := range txn.Conditions {
+		row, ok := t.rows[c.RowKey]
+		if !ok {
+			row = platform.Row{RowKey: c.RowKey}
+		}
+		if row.Version != c.Version {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return 0, conflicts
+	}
+	t.version++
+	for _, w := range txn.Writes {
+		t.write(w)
+	}
+	return t.version, nil
+}
+
+func (t *table) write(w platform.Write) {
+	keys := t.keys[w.Table]
+	i := sort.SearchStrings(keys, w.Key)
+	present := i < len(keys) && keys[i] == w.Key
+	switch {
+	case w.Delete && present:
+		t.keys[w.Table] = append(keys[:i], keys[i+1:]...)
+		delete(t.rows, w.RowKey)
+	case !w.Delete && !present:
+		keys = append(keys, "")
+		copy(keys[i+1:], keys[i:])
+		keys[i] = w.Key
+		t.keys[w.Table] = keys
+	}
+	if !w.Delete {
+		t.rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
+	}
+	if len(t.log) >= t.limit {
+		drop := max(1, t.limit/10)
+		drop = min(drop, len(t.log))
+		t.log = append(t.log[:0], t.log[drop:]...)
+		t.dropped += uint64(drop)
+	}
+	t.log = append(t.log, TableWrite{
+		At: time.Now(), Version: t.version, Table: w.Table, Key: w.Key, Value: w.Value, Delete: w.Delete,
+	})
+}
+
+func (t *table) get(key platform.RowKey) (platform.Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[key]
+	return row, ok
+}
+
+func (t *table) scan(name, after string, limit int) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := t.keys[name]
+	i := sort.SearchStrings(keys, after)
+	if i < len(keys) && keys[i] == after && after != "" {
+		i++
+	}
+	rows := []platform.Row{}
+	for ; i < len(keys) && (limit <= 0 || len(rows) < limit); i++ {
+		rows = append(rows, t.rows[platform.RowKey{Table: name, Key: keys[i]}])
+	}
+	return rows
+}
+
+func (t *table) history(name string) []TableWrite {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []TableWrite{}
+	for _, w := range t.log {
+		if name == "" || w.Table == name {
+			out = append(out, w)
+		}
+	}
+	return out
+}
