--- /dev/null
+++ b/cluster/cluster.go
@@ -0,0 +1,361 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// pollInterval separates looks at a condition.
+const pollInterval = 50 * time.Millisecond
+
+// Entry is one entry instance process.
+type Entry struct {
+	*Process
+	Instance   ident.InstanceID
+	DataCentre ident.DataCentre
+	Callers    string
+	Peers      string
+	Operators  string
+	settings   string
+}
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	cfg         Config
+	dir         string
+	PlatformURL string
+	Platform    *Process
+	Entries     []*Entry
+	Engines     []*Process
+	Orders      []*Process
+	documents   []string
+}
+
+// Start runs the whole cluster and waits until every entry instance is ready.
+func Start(ctx context.Context, cfg Config) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "bulrushfall-")
+	if err != nil {
+		return nil, errors.Wrap(err, "create directory for settings and logs")
+	}
+	c := &Cluster{cfg: cfg, dir: dir}
+	if err := c.start(ctx); err != nil {
+		logs := c.Logs()
+		c.Close()
+		return nil, errors.Wrap(err, logs)
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	for i, doc := range c.cfg.Documents {
+		file := filepath.Join(c.dir, fmt.Sprintf("service-%d.yaml", i))
+		if err := os.WriteFile(file, []byte(doc), 0o600); err != nil {
+			return errors.Wrap(err, "write service document")
+		}
+		c.documents = append(c.documents, file)
+	}
+	if err := c.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := c.startBackends(); err != nil {
+		return err
+	}
+	if err := c.startEntries(); err != nil {
+		return err
+	}
+	if err := c.waitListed(ctx); err != nil {
+		return err
+	}
+	return c.WaitReady(ctx)
+}
+
+// waitListed waits until the platform's lagging list shows every instance.
+func (c *Cluster) waitListed(ctx context.Context) error {
+	want := c.cfg.Entries + c.cfg.OrderSystems + c.cfg.EnginesPerDataCentre*len(c.cfg.DataCentres)
+	return Wait(ctx, startTimeout, "all instances are listed", func() bool {
+		instances, err := c.Instances(ctx)
+		return err == nil && len(instances) == want
+	})
+}
+
+func (c *Cluster) standIn(name string, args ...string) (*Process, error) {
+	return startProcess(name, c.dir, filepath.Join(c.cfg.BinDir, "bulrush-standin"), args...)
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		return err
+	}
+	args := append([]string{"platform", "--listen", addresses[0]}, c.cfg.PlatformFlags...)
+	c.Platform, err = c.standIn("platform", args...)
+	if err != nil {
+		return err
+	}
+	c.PlatformURL = "http://" + addresses[0]
+	return Wait(ctx, startTimeout, "the platform stand-in answers", func() bool {
+		_, err := platform.NewClient(c.PlatformURL).Instances(ctx)
+		return err == nil
+	})
+}
+
+func (c *Cluster) startBackends() error {
+	for _, dc := range c.cfg.DataCentres {
+		if c.cfg.EnginesPerDataCentre == 0 {
+			break
+		}
+		p, err := c.standIn("engines-"+string(dc), append([]string{
+			"engine", "--listen", "127.0.0.1:0",
+			"--count", fmt.Sprint(c.cfg.EnginesPerDataCentre),
+			"--domain-size", fmt.Sprint(c.cfg.DomainSize),
+			"--platform", c.PlatformURL, "--prefix", "worker-" + string(dc),
+			"--region", string(c.cfg.Region), "--data-centre", string(dc), "--domain", "domain-" + string(dc),
+		}, c.cfg.EngineFlags...)...)
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, p)
+	}
+	for i := range c.cfg.OrderSystems {
+		dc := c.cfg.DataCentres[i%len(c.cfg.DataCentres)]
+		name := fmt.Sprintf("orders-%d", i)
+		p, err := c.standIn(name, "orders", "--listen", "127.0.0.1:0", "--platform", c.PlatformURL,
+			"--prefix", name, "--service", OrderService, "--region", string(c.cfg.Region), "--data-centre", string(dc))
+		if err != nil {
+			return err
+		}
+		c.Orders = append(c.Orders, p)
+	}
+	return nil
+}
+
+func (c *Cluster) startEntries() error {
+	addresses, err := freeAddresses(3 * c.cfg.Entries)
+	if err != nil {
+		return err
+	}
+	var listed []platform.Instance
+	for i := range c.cfg.Entries {
+		e := &Entry{
+			Instance:   ident.InstanceID(fmt.Sprintf("entry-%d", i)),
+			DataCentre: c.cfg.DataCentres[i%len(c.cfg.DataCentres)],
+			Callers:    addresses[3*i],
+			Peers:      addresses[3*i+1],
+			Operators:  addresses[3*i+2],
+		}
+		c.Entries = append(c.Entries, e)
+		listed = append(listed, c.listing(e))
+	}
+	if err := c.ChangeInstances(standin.InstanceChange{Put: listed, Now: true}); err != nil {
+		return err
+	}
+	for _, e := range c.Entries {
+		if err := c.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) listing(e *Entry) platform.Instance {
+	return platform.Instance{
+		ID: e.Instance, Kind: platform.KindEntry, State: platform.StateLive,
+		Address: e.Callers, PeerAddress: e.Peers, Region: c.cfg.Region, DataCentre: e.DataCentre,
+	}
+}
+
+// StartEntry starts the process of an entry instance, also after it has ended.
+func (c *Cluster) StartEntry(e *Entry) error {
+	e.settings = filepath.Join(c.dir, string(e.Instance)+".yaml")
+	if err := os.WriteFile(e.settings, []byte(c.settings(e)), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	args := []string{"--settings", e.settings}
+	for _, d := range c.documents {
+		args = append(args, "--document", d)
+	}
+	p, err := startProcess(string(e.Instance), c.dir, filepath.Join(c.cfg.BinDir, "bulrushfalld"), args...)
+	e.Process = p
+	return err
+}
+
+func (c *Cluster) settings(e *Entry) string {
+	var seeds strings.Builder
+	for _, other := range c.Entries {
+		if other != e {
+			fmt.Fprintf(&seeds, "\n    - %s", other.Peers)
+		}
+	}
+	level := c.cfg.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	return fmt.Sprintf(`instance: %s
+region: %s
+data_centre: %s
+listen:
+  callers: %s
+  peers: %s
+  operators: %s
+platform:
+  url: %s
+peers:
+  secret: %s
+  seeds:%s
+operators:
+  - team: %s
+    token_sha256: [%s]
+lookup_ttl: 1s
+log_level: %s
+%s`, e.Instance, c.cfg.Region, e.DataCentre, e.Callers, e.Peers, e.Operators, c.PlatformURL, secret,
+		seeds.String(), Team, hash(TeamToken), level, c.cfg.Settings)
+}
+
+// WaitReady waits until every running entry instance is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	return Wait(ctx, startTimeout, "all entry instances are ready", func() bool {
+		for _, e := range c.Entries {
+			if status, err := httpStatus(ctx, "http://"+e.Operators+"/readyz"); err != nil || status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// ChangeInstances changes the platform's instance list.
+func (c *Cluster) ChangeInstances(change standin.InstanceChange) error {
+	return c.post("/debug/instances", change)
+}
+
+// SetFaults switches the platform's faults.
+func (c *Cluster) SetFaults(f standin.Faults) error {
+	return c.post("/debug/faults", f)
+}
+
+func (c *Cluster) post(path string, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode stand-in command")
+	}
+	resp, err := http.Post(c.PlatformURL+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "command the platform stand-in")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("platform stand-in answered %s to %s", resp.Status, path)
+	}
+	return nil
+}
+
+// Instances returns the platform's instance list.
+func (c *Cluster) Instances(ctx context.Context) ([]platform.Instance, error) {
+	return platform.NewClient(c.PlatformURL).Instances(ctx)
+}
+
+// Logs returns the end of each process's log.
+func (c *Cluster) Logs() string {
+	const tail = 2000
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	var out strings.Builder
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil || len(b) == 0 {
+			continue
+		}
+		fmt.Fprintf(&out, "--- %s\n%s\n", filepath.Base(f), b[max(0, len(b)-tail):])
+	}
+	return out.String()
+}
+
+// Close ends every process and removes the files.
+func (c *Cluster) Close() {
+	for _, p := range c.processes() {
+		p.Kill()
+	}
+	_ = os.RemoveAll(c.dir)
+}
+
+func (c *Cluster) processes() []*Process {
+	var out []*Process
+	for _, e := range c.Entries {
+		if e.Process != nil {
+			out = append(out, e.Process)
+		}
+	}
+	out = append(out, c.Engines...)
+	out = append(out, c.Orders...)
+	if c.Platform != nil {
+		out = append(out, c.Platform)
+	}
+	return out
+}
+
+// Wait waits until a condition holds.
+func Wait(ctx context.Context, limit time.Duration, what string, cond func() bool) error {
+	deadline := time.NewTimer(limit)
+	defer deadline.Stop()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait until "+what)
+		case <-deadline.C:
+			return errors.Errorf("waited %s in vain until %s", limit, what)
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+func httpStatus(ctx context.Context, url string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Body.Close()
+}
+
+func hash(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:])
+}
+
+// accountLines returns accounts of equal weight; the first one is large.
+func accountLines(n int) string {
+	var out strings.Builder
+	for i := range n {
+		weight := 1
+		if i == 0 {
+			weight = 4
+		}
+		fmt.Fprintf(&out, "  - name: %s\n    key_sha256: %s\n    weight: %d\n    requests_per_second: 500\n    burst: 500\n    concurrency: 200\n",
+			AccountName(i), hash(AccountKey(i)), weight)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/cluster/process.go
@@ -0,0 +1,100 @@
+// Package cluster starts real daemon and stand-in processes on loopback, for the
+// demo, the measurements and the integration tests. It ends every process that
+// it started.
+package cluster
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// killDelay is the time between a request to end and a kill.
+const killDelay = 10 * time.Second
+
+// Process is one started process.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error
+}
+
+// startProcess runs a binary with its output in a log file.
+func startProcess(name, dir, binary string, args ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, errors.Wrap(err, "create log file")
+	}
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Err returns how the process ended. It is valid after Done is closed.
+func (p *Process) Err() error { return p.err }
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Stop asks the process to end and kills it when it does not.
+func (p *Process) Stop() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(killDelay):
+		p.Kill()
+	}
+}
+
+// freeAddresses returns loopback addresses whose ports are free now.
+func freeAddresses(n int) ([]string, error) {
+	listeners := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	out := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cluster/records.go
@@ -0,0 +1,65 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/platform"
+	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
+	"github.com/bulrushfall/bulrushfall/standin/orders"
+)
+
+// OrderRuns returns how often each order ran, over all order systems.
+func (c *Cluster) OrderRuns() (map[string]int, error) {
+	runs := make(map[string]int)
+	err := c.eachBackend(platform.KindPlain, "/debug/counts", func(dec *json.Decoder) error {
+		var r orders.Record
+		if err := dec.Decode(&r); err != nil {
+			return err
+		}
+		for id, n := range r.Counts {
+			runs[id] += n
+		}
+		return nil
+	})
+	return runs, err
+}
+
+// EngineRecords returns the record of each engine.
+func (c *Cluster) EngineRecords() ([]standinengine.Record, error) {
+	var out []standinengine.Record
+	err := c.eachBackend(platform.KindEngine, "/debug/record", func(dec *json.Decoder) error {
+		var r standinengine.Record
+		if err := dec.Decode(&r); err != nil {
+			return err
+		}
+		out = append(out, r)
+		return nil
+	})
+	return out, err
+}
+
+func (c *Cluster) eachBackend(kind platform.InstanceKind, path string, read func(*json.Decoder) error) error {
+	instances, err := c.Instances(context.Background())
+	if err != nil {
+		return err
+	}
+	for _, inst := range instances {
+		if inst.Kind != kind {
+			continue
+		}
+		resp, err := http.Get("http://" + inst.Address + path)
+		if err != nil {
+			return errors.Wrapf(err, "read the record of %s", inst.ID)
+		}
+		err = read(json.NewDecoder(resp.Body))
+		_ = resp.Body.Close()
+		if err != nil {
+			return errors.Wrapf(err, "decode the record of %s", inst.ID)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bulrush-bench/main.go
@@ -0,0 +1,51 @@
+// Command bulrush-bench runs the demo, the load experiments and the measures
+// against real processes on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// runner is one subcommand.
+type runner struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context, binDir string) error
+}
+
+func main() {
+	flaggy.SetName("bulrush-bench")
+	flaggy.SetDescription("demo, load experiments and measures on loopback")
+	flaggy.DefaultParser.DisableShowVersionWithVersion()
+	runners := []runner{demoRunner()}
+	for _, r := range runners {
+		flaggy.AttachSubcommand(r.sub, 1)
+	}
+	flaggy.Parse()
+	for _, r := range runners {
+		if r.sub.Used {
+			os.Exit(execute(r))
+		}
+	}
+	flaggy.ShowHelpAndExit("name a subcommand")
+}
+
+func execute(r runner) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	binary, err := os.Executable()
+	if err == nil {
+		err = r.run(ctx, filepath.Dir(binary))
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/load/caller.go
@@ -0,0 +1,275 @@
+// Package load holds callers that use the system as its users do: they look an
+// address up, keep the answer for its time to live, stream answers, place
+// orders, retry with the same idempotency key, and verify what they get.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/gateway"
+	standin "github.com/bulrushfall/bulrushfall/standin/engine"
+)
+
+// Timings of callers.
+const (
+	// requestTimeout bounds one HTTP request of a caller.
+	requestTimeout = 30 * time.Second
+	// lookupTimeout bounds one lookup.
+	lookupTimeout = time.Second
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	Answered Outcome = "answered"
+	// Late answers came after the deadline.
+	Late    Outcome = "late"
+	NotRun  Outcome = "not-run"
+	Unknown Outcome = "unknown"
+	// Cut streams ended without an end marker.
+	Cut Outcome = "cut"
+	// Wrong answers differ from the expected text.
+	Wrong Outcome = "wrong"
+	// Failed requests got no HTTP response.
+	Failed Outcome = "failed"
+)
+
+// Result is one finished request.
+type Result struct {
+	Outcome    Outcome
+	Status     int
+	Detail     string
+	Start      time.Time
+	FirstToken time.Duration
+	Duration   time.Duration
+	Entry      string
+}
+
+// Caller acts for one client account.
+type Caller struct {
+	key  string
+	http *http.Client
+
+	mu        sync.Mutex
+	seeds     []string
+	addresses []string
+	expires   time.Time
+	next      int
+}
+
+// NewCaller returns a caller that finds entry instances through seed addresses.
+func NewCaller(key string, seeds []string) *Caller {
+	return &Caller{
+		key:   key,
+		seeds: seeds,
+		http: &http.Client{
+			Timeout:   requestTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second},
+		},
+	}
+}
+
+// Close drops idle connections.
+func (c *Caller) Close() { c.http.CloseIdleConnections() }
+
+// address returns an entry instance, looked up when the kept answer is too old.
+func (c *Caller) address(ctx context.Context) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	if time.Now().After(c.expires) {
+		c.refresh(ctx)
+	}
+	if len(c.addresses) == 0 {
+		return c.seeds[c.next%len(c.seeds)]
+	}
+	return c.addresses[c.next%len(c.addresses)]
+}
+
+// refresh asks the known addresses in turn. The caller holds c.mu.
+func (c *Caller) refresh(ctx context.Context) {
+	known := append(append([]string{}, c.addresses...), c.seeds...)
+	for i := range known {
+		addr := known[(c.next+i)%len(known)]
+		answer, err := c.lookup(ctx, addr)
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		c.addresses = c.addresses[:0]
+		for _, a := range answer.Addresses {
+			c.addresses = append(c.addresses, a.Address)
+		}
+		c.expires = time.Now().Add(time.Duration(answer.TTLMillis) * time.Millisecond)
+		return
+	}
+}
+
+func (c *Caller) lookup(ctx context.Context, addr string) (gateway.LookupAnswer, error) {
+	var answer gateway.LookupAnswer
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/lookup", nil)
+	if err != nil {
+		return answer, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("lookup: %s", resp.Status)
+	}
+	return answer, json.NewDecoder(resp.Body).Decode(&answer)
+}
+
+// forget drops a kept answer after an address failed.
+func (c *Caller) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expires = time.Time{}
+}
+
+// Header is one extra header of a request.
+type Header struct{ Name, Value string }
+
+func (c *Caller) post(ctx context.Context, addr, path string, body []byte, headers ...Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	for _, h := range headers {
+		req.Header.Set(h.Name, h.Value)
+	}
+	return c.http.Do(req)
+}
+
+// Stream asks for a streamed completion and verifies the whole text. An answer
+// that starts after the deadline is late.
+func (c *Caller) Stream(ctx context.Context, req engine.CompletionRequest, deadline time.Duration) Result {
+	return c.StreamAt(ctx, c.address(ctx), req, deadline)
+}
+
+// StreamAt is Stream through a given entry instance.
+func (c *Caller) StreamAt(ctx context.Context, addr string, req engine.CompletionRequest, deadline time.Duration) Result {
+	req.Stream = true
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Result{Outcome: Failed, Detail: err.Error()}
+	}
+	r := Result{Start: time.Now(), Entry: addr}
+	resp, err := c.post(ctx, addr, "/v1/completions", body)
+	if err != nil {
+		c.forget()
+		return r.end(Failed, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		return r.problem(resp.Body)
+	}
+	text, done := r.readStream(resp.Body)
+	switch {
+	case !done:
+		return r.end(Cut, "stream ended without its end marker")
+	case text != standin.Answer(&req, req.MaxTokens):
+		return r.end(Wrong, "text differs from the expected answer")
+	case r.FirstToken > deadline:
+		return r.end(Late, "")
+	}
+	return r.end(Answered, "")
+}
+
+func (r Result) end(o Outcome, detail string) Result {
+	r.Outcome, r.Detail = o, detail
+	r.Duration = time.Since(r.Start)
+	return r
+}
+
+// problem reads problem details.
+func (r Result) problem(body io.Reader) Result {
+	var p gateway.Problem
+	const maxProblemBytes = 64 << 10
+	if err := json.NewDecoder(io.LimitReader(body, maxProblemBytes)).Decode(&p); err != nil {
+		return r.end(Failed, "no problem details: "+err.Error())
+	}
+	switch p.Outcome {
+	case gateway.OutcomeNotRun:
+		return r.end(NotRun, p.Type+" "+p.Detail)
+	default:
+		return r.end(Unknown, p.Type+" "+p.Detail)
+	}
+}
+
+type streamChunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// readStream collects the text and reports whether the end marker came.
+func (r *Result) readStream(body io.Reader) (string, bool) {
+	var text strings.Builder
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == engine.DoneMarker {
+			return text.String(), true
+		}
+		if r.FirstToken == 0 {
+			r.FirstToken = time.Since(r.Start)
+		}
+		var c streamChunk
+		if json.Unmarshal([]byte(data), &c) != nil {
+			return text.String(), false
+		}
+		for _, choice := range c.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	return text.String(), false
+}
+
+// Order places one order under an idempotency key through a given entry
+// instance, or the next one when addr is empty.
+func (c *Caller) Order(ctx context.Context, addr, path, key string, body []byte) Result {
+	if addr == "" {
+		addr = c.address(ctx)
+	}
+	r := Result{Start: time.Now(), Entry: addr}
+	resp, err := c.post(ctx, addr, path, body, Header{gateway.HeaderIdempotencyKey, key})
+	if err != nil {
+		c.forget()
+		return r.end(Failed, err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r.Status = resp.StatusCode
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		return r.problem(resp.Body)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return r.end(Failed, err.Error())
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return r.end(Failed, resp.Status)
+	}
+	return r.end(Answered, "")
+}
