--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -56,7 +58,10 @@
 
 // New returns the metrics of one process.
 func New() *Metrics {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	// A registry of its own allows several instances in one process.
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "bulrushfall",
 		CachedReporter: reporter,
