Measure stopped readers

Cause: the memory of stopped readers was not measured. A reader with a small receive buffer made the sender's kernel back off for up to two minutes, because segments of single tokens overflowed it; that is a property of such a reader, so the measure uses the kernel's default buffer. Change: bulrush-bench readers; parked requests are counted when their answer is complete, and callers that are gone have a counter of their own.

--- /dev/null
+++ b/experiment/readers.go
@@ -0,0 +1,267 @@
+// Package experiment holds the load experiments and measures that bulrush-bench
+// runs. Each prints a table.
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// Parameters of the stopped-readers experiment.
+const (
+	// readerTarget is the aim for resident memory per stopped reader.
+	readerTarget = 16 << 10
+	// readerTokens makes an answer longer than the socket buffers hold.
+	readerTokens = 5000
+	// readerBuffered is more than the kernel buffers of both ends hold.
+	readerBuffered = 256 << 10
+	// readerSample is the number of readers that return at the end.
+	readerSample = 200
+	// readerDials bounds concurrent connection attempts.
+	readerDials = 256
+	// readerWait bounds each phase.
+	readerWait = time.Minute
+	// settleTime lets the runtime return freed memory before it is measured.
+	settleTime = 5 * time.Second
+)
+
+// Readers measures what stopped readers cost one entry instance: resident
+// memory and goroutines each, and the time from a reader's return to its next
+// byte.
+func Readers(ctx context.Context, w io.Writer, binDir string, readers int) error {
+	cfg := cluster.DefaultConfig(binDir)
+	cfg.DataCentres = []ident.DataCentre{"dc-a"}
+	cfg.Entries, cfg.EnginesPerDataCentre, cfg.DomainSize, cfg.OrderSystems = 1, 16, 16, 0
+	doc := strings.NewReplacer(
+		"requests: 16", "requests: 100000",
+		"held_tokens: 50000", "held_tokens: 1000000000",
+		"requests_per_second: 500", "requests_per_second: 100000",
+		"burst: 500", "burst: 100000",
+		"concurrency: 200", "concurrency: 100000",
+		"deadline: 10s", "deadline: 120s",
+	).Replace(cluster.ModelDocument(16, 1, 1, 1))
+	cfg.Documents = []string{doc}
+	cfg.EngineFlags = []string{
+		"--limit", "100000", "--token-capacity", "2000000000",
+		"--token-interval", "1ms", "--cold-time", "0s", "--load-time", "0s",
+	}
+	cfg.Settings = "limits:\n  stream_memory_bytes: 1073741824\n  account_stream_bytes: 1073741824\n"
+	c, err := cluster.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := formIfIdle(ctx, c, doc); err != nil {
+		return err
+	}
+	r := &readersRun{cluster: c, entry: c.Entries[0], count: readers}
+	defer r.close()
+	return r.run(ctx, w)
+}
+
+// formIfIdle waits until the entry instances have formed groups.
+func formIfIdle(ctx context.Context, c *cluster.Cluster, doc string) error {
+	parsed, err := service.Parse([]byte(doc))
+	if err != nil {
+		return err
+	}
+	return c.FormGroups(ctx, parsed)
+}
+
+type readersRun struct {
+	cluster *cluster.Cluster
+	entry   *cluster.Entry
+	count   int
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (r *readersRun) close() {
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func (r *readersRun) run(ctx context.Context, w io.Writer) error {
+	if err := waitServing(ctx, r.cluster); err != nil {
+		return err
+	}
+	before, err := r.sample()
+	if err != nil {
+		return err
+	}
+	if err := r.connect(ctx); err != nil {
+		return err
+	}
+	err = cluster.Wait(ctx, readerWait, "all readers are parked", func() bool {
+		m, err := scrape(r.entry.Operators)
+		return err == nil && m["bulrushfall_streams_parked_total"]-m["bulrushfall_streams_park_refused_total"] >= float64(r.count)
+	})
+	if err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	after, err := r.sample()
+	if err != nil {
+		return err
+	}
+	latency, err := r.returnReaders()
+	if err != nil {
+		return err
+	}
+	return r.print(w, before, after, latency)
+}
+
+// memorySample is what one process holds.
+type memorySample struct {
+	resident   float64
+	goroutines float64
+	heap       float64
+}
+
+func (r *readersRun) sample() (memorySample, error) {
+	m, err := scrape(r.entry.Operators)
+	if err != nil {
+		return memorySample{}, err
+	}
+	resident, err := residentBytes(r.entry.PID())
+	return memorySample{
+		resident:   resident,
+		goroutines: m["go_goroutines"],
+		heap:       m["go_memstats_heap_inuse_bytes"] + m["go_memstats_stack_inuse_bytes"],
+	}, err
+}
+
+func (r *readersRun) connect(ctx context.Context) error {
+	var g errgroup.Group
+	g.SetLimit(readerDials)
+	for i := range r.count {
+		g.Go(func() error { return r.connectOne(ctx, i) })
+	}
+	return g.Wait()
+}
+
+// connectOne sends a request and reads nothing.
+func (r *readersRun) connectOne(ctx context.Context, i int) error {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", r.entry.Callers)
+	if err != nil {
+		return errors.Wrap(err, "connect reader")
+	}
+	r.mu.Lock()
+	r.conns = append(r.conns, conn)
+	r.mu.Unlock()
+	body, err := json.Marshal(engine.CompletionRequest{
+		Model: cluster.ModelService, Prompt: fmt.Sprintf("reader %d", i), MaxTokens: readerTokens, Stream: true,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		cluster.AccountKey(0), len(body), body)
+	return errors.Wrap(err, "send request")
+}
+
+// returnReaders lets a sample of the readers read on, and measures the time
+// from the moment a reader has emptied its receive buffer to the next byte.
+func (r *readersRun) returnReaders() (*hdrhistogram.Histogram, error) {
+	h := hdrhistogram.New(1, 60_000_000, 3)
+	n := min(readerSample, len(r.conns))
+	for _, conn := range r.conns[:n] {
+		buffered := make([]byte, 2*readerBuffered)
+		if err := conn.SetReadDeadline(time.Now().Add(readerWait)); err != nil {
+			return nil, errors.Wrap(err, "set read deadline")
+		}
+		if _, err := io.ReadAtLeast(conn, buffered, readerBuffered); err != nil {
+			return nil, errors.Wrap(err, "read buffered bytes")
+		}
+		start := time.Now()
+		if _, err := conn.Read(buffered); err != nil {
+			return nil, errors.Wrap(err, "read next byte")
+		}
+		if err := h.RecordValue(time.Since(start).Microseconds()); err != nil {
+			return nil, errors.Wrap(err, "record")
+		}
+		_ = conn.Close()
+	}
+	return h, nil
+}
+
+func (r *readersRun) print(w io.Writer, before, after memorySample, latency *hdrhistogram.Histogram) error {
+	n := float64(r.count)
+	perReader := (after.resident - before.resident) / n
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "stopped readers\t%d\n", r.count)
+	_, _ = fmt.Fprintf(t, "resident bytes per stopped reader\t%.0f\t(aim: under %d)\n", perReader, readerTarget)
+	_, _ = fmt.Fprintf(t, "heap and stack bytes in use per stopped reader\t%.0f\n", (after.heap-before.heap)/n)
+	_, _ = fmt.Fprintf(t, "goroutines per stopped reader\t%.2f\n", (after.goroutines-before.goroutines)/n)
+	_, _ = fmt.Fprintf(t, "resident bytes of the process before\t%.0f\n", before.resident)
+	_, _ = fmt.Fprintf(t, "return to next byte, 50th percentile (us)\t%d\n", latency.ValueAtQuantile(50))
+	_, _ = fmt.Fprintf(t, "return to next byte, 99th percentile (us)\t%d\n", latency.ValueAtQuantile(99))
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	if perReader > readerTarget {
+		return errors.Errorf("%.0f bytes per stopped reader exceed the aim of %d", perReader, readerTarget)
+	}
+	return nil
+}
+
+// scrape reads the metrics of a process, summed over labels.
+func scrape(addr string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + addr + "/metrics")
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := make(map[string]float64)
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		name, value, ok := strings.Cut(scanner.Text(), " ")
+		if !ok || strings.HasPrefix(name, "#") {
+			continue
+		}
+		name, _, _ = strings.Cut(name, "{")
+		v, err := strconv.ParseFloat(value[strings.LastIndexByte(value, ' ')+1:], 64)
+		if err == nil {
+			out[name] += v
+		}
+	}
+	return out, errors.Wrap(scanner.Err(), "read metrics")
+}
+
+// residentBytes reads the resident memory of a process.
+func residentBytes(pid int) (float64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read resident memory")
+	}
+	for _, line := range strings.Split(string(b), "\n") {
+		if fields := strings.Fields(line); len(fields) >= 2 && fields[0] == "VmRSS:" {
+			kib, err := strconv.ParseFloat(fields[1], 64)
+			return kib * 1024, errors.Wrap(err, "parse resident memory")
+		}
+	}
+	return 0, errors.New("no VmRSS in the status of the process")
+}
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/service"
 )
@@ -84,9 +86,16 @@
 func (g *Gateway) account(next Endpoint) Endpoint {
 	return func(ctx context.Context, r *Request) (*Answer, error) {
 		a, err := next(ctx, r)
-		if r.Account.Name == "" {
+		switch {
+		case r.Account.Name == "":
 			g.counters.unauthenticated.Inc(1)
 			return a, err
+		case errors.Is(err, errParked):
+			// The request is counted when its answer is complete.
+			return a, err
+		case errors.Is(err, errCallerGone):
+			g.counters.callersGone.Inc(1)
+			return a, err
 		}
 		m := g.opts.Metrics.Request(r.Account.Name, r.Name, r.Class)
 		m.Duration.RecordDuration(g.now() - r.Arrived)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 
 type counters struct {
 	unauthenticated tally.Counter
+	callersGone     tally.Counter
 	retries         tally.Counter
 	parked          tally.Counter
 	unparked        tally.Counter
@@ -85,6 +86,7 @@
 		opts: opts,
 		counters: counters{
 			unauthenticated: s.Counter("unauthenticated_total"),
+			callersGone:     s.Counter("callers_gone_total"),
 			retries:         s.Counter("attempt_retries_total"),
 			parked:          s.Counter("streams_parked_total"),
 			unparked:        s.Counter("streams_unparked_total"),
