--- /dev/null
+++ b/config/configshell/doc.go
@@ -0,0 +1,3 @@
+// Package configshell connects the configuration machine to the platform's
+// table and to the peers.
+package configshell
--- /dev/null
+++ b/config/configshell/loop.go
@@ -0,0 +1,51 @@
+package configshell
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/config"
+)
+
+// loopQueue is the number of functions that wait for the loop.
+const loopQueue = 256
+
+// Loop is a control goroutine for a Shell alone. The daemon has its own; this
+// one serves measurements, tests and programs that embed only configuration.
+type Loop struct {
+	ctx   context.Context
+	queue chan func(now time.Duration)
+	start time.Time
+}
+
+// NewLoop returns a loop that ends with ctx.
+func NewLoop(ctx context.Context) *Loop {
+	return &Loop{ctx: ctx, queue: make(chan func(time.Duration), loopQueue), start: time.Now()}
+}
+
+// Post implements Post.
+func (l *Loop) Post(fn func(now time.Duration)) bool {
+	select {
+	case l.queue <- fn:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// Run runs posted functions and ticks until the context ends.
+func (l *Loop) Run(s *Shell) {
+	t := time.NewTicker(config.TickInterval)
+	defer t.Stop()
+	s.Step(time.Since(l.start), config.Tick{})
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case fn := <-l.queue:
+			fn(time.Since(l.start))
+		case <-t.C:
+			s.Step(time.Since(l.start), config.Tick{})
+		}
+	}
+}
--- /dev/null
+++ b/config/record.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// Kind is the kind of a record.
+type Kind string
+
+// Kinds of records.
+const (
+	KindService Kind = "service"
+	KindDrain   Kind = "drain"
+)
+
+// Key names one record.
+type Key struct {
+	Kind Kind   `json:"kind" msgpack:"k"`
+	Name string `json:"name" msgpack:"n"`
+}
+
+// String returns the key of the record's row.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Record is one accepted configuration record. A deleted record stays as a
+// tombstone, so that an old push cannot bring it back.
+type Record struct {
+	Key
+	Revision ident.Revision `json:"revision" msgpack:"r"`
+	Deleted  bool           `json:"deleted,omitempty" msgpack:"d,omitempty"`
+	// Owner is the team that may edit a service document. For a drain record it
+	// is the team that wrote it.
+	Owner ident.Team `json:"owner" msgpack:"o"`
+	// Body is the JSON of a service.Document or a Drain. It stays encoded, so
+	// that a node passes on fields that its version does not know.
+	Body json.RawMessage `json:"body,omitempty" msgpack:"b,omitempty"`
+	// Attempt is the writer's attempt id. It lets the writer recognise its row.
+	Attempt ident.AttemptID `json:"attempt" msgpack:"a"`
+}
+
+// DrainKind tells what a drain record takes out of service.
+type DrainKind string
+
+// Kinds of drains, as they appear in paths of the operators' interface.
+const (
+	DrainDataCentre DrainKind = "datacentre"
+	DrainInstance   DrainKind = "instance"
+	DrainPartner    DrainKind = "partner"
+)
+
+// Drain takes a data centre, an instance or a partner's backend servers out of
+// service, or brings them back.
+type Drain struct {
+	Kind   DrainKind  `json:"kind"`
+	Name   string     `json:"name"`
+	Out    bool       `json:"out"`
+	Reason string     `json:"reason,omitempty"`
+	Team   ident.Team `json:"team"`
+}
+
+// Key returns the key of the drain's record.
+func (d Drain) Key() Key {
+	return Key{Kind: KindDrain, Name: string(d.Kind) + "/" + d.Name}
+}
+
+// ServiceKey returns the key of a service document's record.
+func ServiceKey(name ident.ServiceName) Key {
+	return Key{Kind: KindService, Name: string(name)}
+}
+
+// Document decodes the record of a service.
+func (r Record) Document() (service.Document, error) {
+	var d service.Document
+	return d, errors.Wrapf(json.Unmarshal(r.Body, &d), "decode record %s", r.Key)
+}
+
+// Drain decodes a drain record.
+func (r Record) Drain() (Drain, error) {
+	var d Drain
+	return d, errors.Wrapf(json.Unmarshal(r.Body, &d), "decode record %s", r.Key)
+}
+
+// Head is the value of the head row.
+type Head struct {
+	Revision ident.Revision  `json:"revision"`
+	Attempt  ident.AttemptID `json:"attempt"`
+}
+
+// Audit is the value of an audit row. Before is the revision of the record that
+// the edit replaced; 0 means that there was none.
+type Audit struct {
+	Team    ident.Team      `json:"team"`
+	Verb    Verb            `json:"verb"`
+	Key     Key             `json:"key"`
+	Before  ident.Revision  `json:"before"`
+	After   ident.Revision  `json:"after"`
+	Reason  string          `json:"reason,omitempty"`
+	At      time.Time       `json:"at"`
+	Attempt ident.AttemptID `json:"attempt"`
+}
