--- a/config/configshell/shell.go
+++ b/config/configshell/shell.go
@@ -197,7 +197,7 @@
 func (s *Shell) pull(ctx context.Context, a config.Pull) config.Event {
 	var resp config.PullResponse
 	err := s.peers.Call(ctx, a.From, KindPull, a.Request, &resp)
-	return config.Pulled{From: a.From, Response: resp, Err: err}
+	return config.Pulled{From: a.From, Request: a.Request, Response: resp, Err: err}
 }
 
 // runStore runs an action on the store and posts its event.
--- a/config/configshell/store.go
+++ b/config/configshell/store.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "read row %s/%s", key.Table, key.Key)
 	}
-	return row.Version, errors.Wrapf(json.Unmarshal(row.Value, out), "decode row %s/%s", key.Table, key.Key)
+	return row.Version, decodeRow(row, out)
 }
 
 // Commit sends the transaction of an edit and returns what became of it.
@@ -116,7 +116,7 @@
 	case err == nil:
 		return config.Committed{Commit: c, Outcome: config.OutcomeApplied}
 	case errors.As(err, &conflict):
-		return s.conflict(ctx, c)
+		return s.conflict(ctx, c, conflict.Rows)
 	case errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrUnavailable):
 		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
 	default:
@@ -126,24 +126,56 @@
 
 // conflict tells a lost race from a repetition of a commit that had applied:
 // then the audit row of its revision carries its attempt id.
-func (s *Store) conflict(ctx context.Context, c config.Commit) config.Committed {
+func (s *Store) conflict(ctx context.Context, c config.Commit, current []platform.Row) config.Committed {
 	if c.Again {
-		a, _, err := s.Audit(ctx, c.Audit.After)
-		if err != nil {
+		a, version, err := s.Audit(ctx, c.Audit.After)
+		switch {
+		case err != nil:
 			return config.Committed{Commit: c, Outcome: config.OutcomeUnknown, Err: err}
-		}
-		if a.Attempt == c.Record.Attempt {
+		case version == 0:
+			// The head moved, so some edit has this revision. A read that does
+			// not show its audit row is stale and settles nothing.
+			return config.Committed{Commit: c, Outcome: config.OutcomeUnknown, Err: errStaleRead}
+		case a.Attempt == c.Record.Attempt:
 			return config.Committed{Commit: c, Outcome: config.OutcomeApplied}
 		}
 	}
-	rows, err := s.Rows(ctx, c.Record.Key)
+	rows, err := overlay(c.Rows, current)
 	if err != nil {
-		// The commit did not apply and never will: its conditions are gone.
-		return config.Committed{Commit: c, Outcome: config.OutcomeLost, Err: err}
+		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
 	}
 	return config.Committed{Commit: c, Outcome: config.OutcomeConflict, Rows: rows}
 }
 
+var errStaleRead = errors.New("the store answered with an older state than before: repeat the read")
+
+// overlay replaces the rows that a conflict reported. The others are unchanged.
+func overlay(rows config.EditRows, current []platform.Row) (config.EditRows, error) {
+	for _, row := range current {
+		var err error
+		switch row.Table {
+		case tableHead:
+			rows.Head, rows.HeadVersion = config.Head{}, row.Version
+			err = decodeRow(row, &rows.Head)
+		case tableConfig:
+			rows.Record, rows.RecordVersion = config.Record{}, row.Version
+			err = decodeRow(row, &rows.Record)
+		}
+		if err != nil {
+			return rows, err
+		}
+	}
+	return rows, nil
+}
+
+// decodeRow decodes the value of a row; an absent row leaves out as it is.
+func decodeRow(row platform.Row, out any) error {
+	if row.Version == 0 {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(row.Value, out), "decode row %s/%s", row.Table, row.Key)
+}
+
 // transaction builds the rows of an edit.
 func transaction(c config.Commit) (platform.Txn, error) {
 	t := platform.Txn{Conditions: []platform.Condition{
--- a/config/edit.go
+++ b/config/edit.go
@@ -184,11 +184,6 @@
 		if s != nil {
 			return m.decideEdit(now, s, e.Rows)
 		}
-	case OutcomeLost:
-		if s != nil {
-			s.commit, s.unknown = nil, false
-			m.again(now, s)
-		}
 	case OutcomeNotApplied:
 		if s != nil {
 			// An earlier sending with an unknown outcome may still apply, so
--- a/config/event.go
+++ b/config/event.go
@@ -61,6 +61,7 @@
 	// Pulled answers Pull.
 	Pulled struct {
 		From     string
+		Request  PullRequest
 		Response PullResponse
 		Err      error
 	}
@@ -117,9 +118,6 @@
 	OutcomeApplied Outcome = iota + 1
 	// OutcomeConflict: it did not apply, because a row had changed.
 	OutcomeConflict
-	// OutcomeLost: it lost a race as with OutcomeConflict, but the current rows
-	// could not be read.
-	OutcomeLost
 	// OutcomeNotApplied: it did not apply, because the store refused it.
 	OutcomeNotApplied
 	// OutcomeUnknown: it may have applied, or may still apply.
--- a/config/machine.go
+++ b/config/machine.go
@@ -268,7 +268,10 @@
 	}
 	before := m.complete
 	changed := m.applyAll(e.Response.Records)
-	m.advance(e.Response.Complete)
+	if e.Request.After <= m.complete {
+		// A response after a higher revision leaves out records in between.
+		m.advance(e.Response.Complete)
+	}
 	hint := ""
 	if e.Response.Complete >= e.Response.Head {
 		hint = e.From
