--- /dev/null
+++ b/cmd/bulrushctl/flags.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/config"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/operator"
+)
+
+// Environment variables that stand in for flags.
+const (
+	envAddresses = "BULRUSH_ADDRESSES"
+	envToken     = "BULRUSH_TOKEN"
+)
+
+// noRevision is the --revision that stands for "the one in force".
+const noRevision = ^uint64(0)
+
+// tool holds the command line.
+type tool struct {
+	ctx            context.Context
+	stdout, stderr io.Writer
+	env            func(string) string
+
+	addresses []string
+	tokenFile string
+	output    string
+
+	name     string
+	file     string
+	reason   string
+	revision uint64
+	force    bool
+	explain  bool
+}
+
+// command runs after the command line was parsed.
+type command func() error
+
+// choice is a subcommand with what it runs.
+type choice struct {
+	sub *flaggy.Subcommand
+	run command
+}
+
+// parse reads the command line and returns the chosen command.
+func (t *tool) parse(args []string) (command, error) {
+	t.output, t.revision = formatTable, noRevision
+	p := flaggy.NewParser("bulrushctl")
+	p.Description = "operators' tool of bulrushfall"
+	p.Version = version
+	p.AdditionalHelpAppend = "\nExit codes: " + exitCodesHelp
+	p.StringSlice(&t.addresses, "a", "address", "operators' address (ip:port) of an entry instance; repeat it for more ("+envAddresses+", separated by commas)")
+	p.String(&t.tokenFile, "t", "token-file", "file with the team's bearer token ("+envToken+" holds the token itself)")
+	p.String(&t.output, "o", "output", "output format: table, json or yaml")
+	choices := t.serviceCommands(p)
+	choices = append(choices, t.drainCommands(p, "datacentre", "drain", config.DrainDataCentre)...)
+	choices = append(choices, t.drainCommands(p, "instance", "drain", config.DrainInstance)...)
+	choices = append(choices, t.drainCommands(p, "partner", "withdraw", config.DrainPartner)...)
+	choices = append(choices, t.otherCommands(p)...)
+	if err := p.ParseArgs(args); err != nil {
+		return nil, &usageError{err.Error()}
+	}
+	switch t.output {
+	case formatTable, formatJSON, formatYAML:
+	default:
+		return nil, &usageError{"--output " + t.output + " is unknown: use table, json or yaml"}
+	}
+	for _, c := range choices {
+		if c.sub.Used {
+			return c.run, nil
+		}
+	}
+	p.ShowHelpWithMessage("name a command")
+	return nil, &usageError{"no command given"}
+}
+
+// group attaches a subcommand that only holds others.
+func group(p *flaggy.Parser, name, description string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	p.AttachSubcommand(s, 1)
+	return s
+}
+
+func leaf(parent *flaggy.Subcommand, name, description string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	parent.AttachSubcommand(s, 1)
+	return s
+}
+
+func (t *tool) serviceCommands(p *flaggy.Parser) []choice {
+	g := group(p, "service", "service documents")
+	apply := leaf(g, "apply", "check a document and put it in force")
+	apply.AddPositionalValue(&t.file, "file", 1, true, "document (YAML)")
+	t.editFlags(apply)
+	get := leaf(g, "get", "print a document; apply reads the revision from its first line")
+	get.AddPositionalValue(&t.name, "name", 1, true, "service")
+	list := leaf(g, "list", "list services")
+	diff := leaf(g, "diff", "compare a document with the one in force")
+	diff.AddPositionalValue(&t.file, "file", 1, true, "document (YAML)")
+	del := leaf(g, "delete", "delete a document")
+	del.AddPositionalValue(&t.name, "name", 1, true, "service")
+	t.editFlags(del)
+	return []choice{
+		{apply, t.serviceApply},
+		{get, t.serviceGet},
+		{list, t.serviceList},
+		{diff, t.serviceDiff},
+		{del, t.serviceDelete},
+	}
+}
+
+func (t *tool) editFlags(s *flaggy.Subcommand) {
+	s.UInt64(&t.revision, "r", "revision", "revision that you saw; without it the one in force, or for apply the one in the file's first line")
+	s.String(&t.reason, "m", "reason", "reason for the audit record")
+}
+
+func (t *tool) drainCommands(p *flaggy.Parser, name, out string, kind config.DrainKind) []choice {
+	g := group(p, name, "take a "+name+" out of service or bring it back")
+	drain := leaf(g, out, "give it no new work")
+	restore := leaf(g, "restore", "give it new work again")
+	for _, s := range []*flaggy.Subcommand{drain, restore} {
+		s.AddPositionalValue(&t.name, "name", 1, true, name)
+		t.editFlags(s)
+	}
+	drain.Bool(&t.force, "f", "force", "drain a name that is not listed")
+	return []choice{
+		{drain, func() error { return t.setDrain(kind, true) }},
+		{restore, func() error { return t.setDrain(kind, false) }},
+	}
+}
+
+func (t *tool) otherCommands(p *flaggy.Parser) []choice {
+	status := group(p, "status", "state of the entry instance that answers")
+	check := group(p, "check", "check a service document or a settings file without a daemon")
+	check.AddPositionalValue(&t.file, "file", 1, true, "document or settings (YAML)")
+	check.Bool(&t.explain, "e", "explain", "print the file with every default")
+	return []choice{{status, t.status}, {check, t.check}}
+}
+
+// client returns a client for the addresses and the token given.
+func (t *tool) client() (*operator.Client, error) {
+	addresses := t.addresses
+	if len(addresses) == 0 && t.env(envAddresses) != "" {
+		addresses = strings.Split(t.env(envAddresses), ",")
+	}
+	if len(addresses) == 0 {
+		return nil, &usageError{"no address given: use --address or " + envAddresses}
+	}
+	token := t.env(envToken)
+	if t.tokenFile != "" {
+		b, err := os.ReadFile(t.tokenFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "read token: name an existing file")
+		}
+		token = strings.TrimSpace(string(b))
+	}
+	if token == "" {
+		return nil, &usageError{"no token given: use --token-file or " + envToken}
+	}
+	return operator.NewClient(addresses, token), nil
+}
+
+// edit returns the options of an edit of a record at a revision, unless the
+// operator named another one.
+func (t *tool) edit(current ident.Revision) operator.Edit {
+	if t.revision != noRevision {
+		current = ident.Revision(t.revision)
+	}
+	return operator.Edit{Expected: current, Reason: t.reason, Force: t.force}
+}
--- /dev/null
+++ b/cmd/bulrushctl/main.go
@@ -0,0 +1,31 @@
+// Command bulrushctl is the operators' tool: it edits service documents, takes
+// data centres, instances and partners out of service, and checks files.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr, os.Getenv))
+}
+
+// run runs one command and returns its exit code. Usage errors end the process
+// with exit code 2 inside flaggy.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer, env func(string) string) int {
+	t := &tool{ctx: ctx, stdout: stdout, stderr: stderr, env: env}
+	command, err := t.parse(args)
+	if err == nil {
+		err = command()
+	}
+	return t.exit(err)
+}
--- /dev/null
+++ b/cmd/bulrushctl/main_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/config"
+	"github.com/bulrushfall/bulrushfall/config/configshell"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/operator"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/settings"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// part is the configuration part of a daemon with its operators' interface.
+type part struct {
+	*configshell.Shell
+	store *standin.Server
+	addr  string
+	// err, if set, ends every edit.
+	err error
+}
+
+func (p *part) Edit(ctx context.Context, e config.Edit) (ident.Revision, error) {
+	if p.err != nil {
+		return 0, p.err
+	}
+	return p.Shell.Edit(ctx, e)
+}
+
+// startPart runs the part over a store stand-in until the test ends.
+func startPart(t *testing.T) *part {
+	t.Helper()
+	store, err := standin.Start(standin.DefaultConfig())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := configshell.NewLoop(ctx)
+	set := config.DefaultSettings()
+	set.EditTimeout = 300 * time.Millisecond
+	machine := config.New("self", set, rand.New(rand.NewPCG(1, 1)))
+	p := &part{store: store}
+	p.Shell = configshell.New(ctx, machine, configshell.NewStore(platform.NewClient(store.URL())), nil, loop.Post)
+	ready := make(chan struct{})
+	p.OnPublish = func(v *config.View) {
+		if v.Ready && v.Revision == 0 {
+			close(ready)
+		}
+	}
+	done := make(chan struct{})
+	go func() { loop.Run(p.Shell); close(done) }()
+	cfg, err := settings.Load(example("settings.yaml"))
+	assert.NilError(t, err)
+	server := httptest.NewServer(operator.Handler(operator.Options{
+		Configuration: p, Team: cfg.Team, Now: time.Now,
+		Known: func(config.DrainKind) []string { return []string{"dc-a", "dc-b"} },
+	}))
+	p.addr = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(func() { server.Close(); cancel(); <-done; store.Close() })
+	<-ready
+	return p
+}
+
+func example(name string) string { return filepath.Join("..", "..", "examples", name) }
+
+// ctl runs the tool as a team and returns its exit code and output.
+func (p *part) ctl(team string, args ...string) (int, string) {
+	var out bytes.Buffer
+	env := map[string]string{envAddresses: "127.0.0.1:1," + p.addr, envToken: "example-token-" + team}
+	code := run(context.Background(), args, &out, &out, func(k string) string { return env[k] })
+	return code, out.String()
+}
+
+// TestEdits walks an operator through the life of a document and a drain. It
+// guards against wrong exit codes, and against refusals without their remedy.
+func TestEdits(t *testing.T) {
+	p := startPart(t)
+	mine := filepath.Join(t.TempDir(), "mine.yaml")
+	write := func(s string) { assert.NilError(t, os.WriteFile(mine, []byte(s), 0o600)) }
+	expect := func(code int, want, team string, args ...string) string {
+		t.Helper()
+		got, out := p.ctl(team, args...)
+		assert.Equal(t, got, code, "%v: %s", args, out)
+		assert.Assert(t, strings.Contains(out, want), "%v: %s", args, out)
+		return out
+	}
+	expect(exitForbidden, "settings", "nobody", "service", "list")
+	expect(exitNotFound, "service list", "quotes", "service", "get", "quotes")
+	expect(exitDiffers, "+service: quotes", "quotes", "service", "diff", example("quotes.yaml"))
+	expect(exitOK, "revision  1", "quotes", "service", "apply", example("quotes.yaml"))
+	expect(exitForbidden, `team "quotes"`, "orders", "service", "apply", example("quotes.yaml"))
+	expect(exitForbidden, `team "quotes"`, "orders", "service", "delete", "quotes")
+	expect(exitOK, `"quotes"`, "quotes", "-o", "json", "service", "list")
+
+	got := expect(exitOK, "# revision: 1\n", "quotes", "service", "get", "quotes")
+	write(got)
+	expect(exitOK, "", "quotes", "service", "diff", mine)
+	write(strings.Replace(got, "wanted: 6", "wanted: 7", 1))
+	expect(exitDiffers, "+  wanted: 7", "quotes", "service", "diff", mine)
+	expect(exitOK, "revision  2", "quotes", "service", "apply", mine)
+	expect(exitConflict, "at revision 2, not 1", "quotes", "service", "apply", mine)
+	write(strings.Replace(got, "wanted: 6", "wanted: 3", 1))
+	expect(exitInvalid, "mine.yaml:10: replicas.minimum", "quotes", "service", "apply", mine)
+
+	expect(exitNotFound, "dc-a, dc-b", "quotes", "datacentre", "drain", "dc-c")
+	expect(exitOK, "revision  3", "quotes", "datacentre", "drain", "dc-a", "-m", "power work")
+	assert.Assert(t, p.View().Drains.Covers("i", "dc-a", ""))
+	expect(exitOK, "power work", "orders", "status")
+	expect(exitConflict, "revision 3, not 0", "quotes", "datacentre", "restore", "dc-a", "--revision", "0")
+	expect(exitOK, "revision  4", "orders", "datacentre", "restore", "dc-a")
+	assert.Assert(t, !p.View().Drains.Covers("i", "dc-a", ""))
+	expect(exitOK, "revision  5", "quotes", "partner", "withdraw", "firm", "--force")
+	expect(exitOK, "revision  6", "quotes", "service", "delete", "quotes")
+	expect(exitNotFound, "", "quotes", "service", "delete", "quotes")
+}
+
+// TestStoreFaults guards against an edit reported as refused that applied, and
+// against an outage without its own exit code.
+func TestStoreFaults(t *testing.T) {
+	p := startPart(t)
+	p.store.SetFaults(standin.Faults{LoseAnswers: 1})
+	code, out := p.ctl("quotes", "service", "apply", example("quotes.yaml"))
+	assert.Equal(t, code, exitOK, out)
+	assert.Equal(t, p.store.Counts().LostAnswers, uint64(1))
+	assert.Equal(t, p.View().Revision, ident.Revision(1))
+
+	p.store.SetFaults(standin.Faults{Outage: true})
+	code, out = p.ctl("quotes", "service", "apply", example("quotes.yaml"))
+	assert.Equal(t, code, exitNotApplied, out)
+	assert.Assert(t, strings.Contains(out, "did not apply"), out)
+
+	p.err = config.ErrOutcomeUnknown
+	code, out = p.ctl("quotes", "service", "apply", example("quotes.yaml"))
+	assert.Equal(t, code, exitUnknown, out)
+	assert.Assert(t, strings.Contains(out, "read the record") && strings.Contains(out, "attempt: "), out)
+}
+
+// TestCheck guards against a check that accepts a broken file, and against
+// defaults that --explain leaves out.
+func TestCheck(t *testing.T) {
+	p := &part{}
+	for file, want := range map[string]string{"orders.yaml": "cold_ramp: 5s", "settings.yaml": "max_header_bytes: 32768"} {
+		code, out := p.ctl("", "check", example(file), "--explain")
+		assert.Equal(t, code, exitOK, out)
+		assert.Assert(t, strings.Contains(out, want), out)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	assert.NilError(t, os.WriteFile(bad, []byte("service: a\nowner: b\nkind: plan\n"), 0o600))
+	code, out := p.ctl("", "check", bad)
+	assert.Equal(t, code, exitInvalid)
+	assert.Assert(t, strings.Contains(out, "bad.yaml:3: kind: \"plan\" is not allowed: use one of model, plain"), out)
+	code, _ = p.ctl("", "service", "list", "-o", "xml")
+	assert.Equal(t, code, exitUsage)
+}
--- a/config/configshell/shell.go
+++ b/config/configshell/shell.go
@@ -86,7 +86,7 @@
 func (s *Shell) Counters(ctx context.Context) (config.Counters, error) {
 	out := make(chan config.Counters, 1)
 	if !s.post(func(time.Duration) { out <- s.machine.Counters }) {
-		return config.Counters{}, errShutDown
+		return config.Counters{}, config.ErrShutDown
 	}
 	select {
 	case c := <-out:
@@ -96,8 +96,6 @@
 	}
 }
 
-var errShutDown = errors.New("the entry instance shuts down: use another one")
-
 // Edit runs an edit and waits for its outcome.
 func (s *Shell) Edit(ctx context.Context, e config.Edit) (ident.Revision, error) {
 	done := make(chan config.AnswerEdit, 1)
@@ -106,7 +104,7 @@
 		s.Step(now, config.EditRequested{Edit: e})
 	})
 	if !ok {
-		return 0, errShutDown
+		return 0, config.ErrShutDown
 	}
 	select {
 	case a := <-done:
@@ -126,7 +124,7 @@
 func (s *Shell) handlePull(ctx context.Context, _ wire.Peer, q config.PullRequest) (config.PullResponse, error) {
 	out := make(chan config.PullResponse, 1)
 	if !s.post(func(time.Duration) { out <- s.machine.Answer(q) }) {
-		return config.PullResponse{}, errShutDown
+		return config.PullResponse{}, config.ErrShutDown
 	}
 	select {
 	case r := <-out:
@@ -144,7 +142,7 @@
 		close(done)
 	})
 	if !ok {
-		return Ack{}, errShutDown
+		return Ack{}, config.ErrShutDown
 	}
 	select {
 	case <-done:
--- a/config/event.go
+++ b/config/event.go
@@ -214,6 +214,8 @@
 	ErrStoreUnavailable = errors.New("the platform's store is unavailable and the edit did not apply: repeat it when the store answers")
 	// ErrOutcomeUnknown: the edit may have applied.
 	ErrOutcomeUnknown = errors.New("the platform's store did not confirm the edit and its outcome is unknown: read the record and compare its revision before repeating the edit")
+	// ErrShutDown: the edit did not apply.
+	ErrShutDown = errors.New("the entry instance shuts down: use another one")
 	// ErrTooManyEdits: the edit did not apply.
 	ErrTooManyEdits = errors.New("too many edits wait at this entry instance and the edit did not apply: repeat it after a second")
 )
--- a/config/view.go
+++ b/config/view.go
@@ -11,13 +11,15 @@
 // ServiceView is a service document in force.
 type ServiceView struct {
 	Revision ident.Revision   `json:"revision"`
+	Attempt  ident.AttemptID  `json:"attempt"`
 	Document service.Document `json:"document"`
 }
 
 // DrainView is a drain record in force.
 type DrainView struct {
-	Revision ident.Revision `json:"revision"`
-	Drain    Drain          `json:"drain"`
+	Revision ident.Revision  `json:"revision"`
+	Attempt  ident.AttemptID `json:"attempt"`
+	Drain    Drain           `json:"drain"`
 }
 
 // View is the configuration in force on this node. Nothing in it changes.
@@ -96,14 +98,14 @@
 			m.Counters.Undecodable++
 			return
 		}
-		m.decoded.services[r.Key] = ServiceView{Revision: r.Revision, Document: doc}
+		m.decoded.services[r.Key] = ServiceView{Revision: r.Revision, Attempt: r.Attempt, Document: doc}
 	case r.Kind == KindDrain:
 		drain, err := r.Drain()
 		if err != nil {
 			m.Counters.Undecodable++
 			return
 		}
-		m.decoded.drains[r.Key] = DrainView{Revision: r.Revision, Drain: drain}
+		m.decoded.drains[r.Key] = DrainView{Revision: r.Revision, Attempt: r.Attempt, Drain: drain}
 	default:
 		m.Counters.Undecodable++
 	}
--- /dev/null
+++ b/operator/message.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"github.com/bulrushfall/bulrushfall/config"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// Service is a service document in force at the entry instance that answers.
+type Service struct {
+	Name     ident.ServiceName `json:"name" yaml:"name"`
+	Revision ident.Revision    `json:"revision" yaml:"revision"`
+	Owner    ident.Team        `json:"owner" yaml:"owner"`
+	Kind     service.Kind      `json:"kind" yaml:"kind"`
+	Attempt  ident.AttemptID   `json:"attempt" yaml:"attempt"`
+	// Document is the whole document as YAML with every default.
+	Document string `json:"document,omitempty" yaml:"document,omitempty"`
+}
+
+// Services lists services by name, without their documents.
+type Services struct {
+	Services []Service `json:"services" yaml:"services"`
+}
+
+// Drain is a drain record in force at the entry instance that answers.
+// Revision 0 means that there never was one.
+type Drain struct {
+	Kind     config.DrainKind `json:"kind" yaml:"kind"`
+	Name     string           `json:"name" yaml:"name"`
+	Out      bool             `json:"out" yaml:"out"`
+	Revision ident.Revision   `json:"revision" yaml:"revision"`
+	Team     ident.Team       `json:"team,omitempty" yaml:"team,omitempty"`
+	Reason   string           `json:"reason,omitempty" yaml:"reason,omitempty"`
+	Attempt  ident.AttemptID  `json:"attempt,omitempty" yaml:"attempt,omitempty"`
+}
+
+// Drains lists drain records.
+type Drains struct {
+	Drains []Drain `json:"drains" yaml:"drains"`
+}
+
+// Accepted answers an edit that is in force at the answering entry instance
+// and on its way to the others.
+type Accepted struct {
+	Revision ident.Revision  `json:"revision" yaml:"revision"`
+	Attempt  ident.AttemptID `json:"attempt" yaml:"attempt"`
+}
+
+// ServiceStatus is the capacity that an entry instance sees for a service.
+type ServiceStatus struct {
+	Name ident.ServiceName `json:"name" yaml:"name"`
+	Kind service.Kind      `json:"kind" yaml:"kind"`
+	// Wanted is the number of replicas that the document asks for.
+	Wanted int `json:"wanted" yaml:"wanted"`
+	// Usable and Draining count groups of a model service and backend servers
+	// of a plain one.
+	Usable   int `json:"usable" yaml:"usable"`
+	Draining int `json:"draining" yaml:"draining"`
+	Cold     int `json:"cold" yaml:"cold"`
+}
+
+// Status is the state of the entry instance that answers.
+type Status struct {
+	Instance    ident.InstanceID  `json:"instance" yaml:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation" yaml:"incarnation"`
+	DataCentre  ident.DataCentre  `json:"data_centre" yaml:"data_centre"`
+	// Revision: every edit up to it is in force here. Head is the highest one
+	// that this entry instance heard of.
+	Revision ident.Revision  `json:"revision" yaml:"revision"`
+	Head     ident.Revision  `json:"head" yaml:"head"`
+	Ready    bool            `json:"ready" yaml:"ready"`
+	Entries  int             `json:"entries" yaml:"entries"`
+	Services []ServiceStatus `json:"services" yaml:"services"`
+	Drains   []Drain         `json:"drains" yaml:"drains"`
+}
+
+func serviceOf(v config.ServiceView) Service {
+	return Service{
+		Name: v.Document.Service, Revision: v.Revision, Owner: v.Document.Owner,
+		Kind: v.Document.Kind, Attempt: v.Attempt,
+	}
+}
+
+func drainOf(v config.DrainView) Drain {
+	return Drain{
+		Kind: v.Drain.Kind, Name: v.Drain.Name, Out: v.Drain.Out, Revision: v.Revision,
+		Team: v.Drain.Team, Reason: v.Drain.Reason, Attempt: v.Attempt,
+	}
+}
