--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/settings"
@@ -66,6 +67,9 @@
 	mux := wire.NewMux()
 	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
 	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
+	if err := usePeerTLS(d.node, cfg.TLS.Peers); err != nil {
+		return nil, err
+	}
 	store := platform.NewClient(cfg.Platform.URL)
 	d.loop = control.New(control.Options{
 		Self:      self,
@@ -74,6 +78,8 @@
 		Instances: store,
 		Engines:   engine.NewControl(),
 		Node:      d.node,
+		Mux:       mux,
+		Seeds:     cfg.Peers.Seeds,
 		Log:       log,
 		Scope:     d.metrics.Scope,
 		Now:       now,
@@ -108,13 +114,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
+	callerListener, err := withCallerTLS(d.gateway.Listener(callers), d.cfg.TLS.Callers)
+	if err != nil {
+		return err
+	}
 	callerServer := d.gateway.Server(d.gateway.Handler(), d.cfg.Limits.MaxHeaderBytes)
 	operatorServer := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: time.Second}
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	defer stopLoop()
 
 	var g errgroup.Group
-	g.Go(func() error { return ignoreClosed(callerServer.Serve(d.gateway.Listener(callers))) })
+	g.Go(func() error { return ignoreClosed(callerServer.Serve(callerListener)) })
 	g.Go(func() error { return ignoreClosed(operatorServer.Serve(operators)) })
 	g.Go(func() error { return d.node.Serve(peers) })
 	g.Go(func() error { d.loop.Run(loopCtx); return nil })
@@ -147,9 +157,17 @@
 	d.gateway.Wait(ctx)
 }
 
-// operatorHandler serves health, readiness and metrics.
+// operatorHandler serves the operators' interface, health, readiness and
+// metrics.
 func (d *daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/operator/v1/", operator.Handler(operator.Options{
+		Configuration: d.loop.Configuration(),
+		Team:          d.cfg.Team,
+		Status:        d.loop.Status,
+		Known:         d.loop.KnownTargets,
+		Now:           time.Now,
+	}))
 	mux.Handle("GET /metrics", d.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
