--- /dev/null
+++ b/lease/rows.go
@@ -0,0 +1,76 @@
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// Tables of the two rows. Their key is the service.
+const (
+	Table      = "lease"
+	EpochTable = "lease_epoch"
+)
+
+// Identity names one run of an entry instance.
+type Identity struct {
+	Instance    ident.InstanceID  `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+// Row is the lease row, which each renewal rewrites. An empty holder means
+// that the last holder released the lease.
+type Row struct {
+	Holder  Identity      `json:"holder"`
+	Epoch   ident.Epoch   `json:"epoch"`
+	Length  time.Duration `json:"length"`
+	Attempt string        `json:"attempt"`
+}
+
+// EpochRow is the row that only a change of holder rewrites. Writes of a
+// holder carry a condition on its version.
+type EpochRow struct {
+	Holder  Identity    `json:"holder"`
+	Epoch   ident.Epoch `json:"epoch"`
+	Attempt string      `json:"attempt"`
+}
+
+// Key returns the address of the lease row of a service.
+func Key(s ident.ServiceName) platform.RowKey {
+	return platform.RowKey{Table: Table, Key: string(s)}
+}
+
+// EpochKey returns the address of the epoch row of a service.
+func EpochKey(s ident.ServiceName) platform.RowKey {
+	return platform.RowKey{Table: EpochTable, Key: string(s)}
+}
+
+// decodeRow reads a lease row. A malformed row counts as released, because no
+// process of this version holds it; its version still guards the takeover.
+func decodeRow(r platform.Row) Row {
+	var out Row
+	if r.Version != 0 && json.Unmarshal(r.Value, &out) != nil {
+		return Row{}
+	}
+	return out
+}
+
+func decodeEpoch(r platform.Row) EpochRow {
+	var out EpochRow
+	if r.Version != 0 && json.Unmarshal(r.Value, &out) != nil {
+		return EpochRow{}
+	}
+	return out
+}
+
+// encode marshals a row. The row types hold only strings and integers, so
+// marshalling cannot fail.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
