--- /dev/null
+++ b/group/rows.go
@@ -0,0 +1,99 @@
+package group
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// Tables of group and assignment rows.
+const (
+	Table           = "group"
+	AssignmentTable = "assignment"
+)
+
+// RowState is the state of a group in the table.
+type RowState string
+
+// States of group rows.
+const (
+	// StateActive groups load or serve.
+	StateActive RowState = "active"
+	// StateStopping groups get no new work and give up their members.
+	StateStopping RowState = "stopping"
+)
+
+// Member is one member of a group. The incarnation tells a restarted member
+// from the one that was assigned.
+type Member struct {
+	Instance    ident.InstanceID  `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Address     string            `json:"address"`
+}
+
+// Row is a group row. Members are in rank order.
+type Row struct {
+	ID         ident.GroupID     `json:"id"`
+	Service    ident.ServiceName `json:"service"`
+	Epoch      ident.Epoch       `json:"epoch"`
+	Role       engine.Role       `json:"role"`
+	Model      string            `json:"model"`
+	Version    string            `json:"version"`
+	Adapters   []string          `json:"adapters,omitempty"`
+	Domain     ident.Domain      `json:"domain"`
+	DataCentre ident.DataCentre  `json:"data_centre"`
+	Members    []Member          `json:"members"`
+	State      RowState          `json:"state"`
+	Attempt    string            `json:"attempt"`
+}
+
+// Assignment is an assignment row: the group that an instance belongs to.
+type Assignment struct {
+	Group       ident.GroupID     `json:"group"`
+	Epoch       ident.Epoch       `json:"epoch"`
+	Service     ident.ServiceName `json:"service"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Attempt     string            `json:"attempt"`
+}
+
+// Key returns the address of a group row.
+func Key(s ident.ServiceName, g ident.GroupID) platform.RowKey {
+	return platform.RowKey{Table: Table, Key: string(s) + "/" + string(g)}
+}
+
+// AssignmentKey returns the address of an assignment row.
+func AssignmentKey(id ident.InstanceID) platform.RowKey {
+	return platform.RowKey{Table: AssignmentTable, Key: string(id)}
+}
+
+// DecodeRow reads a group row.
+func DecodeRow(r platform.Row) (Row, bool) {
+	var out Row
+	ok := r.Version != 0 && json.Unmarshal(r.Value, &out) == nil && len(out.Members) > 0
+	return out, ok
+}
+
+// DecodeAssignment reads an assignment row.
+func DecodeAssignment(r platform.Row) (Assignment, bool) {
+	var out Assignment
+	ok := r.Version != 0 && json.Unmarshal(r.Value, &out) == nil && out.Group != ""
+	return out, ok
+}
+
+// encode marshals a row. The row types hold only strings and integers, so
+// marshalling cannot fail.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// index returns the rank of an instance, or -1.
+func (r *Row) index(id ident.InstanceID) int {
+	return slices.IndexFunc(r.Members, func(m Member) bool { return m.Instance == id })
+}
