engine: report a failed group in the member's status

A leader that lost a member serves nothing until it is assigned again, but its status still said ready, so entries kept routing to it. The new state failed lets routing stop and the planner repair the group at once.

--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -33,6 +33,9 @@
 	StateReady State = "ready"
 	// StateDraining finishes running requests and accepts none.
 	StateDraining State = "draining"
+	// StateFailed lost a member of its group and serves nothing until it is
+	// released or assigned again.
+	StateFailed State = "failed"
 )
 
 // Role is the part of the work that a group does.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -203,6 +203,9 @@
 		TokenMicros: int(float64(e.cfg.TokenInterval.Microseconds()) * e.slow),
 		Fencing:     e.fencing,
 	}
+	if e.broken {
+		s.State = engine.StateFailed
+	}
 	for w := range e.weights {
 		s.Preloaded = append(s.Preloaded, w)
 	}
