group: planner and executor, with a model of table and engines

The planner keeps one transaction under way, reads unknown outcomes back and sends the same transaction again, and commands engines only from committed rows. A property test runs it over losses, pauses, outages, lost and late answers, holder changes and racing operators.

--- /dev/null
+++ b/group/planner_test.go
@@ -0,0 +1,205 @@
+package group_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bulrushfall/bulrushfall/experiment"
+	"github.com/bulrushfall/bulrushfall/group"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+func document(wanted, size int) service.Document {
+	doc := service.DefaultDocument()
+	doc.Service, doc.Kind = "quotes", service.KindModel
+	doc.Model = service.Model{Name: "m", Version: "1"}
+	doc.Replicas = service.Replicas{Wanted: wanted, Minimum: wanted - 1, InstancesPerReplica: size, SparesPerDomain: 1}
+	return doc
+}
+
+func modelConfig(seed uint64) experiment.ModelConfig {
+	return experiment.ModelConfig{
+		Document: document(3, 4), Planner: group.DefaultConfig(), Entries: 2,
+		Domains: 3, PerDomain: 9, Accelerators: 4, IgnoresFencing: 2,
+		Load: 2 * time.Second, Preloaded: 300 * time.Millisecond, WeightSlot: 50 * time.Millisecond, Seed: seed,
+	}
+}
+
+// holder returns the planner that holds the lease.
+func holder(m *experiment.Model) *group.Planner {
+	for _, e := range m.Entries {
+		if _, ok := e.Lease.Held(m.Now); ok {
+			return e.Planner
+		}
+	}
+	return nil
+}
+
+func noViolations(t assert.TestingT, m *experiment.Model) {
+	if len(m.Violations) > 0 {
+		assert.Assert(t, false, "%d violations, first: %s", len(m.Violations), m.Violations[0])
+	}
+}
+
+// disturb injects one random failure or operator action.
+func disturb(m *experiment.Model, rng *rand.Rand) {
+	e := m.Engines[rng.IntN(len(m.Engines))]
+	d := time.Duration(1+rng.IntN(12_000)) * time.Millisecond
+	switch rng.IntN(9) {
+	case 0, 1:
+		e.Kill(d)
+	case 2, 3:
+		e.Pause(d)
+	case 4:
+		for _, o := range m.Engines {
+			if o.Info.Domain == e.Info.Domain {
+				o.Pause(d)
+			}
+		}
+	case 5:
+		m.Entries[rng.IntN(len(m.Entries))].Pause(d)
+	case 6:
+		m.StoreDown = m.Now + d/2
+	case 7:
+		m.Drain(e.Info.ID, d)
+	case 8:
+		doc := m.Config.Document
+		doc.Replicas.Wanted = 2 + rng.IntN(3)
+		doc.Model.Version = fmt.Sprint(1 + rng.IntN(2))
+		m.SetDocument(doc)
+	}
+}
+
+// Guards against an instance in two groups, in the table or at the engines,
+// against routing to a group whose leader was given away, and against a planner
+// that gets stuck, under losses, pauses, outages, lost and late answers,
+// changes of the lease holder and racing operators.
+func TestSingleMembershipAndConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		rng := rand.New(rand.NewPCG(seed, 2))
+		cfg := modelConfig(seed)
+		cfg.LostAnswers, cfg.LateCommands = 0.1, 0.1
+		m := experiment.NewModel(cfg)
+		for m.Now < 60*time.Second {
+			m.Run(m.Now + time.Duration(100+rng.IntN(3000))*time.Millisecond)
+			disturb(m, rng)
+			noViolations(t, m)
+		}
+		m.Config.LostAnswers, m.Config.LateCommands = 0, 0
+		m.Run(m.Now + 90*time.Second)
+		noViolations(t, m)
+		want := m.Config.Document.Replicas.Wanted
+		assert.Equal(t, m.Serving(), want, "serving groups 90 s after the last fault: %+v", status(m))
+		assert.Equal(t, m.Stranded(), 0, "stranded accelerators: %+v", status(m))
+		for _, g := range holder(m).Groups(m.Now) {
+			assert.Equal(t, g.Row.Version, m.Config.Document.Model.Version)
+		}
+	})
+}
+
+func status(m *experiment.Model) []string {
+	p := holder(m)
+	if p == nil {
+		return []string{"no holder"}
+	}
+	out := []string{fmt.Sprintf("counters %+v", p.Counters)}
+	for _, g := range p.Groups(m.Now) {
+		out = append(out, fmt.Sprintf("%s/%d %s %s ready=%t %s %v", g.Row.ID, g.Row.Epoch, g.Row.State, g.Row.Version, g.Ready, g.Reason, g.Row.Members))
+	}
+	return out
+}
+
+// ready runs a model until its groups serve.
+func ready(t *testing.T, cfg experiment.ModelConfig) *experiment.Model {
+	t.Helper()
+	m := experiment.NewModel(cfg)
+	m.Run(40 * time.Second)
+	assert.Equal(t, m.Serving(), cfg.Document.Replicas.Wanted, "%v", status(m))
+	return m
+}
+
+// lowest returns the smallest number of serving groups over a time.
+func lowest(m *experiment.Model, d time.Duration) int {
+	low := m.Serving()
+	for end := m.Now + d; m.Now < end; {
+		m.Run(m.Now + 50*time.Millisecond)
+		low = min(low, m.Serving())
+	}
+	return low
+}
+
+// Guards against a change of version that stops groups before their
+// replacements serve, or that goes below the minimum where no instances are
+// free for a replacement.
+func TestVersionChangeKeepsMinimum(t *testing.T) {
+	for _, perDomain := range []int{9, 4} {
+		cfg := modelConfig(1)
+		cfg.PerDomain = perDomain
+		m := ready(t, cfg)
+		doc := cfg.Document
+		doc.Model.Version = "2"
+		m.SetDocument(doc)
+		want := doc.Replicas.Wanted
+		if perDomain == 4 {
+			want = doc.Replicas.Minimum
+		}
+		assert.Equal(t, lowest(m, 60*time.Second), want, "with %d instances per domain", perDomain)
+		for _, g := range holder(m).Groups(m.Now) {
+			assert.Equal(t, g.Row.Version, "2", "%v", status(m))
+		}
+		noViolations(t, m)
+	}
+}
+
+// Guards against a lost member whose group is formed anew although a spare is
+// there, and against a spare that is slower than its preloaded weights.
+func TestLostMemberIsSwapped(t *testing.T) {
+	m := ready(t, modelConfig(1))
+	p := holder(m)
+	g := p.Groups(m.Now)[0].Row
+	m.Engine(g.Members[1].Instance).Kill(20 * time.Second)
+	m.Run(m.Now + 8*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	assert.Equal(t, p.Counters.Swapped, uint64(1))
+	assert.Equal(t, p.Groups(m.Now)[0].Row.ID, g.ID)
+	noViolations(t, m)
+}
+
+// Guards against a straggler that stays in its group, and against one that is
+// replaced for a short slowdown.
+func TestStragglerIsReplaced(t *testing.T) {
+	m := ready(t, modelConfig(1))
+	slow := holder(m).Groups(m.Now)[0].Row.Members[2].Instance
+	m.Engine(slow).Slow(20_000)
+	m.Run(m.Now + 5*time.Second)
+	m.Engine(slow).Slow(5000)
+	m.Run(m.Now + 20*time.Second)
+	assert.Equal(t, holder(m).Counters.Swapped, uint64(0))
+	m.Engine(slow).Slow(20_000)
+	m.Run(m.Now + 30*time.Second)
+	assert.Equal(t, holder(m).Counters.Swapped, uint64(1), "%v", status(m))
+	assert.Equal(t, m.Serving(), 3)
+	noViolations(t, m)
+}
+
+// Guards against a drained data centre that keeps its groups, and against
+// groups that are not formed elsewhere.
+func TestDataCentreDrain(t *testing.T) {
+	cfg := modelConfig(1)
+	cfg.Domains = 6
+	m := ready(t, cfg)
+	m.SetDrains(group.DrainsChanged{DataCentres: []ident.DataCentre{"dc0"}})
+	assert.Assert(t, lowest(m, 30*time.Second) >= 2)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	for _, g := range holder(m).Groups(m.Now) {
+		assert.Assert(t, g.Row.DataCentre != "dc0")
+	}
+	noViolations(t, m)
+}
--- /dev/null
+++ b/group/spare.go
@@ -0,0 +1,111 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// slowState is the straggler detection of one instance.
+type slowState struct {
+	slow  bool
+	since time.Duration
+}
+
+func (p *Planner) preloaded(i *instance) bool {
+	return slices.Contains(i.report.Status.Preloaded, p.doc.Model.Name+"@"+p.doc.Model.Version)
+}
+
+// preload keeps spares in the domains that groups use. A bounded number of
+// preloads runs at a time, so that loads of groups get their share of the
+// weight store.
+func (p *Planner) preload(now time.Duration) {
+	wanted := p.doc.Replicas.SparesPerDomain
+	if !p.cfg.Policy.Spares || wanted == 0 || p.doc.Kind != service.KindModel {
+		return
+	}
+	need := make(map[ident.Domain]int)
+	for _, g := range p.sorted {
+		if g.row.State == StateActive && g.drainedSince == 0 {
+			need[g.row.Domain] = wanted
+		}
+	}
+	running := 0
+	var idle []*instance
+	for _, i := range p.order {
+		if i.preloadFrom > 0 && (p.preloaded(i) || now-i.preloadFrom >= p.cfg.PreloadTimeout || i.assigned != nil) {
+			i.preloadFrom = 0
+		}
+		loading := i.preloadFrom > 0
+		if loading {
+			running++
+		}
+		if need[i.info.Domain] == 0 || !p.free(now, i) {
+			continue
+		}
+		if loading || p.preloaded(i) {
+			need[i.info.Domain]--
+		} else {
+			idle = append(idle, i)
+		}
+	}
+	for _, i := range idle {
+		if running < p.cfg.MaxPreloads && need[i.info.Domain] > 0 && p.mayCommand(now, i) {
+			need[i.info.Domain]--
+			running++
+			p.sendPreload(now, i)
+		}
+	}
+}
+
+// stragglerInterval is the time between two looks at the members' speed.
+const stragglerInterval = time.Second
+
+// updateStragglers compares each member's token time with the median. An
+// instance has to be slow for a while before it counts, and much faster again
+// before it no longer does.
+func (p *Planner) updateStragglers(now time.Duration) {
+	if now < p.nextSpeed {
+		return
+	}
+	p.nextSpeed = now + stragglerInterval
+	times := p.times[:0]
+	for _, i := range p.order {
+		if i.assigned != nil && i.report.Status.State == engine.StateReady && i.report.Status.TokenMicros > 0 {
+			times = append(times, i.report.Status.TokenMicros)
+		}
+	}
+	p.times = times
+	if len(times) == 0 {
+		return
+	}
+	slices.Sort(times)
+	median := float64(times[len(times)/2])
+	for _, i := range p.order {
+		i.slow.update(now, float64(i.report.Status.TokenMicros)/median, &p.cfg)
+	}
+}
+
+func (s *slowState) update(now time.Duration, ratio float64, cfg *Config) {
+	switch {
+	case ratio >= cfg.SlowRatio:
+		if s.since == 0 {
+			s.since = now
+		}
+		s.slow = s.slow || now-s.since >= cfg.SlowTime
+	case ratio <= cfg.FastRatio:
+		s.slow, s.since = false, 0
+	case !s.slow:
+		s.since = 0
+	}
+}
+
+func (p *Planner) hasStraggler(g *group) bool {
+	return slices.ContainsFunc(g.row.Members, func(m Member) bool {
+		i, ok := p.instances[m.Instance]
+		return ok && i.slow.slow
+	})
+}
--- /dev/null
+++ b/group/txn.go
@@ -0,0 +1,198 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// pendingTxn is the one transaction under way.
+type pendingTxn struct {
+	id   string
+	txn  platform.Txn
+	done func(version uint64)
+	// sent means that an answer is awaited; retry is when it may be sent again.
+	sent  bool
+	retry time.Duration
+	// unknown means that an earlier try may have applied or may still apply.
+	unknown bool
+	reading bool
+	readDue bool
+}
+
+// begin starts a transaction on the condition that the lease did not move.
+// build gets the attempt id that the rows carry.
+func (p *Planner) begin(conds []platform.Condition, build func(attempt string) []platform.Write, done func(version uint64)) {
+	p.attempts++
+	id := fmt.Sprintf("%s/%d/%d", p.service, p.grant.Epoch, p.attempts)
+	fence := platform.Condition{RowKey: lease.EpochKey(p.service), Version: p.grant.EpochVersion}
+	p.txn = &pendingTxn{
+		id:   id,
+		txn:  platform.Txn{Conditions: append([]platform.Condition{fence}, conds...), Writes: build(id)},
+		done: done,
+	}
+}
+
+// driveTxn sends the pending transaction, or reads back what became of it.
+func (p *Planner) driveTxn(now time.Duration) {
+	t := p.txn
+	if t == nil || t.sent || t.reading || now < t.retry {
+		return
+	}
+	if t.readDue {
+		t.reading = true
+		p.emit(ReadRow{Attempt: t.id, Key: t.txn.Writes[0].RowKey})
+		return
+	}
+	t.sent = true
+	p.emit(Transact{Attempt: t.id, Txn: t.txn, Deadline: p.grant.Expires})
+}
+
+func (p *Planner) committed(now time.Duration, e Committed) {
+	t := p.txn
+	if t == nil || t.id != e.Attempt || !t.sent {
+		return
+	}
+	t.sent = false
+	switch e.Outcome {
+	case platform.OutcomeApplied:
+		p.finish(e.Version)
+	case platform.OutcomeNotApplied:
+		t.retry = now + p.cfg.TxnRetry
+		if !t.unknown {
+			// The plan is made anew when the store is back.
+			p.txn, p.retry = nil, t.retry
+		}
+	case platform.OutcomeConflict:
+		p.conflicted(now, t, e.Rows)
+	default:
+		p.Counters.Unknown++
+		t.unknown, t.readDue = true, true
+	}
+}
+
+// finish records that the pending transaction applied.
+func (p *Planner) finish(version uint64) {
+	t := p.txn
+	p.txn = nil
+	t.done(version)
+	p.sortGroups()
+}
+
+// rowRead settles a transaction with an unknown outcome. If it has not applied
+// yet it may still do so, so the same transaction is sent again: whichever copy
+// comes first, the other one conflicts.
+func (p *Planner) rowRead(now time.Duration, e RowRead) {
+	t := p.txn
+	if t == nil || t.id != e.Attempt || !t.reading {
+		return
+	}
+	t.reading = false
+	if !e.OK {
+		t.retry = now + p.cfg.TxnRetry
+		return
+	}
+	t.readDue = false
+	if version, ok := t.appliedBy(e.Row); ok {
+		p.finish(version)
+	}
+}
+
+// appliedBy reports whether a row shows that the transaction applied.
+func (t *pendingTxn) appliedBy(r platform.Row) (uint64, bool) {
+	w := t.txn.Writes[0]
+	if r.RowKey != w.RowKey {
+		return 0, false
+	}
+	if w.Delete {
+		// Only this holder may delete the row it has a condition on.
+		for _, c := range t.txn.Conditions {
+			if c.RowKey == w.RowKey {
+				return r.Version, r.Version != c.Version
+			}
+		}
+		return 0, false
+	}
+	if g, ok := DecodeRow(r); ok {
+		return r.Version, g.Attempt == t.id
+	}
+	return 0, false
+}
+
+// conflicted learns from the rows that failed their conditions.
+func (p *Planner) conflicted(now time.Duration, t *pendingTxn, rows []platform.Row) {
+	if t.unknown {
+		for _, r := range rows {
+			if version, ok := t.appliedBy(r); ok {
+				p.finish(version)
+				return
+			}
+		}
+	}
+	p.Counters.Conflicts++
+	p.txn = nil
+	p.retry = now
+	for _, r := range rows {
+		i, ok := p.instances[ident.InstanceID(r.Key)]
+		a, decoded := DecodeAssignment(r)
+		if r.Table == AssignmentTable && ok && decoded && a.Service != p.service && i.assigned == nil {
+			// Another service was first.
+			i.blockedUntil = now + p.cfg.ConflictPause
+			continue
+		}
+		// The table differs from what is known here: read it again.
+		p.phase = phaseIdle
+		p.retry = now + p.cfg.TxnRetry
+	}
+}
+
+// allRead takes the rows of the table as the truth.
+func (p *Planner) allRead(now time.Duration, e AllRead) {
+	if p.phase != phaseReading {
+		return
+	}
+	if !e.OK {
+		p.phase = phaseIdle
+		p.retry = now + p.cfg.TxnRetry
+		return
+	}
+	p.phase = phaseActive
+	old := p.groups
+	p.groups = make(map[ident.GroupID]*group, len(e.Groups))
+	for _, r := range e.Groups {
+		row, ok := DecodeRow(r)
+		if !ok || row.Service != p.service {
+			continue
+		}
+		if g := old[row.ID]; g != nil && g.version == r.Version {
+			p.groups[row.ID] = g
+			continue
+		}
+		stopping := row.State == StateStopping
+		p.groups[row.ID] = &group{row: row, version: r.Version, since: now, graceful: stopping, repair: stopping && p.cfg.Policy.Swap}
+	}
+	p.readAssignments(now, e.Assignments)
+	p.readEpoch = p.grant.Epoch
+	p.sortGroups()
+}
+
+func (p *Planner) readAssignments(now time.Duration, rows []platform.Row) {
+	for _, i := range p.instances {
+		i.assigned, i.version = nil, 0
+	}
+	for _, r := range rows {
+		a, ok := DecodeAssignment(r)
+		if !ok || a.Service != p.service {
+			continue
+		}
+		i := p.instance(ident.InstanceID(r.Key))
+		i.assigned, i.version = &a, r.Version
+		if p.readEpoch != p.grant.Epoch {
+			// An earlier holder may have sent an assign that has not arrived.
+			i.commands.unsettle(max(now, p.grant.CommandsFrom))
+		}
+	}
+}
