--- a/experiment/model_entry.go
+++ b/experiment/model_entry.go
@@ -183,6 +183,7 @@
 
 func (e *ModelEntry) readAll() {
 	all := group.AllRead{OK: e.m.Now >= e.m.StoreDown}
+	all.Head = e.m.get(group.HeadKey(e.m.Config.Document.Service))
 	all.Groups = e.m.scan(group.Table, string(e.m.Config.Document.Service)+"/")
 	all.Assignments = e.m.scan(group.AssignmentTable, "")
 	e.reply(modelRTT, func() { e.step(all) })
--- a/group/events.go
+++ b/group/events.go
@@ -59,10 +59,11 @@
 	Row     platform.Row
 }
 
-// AllRead answers ReadAll with the group rows of the service and all
-// assignment rows.
+// AllRead answers ReadAll. The head row is read first; an absent one has
+// version 0.
 type AllRead struct {
 	OK          bool
+	Head        platform.Row
 	Groups      []platform.Row
 	Assignments []platform.Row
 }
@@ -103,10 +104,11 @@
 // Action is an output of the planner.
 type Action interface{ groupAction() }
 
-// ReadAll asks for the group rows of the service and all assignment rows.
+// ReadAll asks for the head row, the group rows of the service and all
+// assignment rows.
 type ReadAll struct{}
 
-// ReadRow asks for one row to settle a transaction with an unknown outcome.
+// ReadRow asks for the head row to settle a transaction with an unknown outcome.
 type ReadRow struct {
 	Attempt string
 	Key     platform.RowKey
--- a/group/planner.go
+++ b/group/planner.go
@@ -84,6 +84,8 @@
 	held  bool
 	retry time.Duration
 	txn   *pendingTxn
+	// head is the version of the head row.
+	head uint64
 
 	instances map[ident.InstanceID]*instance
 	order     []*instance
--- a/group/rows.go
+++ b/group/rows.go
@@ -13,6 +13,11 @@
 const (
 	Table           = "group"
 	AssignmentTable = "assignment"
+	// HeadTable has one row per service, which every transaction of the holder
+	// rewrites on condition of its version. A copy of a transaction that reaches
+	// the store late then fails, also when the rows that it requires to be
+	// absent were written and deleted in between.
+	HeadTable = "group_head"
 )
 
 // RowState is the state of a group in the table.
@@ -69,6 +74,16 @@
 	return platform.RowKey{Table: AssignmentTable, Key: string(id)}
 }
 
+// Head is a head row. It names the last transaction.
+type Head struct {
+	Attempt string `json:"attempt"`
+}
+
+// HeadKey returns the address of the head row of a service.
+func HeadKey(s ident.ServiceName) platform.RowKey {
+	return platform.RowKey{Table: HeadTable, Key: string(s)}
+}
+
 // DecodeRow reads a group row.
 func DecodeRow(r platform.Row) (Row, bool) {
 	var out Row
--- a/group/txn.go
+++ b/group/txn.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -23,15 +24,22 @@
 	readDue bool
 }
 
-// begin starts a transaction on the condition that the lease did not move.
-// build gets the attempt id that the rows carry.
+// begin starts a transaction on the condition that neither the lease nor the
+// head moved. build gets the attempt id that the rows carry.
 func (p *Planner) begin(conds []platform.Condition, build func(attempt string) []platform.Write, done func(version uint64)) {
 	p.attempts++
 	id := fmt.Sprintf("%s/%d/%d", p.service, p.grant.Epoch, p.attempts)
-	fence := platform.Condition{RowKey: lease.EpochKey(p.service), Version: p.grant.EpochVersion}
+	guards := []platform.Condition{
+		{RowKey: lease.EpochKey(p.service), Version: p.grant.EpochVersion},
+		{RowKey: HeadKey(p.service), Version: p.head},
+	}
+	head := platform.Write{RowKey: HeadKey(p.service), Value: encode(Head{Attempt: id})}
 	p.txn = &pendingTxn{
-		id:   id,
-		txn:  platform.Txn{Conditions: append([]platform.Condition{fence}, conds...), Writes: build(id)},
+		id: id,
+		txn: platform.Txn{
+			Conditions: append(guards, conds...),
+			Writes:     append([]platform.Write{head}, build(id)...),
+		},
 		done: done,
 	}
 }
@@ -44,7 +52,7 @@
 	}
 	if t.readDue {
 		t.reading = true
-		p.emit(ReadRow{Attempt: t.id, Key: t.txn.Writes[0].RowKey})
+		p.emit(ReadRow{Attempt: t.id, Key: HeadKey(p.service)})
 		return
 	}
 	t.sent = true
@@ -78,6 +86,7 @@
 func (p *Planner) finish(version uint64) {
 	t := p.txn
 	p.txn = nil
+	p.head = version
 	t.done(version)
 	p.sortGroups()
 }
@@ -101,35 +110,21 @@
 	}
 }
 
-// appliedBy reports whether a row shows that the transaction applied.
+// appliedBy reports whether a row is the head row as the transaction wrote it.
 func (t *pendingTxn) appliedBy(r platform.Row) (uint64, bool) {
-	w := t.txn.Writes[0]
-	if r.RowKey != w.RowKey {
-		return 0, false
-	}
-	if w.Delete {
-		// Only this holder may delete the row it has a condition on.
-		for _, c := range t.txn.Conditions {
-			if c.RowKey == w.RowKey {
-				return r.Version, r.Version != c.Version
-			}
-		}
+	var head Head
+	if r.Table != HeadTable || r.Version == 0 || json.Unmarshal(r.Value, &head) != nil {
 		return 0, false
 	}
-	if g, ok := DecodeRow(r); ok {
-		return r.Version, g.Attempt == t.id
-	}
-	return 0, false
+	return r.Version, head.Attempt == t.id
 }
 
 // conflicted learns from the rows that failed their conditions.
 func (p *Planner) conflicted(now time.Duration, t *pendingTxn, rows []platform.Row) {
-	if t.unknown {
-		for _, r := range rows {
-			if version, ok := t.appliedBy(r); ok {
-				p.finish(version)
-				return
-			}
+	for _, r := range rows {
+		if version, ok := t.appliedBy(r); ok {
+			p.finish(version)
+			return
 		}
 	}
 	p.Counters.Conflicts++
@@ -160,6 +155,7 @@
 		return
 	}
 	p.phase = phaseActive
+	p.head = e.Head.Version
 	old := p.groups
 	p.groups = make(map[ident.GroupID]*group, len(e.Groups))
 	for _, r := range e.Groups {
