--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -138,6 +138,7 @@
 func (d *daemon) drain(callers *http.Server) {
 	d.log.Info("entry instance is draining")
 	d.gateway.SetDraining()
+	d.loop.Leave()
 	time.Sleep(lookupGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
 	defer cancel()
--- /dev/null
+++ b/control/lease.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/group"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// storeTimeout bounds one call of the table.
+const storeTimeout = 2 * time.Second
+
+// leaseEvent carries an event to the lease machine of a service.
+type leaseEvent struct {
+	service ident.ServiceName
+	event   lease.Event
+}
+
+func (e leaseEvent) apply(l *Loop, now time.Duration) {
+	if c, ok := l.groups.services[e.service]; ok {
+		l.stepLease(now, c, e.event)
+	}
+}
+
+// leave releases all leases and contends for none.
+type leave struct{}
+
+func (leave) apply(l *Loop, now time.Duration) {
+	l.groups.leaving = true
+	for _, c := range l.groups.services {
+		l.stepLease(now, c, lease.Leave{})
+	}
+}
+
+// Leave tells that this entry instance shuts down: its leases move on.
+func (l *Loop) Leave() { l.post(l.groups.ctx, leave{}) }
+
+func (l *Loop) stepLease(now time.Duration, c *serviceControl, ev lease.Event) {
+	for _, a := range c.lease.Step(now, ev) {
+		switch a := a.(type) {
+		case lease.ReadRows:
+			l.readLease(c)
+		case lease.WriteRows:
+			l.writeLease(c, a)
+		case lease.Acquired:
+			l.groups.counters.acquired.Inc(1)
+			l.opts.Log.WithField("service", c.name).WithField("epoch", a.Grant.Epoch).Info("lease acquired")
+			l.stepPlanner(now, c, group.LeaseChanged{Held: true, Grant: a.Grant})
+		case lease.Renewed:
+			l.stepPlanner(now, c, group.LeaseChanged{Held: true, Grant: a.Grant})
+		case lease.Lost:
+			l.groups.counters.lost.Inc(1)
+			l.opts.Log.WithField("service", c.name).WithField("epoch", a.Epoch).Info("lease ended")
+			l.stepPlanner(now, c, group.LeaseChanged{})
+		}
+	}
+}
+
+// readLease reads both rows, the lease row first: if the holder changes in
+// between, the next write conflicts.
+func (l *Loop) readLease(c *serviceControl) {
+	l.spawn(l.groups.ctx, func() event {
+		ctx, cancel := context.WithTimeout(l.groups.ctx, storeTimeout)
+		defer cancel()
+		row, err := getRow(ctx, l.opts.Table, lease.Key(c.name))
+		if err != nil {
+			return leaseEvent{c.name, lease.ReadFailed{}}
+		}
+		epoch, err := getRow(ctx, l.opts.Table, lease.EpochKey(c.name))
+		if err != nil {
+			return leaseEvent{c.name, lease.ReadFailed{}}
+		}
+		return leaseEvent{c.name, lease.RowsRead{Lease: row, Epoch: epoch}}
+	})
+}
+
+func (l *Loop) writeLease(c *serviceControl, w lease.WriteRows) {
+	l.spawn(l.groups.ctx, func() event {
+		ctx, cancel := context.WithTimeout(l.groups.ctx, storeTimeout)
+		defer cancel()
+		version, err := l.opts.Table.Txn(ctx, w.Txn)
+		l.groups.counters.leaseWrites.Inc(1)
+		return leaseEvent{c.name, lease.Written{Attempt: w.Attempt, Outcome: platform.OutcomeOf(err), Version: version}}
+	})
+}
+
+// getRow reads one row; an absent one has version 0.
+func getRow(ctx context.Context, table platform.Table, key platform.RowKey) (platform.Row, error) {
+	row, err := table.Get(ctx, key)
+	if errors.Is(err, platform.ErrRowNotFound) {
+		return platform.Row{RowKey: key}, nil
+	}
+	row.RowKey = key
+	return row, err
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -78,6 +78,7 @@
 	polling       map[ident.InstanceID]bool
 	nextInstances time.Duration
 	listing       bool
+	groups        groupsPart
 }
 
 type loopCounters struct {
@@ -104,6 +105,7 @@
 		},
 	}
 	l.snapshot.Store(view.New(view.Snapshot{}))
+	l.startGroups()
 	return l
 }
 
@@ -115,6 +117,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	defer l.wg.Wait()
+	defer l.groups.cancel()
 	l.tick(ctx, l.opts.Now())
 	for {
 		select {
@@ -166,4 +169,5 @@
 func (l *Loop) tick(ctx context.Context, now time.Duration) {
 	l.listInstances(ctx, now)
 	l.pollMembers(ctx, now)
+	l.tickGroups(now)
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -15,7 +15,7 @@
 	err       error
 }
 
-func (e instancesListed) apply(l *Loop, _ time.Duration) {
+func (e instancesListed) apply(l *Loop, now time.Duration) {
 	l.listing = false
 	if e.err != nil {
 		l.counters.listErrors.Inc(1)
@@ -23,6 +23,7 @@
 	}
 	l.instances = e.instances
 	l.forgetGone()
+	l.groupInstances(now)
 }
 
 // forgetGone drops the statuses of instances that left the list.
@@ -59,8 +60,9 @@
 	err      error
 }
 
-func (e memberPolled) apply(l *Loop, _ time.Duration) {
+func (e memberPolled) apply(l *Loop, now time.Duration) {
 	delete(l.polling, e.instance)
+	l.groupReport(now, e)
 	if e.err != nil {
 		l.counters.pollErrors.Inc(1)
 		// The last report stays until it is too old to confirm anything.
--- a/control/publish.go
+++ b/control/publish.go
@@ -129,6 +129,7 @@
 		}
 	}
 	g.Members = byRank
+	g.Draining = g.Draining || l.groupStopping(doc.Service, g.ID)
 	g.Limit = effectiveLimit(doc, g)
 	return g
 }
--- a/group/planner.go
+++ b/group/planner.go
@@ -114,6 +114,14 @@
 	Formed, Swapped, Stopped, Dissolved, Conflicts, Unknown, CommandsLost uint64
 }
 
+// Add sums two sets of counters.
+func (c Counters) Add(o Counters) Counters {
+	return Counters{
+		c.Formed + o.Formed, c.Swapped + o.Swapped, c.Stopped + o.Stopped, c.Dissolved + o.Dissolved,
+		c.Conflicts + o.Conflicts, c.Unknown + o.Unknown, c.CommandsLost + o.CommandsLost,
+	}
+}
+
 type drainSet struct {
 	dataCentres map[ident.DataCentre]bool
 	instances   map[ident.InstanceID]bool
@@ -360,6 +368,12 @@
 	return out
 }
 
+// Stopping reports whether the planner has decided that a group stops.
+func (p *Planner) Stopping(id ident.GroupID) bool {
+	g, ok := p.groups[id]
+	return ok && g.row.State == StateStopping
+}
+
 // Confirmed returns the groups that may take requests.
 func (p *Planner) Confirmed(now time.Duration) []*view.Group {
 	seen := make([]Observed, 0, len(p.order))
