--- a/control/loop.go
+++ b/control/loop.go
@@ -83,6 +83,7 @@
 	nextInstances time.Duration
 	listing       bool
 	config        configPart
+	groups        groupsPart
 }
 
 type loopCounters struct {
@@ -110,6 +111,7 @@
 	}
 	l.snapshot.Store(view.New(view.Snapshot{}))
 	l.startConfig()
+	l.startGroups()
 	return l
 }
 
@@ -122,6 +124,7 @@
 	defer tick.Stop()
 	defer l.wg.Wait()
 	defer l.config.cancel()
+	defer l.groups.cancel()
 	l.tick(ctx, l.opts.Now())
 	for {
 		select {
@@ -174,4 +177,5 @@
 	l.listInstances(ctx, now)
 	l.pollMembers(ctx, now)
 	l.tickConfig(now)
+	l.tickGroups(now)
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -24,6 +24,7 @@
 	l.instances = e.instances
 	l.forgetGone()
 	l.configInstances(now)
+	l.groupInstances(now)
 }
 
 // forgetGone drops the statuses of instances that left the list.
@@ -60,8 +61,9 @@
 	err      error
 }
 
-func (e memberPolled) apply(l *Loop, _ time.Duration) {
+func (e memberPolled) apply(l *Loop, now time.Duration) {
 	delete(l.polling, e.instance)
+	l.groupReport(now, e)
 	if e.err != nil {
 		l.counters.pollErrors.Inc(1)
 		// The last report stays until it is too old to confirm anything.
