--- /dev/null
+++ b/credit/owner_test.go
@@ -0,0 +1,71 @@
+package credit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// warmOwner returns an owner past its recovery and stray reserves, with one
+// warm backend server.
+func warmOwner() (*Owner, time.Duration) {
+	o, now := NewOwner(1, 0), time.Duration(0)
+	for ; now < 40*time.Second; now += 250 * ms {
+		o.Step(now, Report{Backend: simBackend, Incarnation: "1", Limits: simLimits, Polled: true, Sent: now, Received: now})
+	}
+	return o, now
+}
+
+func syncOnce(o *Owner, h *Holder, now time.Duration) Allocation {
+	r := o.Step(now, h.Sync(now))[0].(Reply)
+	h.Reply(now, r)
+	return r.Allocations[0]
+}
+
+// TestRampAfterRestart guards against a full limit right after a restart: the
+// limit starts cold with the new incarnation and grows over the ramp once the
+// engine says that it is warm.
+func TestRampAfterRestart(t *testing.T) {
+	o, now := warmOwner()
+	h := NewHolder("a", "1")
+	h.SetWaiting(simBackend, Amount{100, 1600}, false)
+	assert.Equal(t, syncOnce(o, h, now).Amount.Requests, simLimits.Requests)
+	for _, step := range []struct {
+		at   time.Duration
+		cold bool
+		want int
+	}{{0, true, 2}, {ms, false, 2}, {time.Second + ms, false, 9}, {2*time.Second + ms, false, 16}} {
+		at := now + step.at
+		o.Step(at, Report{Backend: simBackend, Incarnation: "2", Limits: simLimits, Cold: step.cold, Polled: true, Sent: at, Received: at})
+		assert.Equal(t, syncOnce(o, h, at).Amount.Requests, step.want, "%v after the restart", step.at)
+	}
+}
+
+// TestExclusive guards against a suspect that runs beside other requests, and
+// against an exclusive claim that blocks a backend server after its end.
+func TestExclusive(t *testing.T) {
+	o, now := warmOwner()
+	a, b := NewHolder("a", "1"), NewHolder("b", "1")
+	b.SetWaiting(simBackend, Amount{4, 100}, false)
+	syncOnce(o, b, now)
+	running, err := b.Acquire(now, simBackend, 10, false)
+	assert.NilError(t, err)
+	a.SetWaiting(simBackend, Amount{1, 10}, true)
+	assert.Assert(t, !syncOnce(o, a, now+ms).Exclusive)
+	syncOnce(o, b, now+2*ms)
+	syncOnce(o, b, now+3*ms)
+	assert.Assert(t, !syncOnce(o, a, now+4*ms).Exclusive, "a request of another entry still runs")
+	b.Release(running)
+	syncOnce(o, b, now+5*ms)
+	_, err = b.Acquire(now+5*ms, simBackend, 10, true)
+	assert.ErrorIs(t, err, ErrNoCredit)
+	assert.Assert(t, syncOnce(o, a, now+6*ms).Exclusive)
+	c, err := a.AcquireExclusive(now+6*ms, simBackend, 10)
+	assert.NilError(t, err)
+	a.Release(c)
+	a.SetWaiting(simBackend, Amount{}, false)
+	syncOnce(o, a, now+7*ms)
+	syncOnce(o, a, now+8*ms)
+	assert.Assert(t, syncOnce(o, b, now+9*ms).Amount.Requests > 0)
+}
