--- a/engine/client.go
+++ b/engine/client.go
@@ -83,10 +83,12 @@
 func (c *Control) CacheEvents(ctx context.Context, addr string, after uint64) ([]CacheEvent, error) {
 	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
 	defer cancel()
-	var events []CacheEvent
+	var answer struct {
+		Events []CacheEvent `json:"events"`
+	}
 	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
-	err := c.call(ctx, http.MethodGet, addr, path, nil, &events)
-	return events, err
+	err := c.call(ctx, http.MethodGet, addr, path, nil, &answer)
+	return answer.Events, err
 }
 
 func (c *Control) command(ctx context.Context, addr, path string, cmd any) error {
