--- a/view/view.go
+++ b/view/view.go
@@ -63,6 +63,9 @@
 	Partner    ident.Partner
 	Leader     Backend
 	Members    []ident.InstanceID
+	// Incarnation joins the incarnations of all members: it changes when any
+	// of them restarts.
+	Incarnation string
 	// Confirmed is when the oldest poll that confirmed a member was sent.
 	Confirmed time.Duration
 	// Draining groups get no new work.
