credit: share what is left after reserves of unknown holders

A new owner counts half of each limit as reserves for 33 s. Targets are now computed from what can be shared, in a fixed order.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -80,3 +80,6 @@
 	b.tokens--
 	return true
 }
+
+// Refund returns a retry whose attempt did not reach a backend server.
+func (b *RetryBudget) Refund() { b.tokens = min(maxRetryTokens, b.tokens+1) }
--- a/credit/holder.go
+++ b/credit/holder.go
@@ -1,6 +1,8 @@
 package credit
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,9 +60,11 @@
 	inFlight      Amount
 	waiting       Amount
 	wantExclusive bool
-	changed       bool
-	changedAt     time.Duration
-	marks         []floorMark
+	// grantedAt is when the sync of the last applied reply was sent.
+	grantedAt time.Duration
+	changed   bool
+	changedAt time.Duration
+	marks     []floorMark
 }
 
 // Holder gives credits to the requests of one entry instance. The caller
@@ -100,8 +104,14 @@
 // Track makes a backend server part of the next syncs.
 func (h *Holder) Track(b BackendID) { h.holding(b) }
 
-// Drop ends the use of a backend server. Its running requests stay acquired.
-func (h *Holder) Drop(b BackendID) { delete(h.backends, b) }
+// Retain ends the use of backend servers that are not kept and run nothing.
+func (h *Holder) Retain(keep func(BackendID) bool) {
+	for b, s := range h.backends {
+		if !keep(b) && s.inFlight.Requests == 0 {
+			delete(h.backends, b)
+		}
+	}
+}
 
 // SetWaiting tells what waits for credits of a backend server, and whether a
 // suspect request waits to run alone there.
@@ -170,11 +180,19 @@
 	}
 }
 
-// Observe applies what this entry instance saw itself, when dialling or by a
-// poll. It reports whether the holder should sync at once.
+// Observe applies what this entry instance saw itself at an instant, when
+// dialling or by a poll. It reports whether the holder should sync at once. What
+// was seen before the last applied allocation was asked for is out of date.
 func (h *Holder) Observe(now time.Duration, b BackendID, incarnation string, cold bool) bool {
 	s := h.holding(b)
-	restarted := s.incarnation != "" && incarnation != s.incarnation
+	if now <= s.grantedAt && s.grantedAt > 0 {
+		return false
+	}
+	if s.incarnation == "" {
+		s.incarnation, s.cold = incarnation, cold
+		return true
+	}
+	restarted := incarnation != s.incarnation
 	if !restarted && (!cold || s.cold) {
 		return false
 	}
@@ -222,6 +240,7 @@
 	for b, s := range h.backends {
 		out.Usage = append(out.Usage, s.usage(now, b, h.seq))
 	}
+	slices.SortFunc(out.Usage, func(a, b Usage) int { return strings.Compare(string(a.Backend), string(b.Backend)) })
 	return out
 }
 
@@ -275,7 +294,7 @@
 		s.move(a.Incarnation, h.count(a.Backend, a.Incarnation))
 		s.reserve, s.reserveAt = Amount{}, 0
 	}
-	s.changed = false
+	s.changed, s.grantedAt = false, sent
 	s.amount, s.end = a.Amount, sent+AllocationTTL
 	s.cold, s.exclusive = a.Cold, a.Exclusive
 	s.rampEnd = sent + a.RampLeft
@@ -293,6 +312,13 @@
 	return max(0, s.usable(now, confirmed).Requests-s.inFlight.Requests)
 }
 
+// Over reports whether what runs uses up the allocation, so that the owner
+// learns of a release only by a sync.
+func (h *Holder) Over(b BackendID) bool {
+	s, ok := h.backends[b]
+	return ok && s.inFlight.Requests >= s.amount.Requests
+}
+
 // InFlight is the number of unreleased credits of the current incarnation.
 func (h *Holder) InFlight(b BackendID) int {
 	if s, ok := h.backends[b]; ok {
@@ -300,3 +326,14 @@
 	}
 	return 0
 }
+
+// Incarnation is the one that credits of a backend server are for.
+func (h *Holder) Incarnation(b BackendID) string {
+	if s, ok := h.backends[b]; ok {
+		return s.incarnation
+	}
+	return ""
+}
+
+// Acquired is the number of unreleased credits of all incarnations.
+func (h *Holder) Acquired() int { return len(h.acquired) }
--- a/credit/ledger.go
+++ b/credit/ledger.go
@@ -35,6 +35,9 @@
 	grants      []grant
 	floors      []floorSample
 	lastSync    time.Duration
+	// granted is when the account last had an allocation.
+	granted time.Duration
+	key     holderKey
 	// bounded is set when the engine's report bounds what still runs.
 	bounded bool
 	bound   Amount
@@ -158,6 +161,7 @@
 	strayEnd time.Duration
 
 	reports []Report
+	order   []*account // scratch
 
 	exclusive      holderKey
 	exclusiveUntil time.Duration
@@ -199,8 +203,15 @@
 		}
 		reserves = reserves.add(a.reserved)
 	}
+	return sum.add(l.unattributed(now, reserves))
+}
+
+// unattributed is what an earlier owner gave to holders that this one does not
+// know: running requests, and reserves beyond those that were reported.
+func (l *ledger) unattributed(now time.Duration, reserves Amount) Amount {
+	var sum Amount
 	if l.unknown != nil {
-		sum = sum.add(l.unknown.charge(now))
+		sum = l.unknown.charge(now)
 	}
 	if now < l.strayEnd {
 		half := Amount{l.limits.Requests / 2, l.limits.HeldTokens / 2}
--- a/credit/owner.go
+++ b/credit/owner.go
@@ -250,6 +250,9 @@
 		want = Amount{}
 	}
 	out.Amount = want.least(free)
+	if out.Amount.Requests > 0 {
+		a.granted = now
+	}
 	out.Exclusive = out.Exclusive && out.Amount.Requests == 1
 	g := grant{
 		seq: s.Seq, amount: out.Amount,
--- a/credit/owner_test.go
+++ b/credit/owner_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/ident"
 )
 
 // warmOwner returns an owner past its recovery and stray reserves, with one
@@ -69,3 +71,29 @@
 	syncOnce(o, a, now+8*ms)
 	assert.Assert(t, syncOnce(o, b, now+9*ms).Amount.Requests > 0)
 }
+
+// TestSmallShares guards against entries that get nothing while others hold
+// unused shares: a new owner counts half of the limit as reserves of unknown
+// holders, so that little is left to share.
+func TestSmallShares(t *testing.T) {
+	o := NewOwner(1, 0)
+	var holders []*Holder
+	for i := range 7 {
+		holders = append(holders, NewHolder(ident.InstanceID(rune('a'+i)), "1"))
+		holders[i].Track(simBackend)
+	}
+	served := make(map[int]bool)
+	for now := time.Duration(0); now < 20*time.Second; now += 250 * ms {
+		o.Step(now, Report{Backend: simBackend, Incarnation: "1", Limits: simLimits, Polled: true, Sent: now, Received: now})
+		for i, h := range holders {
+			if now > 10*time.Second && i >= 3 {
+				h.SetWaiting(simBackend, Amount{1, 10}, false)
+			}
+			h.Reply(now, o.Step(now, h.Sync(now))[0].(Reply))
+			served[i] = h.Free(now, simBackend, false) > 0
+		}
+	}
+	for i := 3; i < 7; i++ {
+		assert.Assert(t, served[i], "holder %d", i)
+	}
+}
--- a/credit/split.go
+++ b/credit/split.go
@@ -1,31 +1,46 @@
 package credit
 
 import (
+	"cmp"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
 // divide sets the target of each live account: max-min fair by demand, then an
 // equal part of what nobody asked for. The remainder of that part stays with
-// the owner, so that a low limit is free for the first entry that needs it.
+// the owner, so that a low limit is free for the first entry that needs it. What
+// the remainder of a fair share cannot give to all goes to those first whose
+// last credit is the oldest.
 func (l *ledger) divide(now time.Duration) {
-	live := make([]*account, 0, len(l.accounts))
-	for _, a := range l.accounts {
-		a.target = Amount{}
+	live := l.order[:0]
+	shared := l.limit(now)
+	var reserves Amount
+	for key, a := range l.accounts {
+		a.target, a.key = Amount{}, key
+		reserves = reserves.add(a.reserved)
 		if now-a.lastSync <= liveWindow {
 			live = append(live, a)
+		} else {
+			shared = shared.sub(a.charge(now))
 		}
 	}
+	l.order = live
 	if len(live) == 0 {
 		return
 	}
-	limit := l.limit(now)
+	shared = shared.sub(l.unattributed(now, reserves))
+	slices.SortFunc(live, func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.granted, b.granted), strings.Compare(string(a.key.entry), string(b.key.entry)),
+			strings.Compare(string(a.key.incarnation), string(b.key.incarnation)))
+	})
 	requests, tokens := make([]int, len(live)), make([]int, len(live))
 	for i, a := range live {
 		requests[i], tokens[i] = a.demand.Requests, a.demand.Tokens
 	}
-	fairShares(limit.Requests, requests)
-	fairShares(limit.Tokens, tokens)
+	fairShares(shared.Requests, requests)
+	fairShares(shared.Tokens, tokens)
 	for i, a := range live {
 		a.target = Amount{requests[i], tokens[i]}
 	}
