Connect admission, routing and credits to the gateway and the control loop

Requests wait in a fair queue per service for a shared credit. The owner of a service's credits runs in the control goroutine; entry instances sync with it every 500 ms and at once when requests wait. Calls of plain services take credits per backend server.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -37,13 +37,15 @@
 
 // daemon is one entry instance with its listeners.
 type daemon struct {
-	cfg     settings.Config
-	log     *logrus.Logger
-	metrics *telemetry.Metrics
-	node    *wire.Node
-	loop    *control.Loop
-	gateway *gateway.Gateway
-	data    *engine.Data
+	cfg      settings.Config
+	log      *logrus.Logger
+	metrics  *telemetry.Metrics
+	node     *wire.Node
+	loop     *control.Loop
+	gateway  *gateway.Gateway
+	data     *engine.Data
+	balancer *gateway.Balancer
+	syncer   *control.Syncer
 }
 
 func newDaemon(cfg settings.Config, documents []service.Document) (*daemon, error) {
@@ -77,14 +79,20 @@
 		Log:       log,
 		Scope:     d.metrics.Scope,
 		Now:       now,
+		Owners:    control.FirstEntry{Self: self.Instance},
 		Documents: documents,
 	})
+	d.loop.RegisterSync(mux)
+	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
+	d.syncer = control.NewSyncer(d.loop, d.balancer)
 	d.gateway = gateway.New(gateway.Options{
 		Snapshot:             d.loop.Snapshot,
 		Now:                  now,
 		Metrics:              d.metrics,
 		Data:                 d.data,
-		Router:               &gateway.StaticShares{Snapshot: d.loop.Snapshot, Now: now, Self: self.Instance},
+		Router:               d.balancer,
+		ServerRouter:         d.balancer,
+		Filters:              []gateway.Filter{gateway.NewAccountLimits(now, d.metrics).Filter},
 		Self:                 self,
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
@@ -118,6 +126,8 @@
 	g.Go(func() error { return ignoreClosed(operatorServer.Serve(operators)) })
 	g.Go(func() error { return d.node.Serve(peers) })
 	g.Go(func() error { d.loop.Run(loopCtx); return nil })
+	g.Go(func() error { d.syncer.Run(loopCtx); return nil })
+	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
 	g.Go(func() error {
 		<-ctx.Done()
 		d.drain(callerServer)
--- a/control/loop.go
+++ b/control/loop.go
@@ -45,6 +45,9 @@
 	Scope     tally.Scope
 	// Now is the local monotonic clock.
 	Now func() time.Duration
+	// Owners tells who owns the credits of a service. nil switches the
+	// exchange of credits off.
+	Owners Owners
 	// Documents are service documents known at the start.
 	Documents []service.Document
 }
@@ -76,6 +79,7 @@
 	instances     []platform.Instance
 	statuses      map[ident.InstanceID]memberStatus
 	polling       map[ident.InstanceID]bool
+	credits       credits
 	nextInstances time.Duration
 	listing       bool
 }
@@ -96,6 +100,7 @@
 		documents: opts.Documents,
 		statuses:  make(map[ident.InstanceID]memberStatus),
 		polling:   make(map[ident.InstanceID]bool),
+		credits:   credits{owners: make(map[ident.ServiceName]*ownerState)},
 		counters: loopCounters{
 			pollErrors:    opts.Scope.Counter("status_poll_errors_total"),
 			listErrors:    opts.Scope.Counter("instance_list_errors_total"),
@@ -127,6 +132,7 @@
 			l.drainEvents()
 		}
 		l.publish(l.opts.Now())
+		l.reportLoad(l.opts.Now())
 	}
 }
 
--- a/control/publish.go
+++ b/control/publish.go
@@ -2,8 +2,11 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
@@ -129,10 +132,20 @@
 		}
 	}
 	g.Members = byRank
+	g.Incarnation = l.joinedIncarnation(g)
 	g.Limit = effectiveLimit(doc, g)
 	return g
 }
 
+// joinedIncarnation changes with the epoch or when any member restarts.
+func (l *Loop) joinedIncarnation(g *view.Group) string {
+	d := xxhash.New()
+	for _, m := range g.Members {
+		_, _ = d.WriteString(string(l.statuses[m].status.Incarnation))
+	}
+	return strconv.FormatUint(d.Sum64(), 36) + "-" + strconv.FormatUint(uint64(g.Epoch), 36)
+}
+
 // fillLeader sets what the member with rank 0 decides.
 func fillLeader(g *view.Group, inst platform.Instance, status engine.Status) {
 	g.Leader = backendOf(inst)
--- /dev/null
+++ b/control/sync.go
@@ -0,0 +1,331 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bulrushfall/bulrushfall/credit"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/view"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// KindGroupSync is the message of an entry instance to a service's credit owner.
+const KindGroupSync wire.Kind = "group-sync"
+
+// Parameters of the exchange.
+const (
+	// syncTimeout bounds one exchange. An allocation that arrives later would
+	// have little time left.
+	syncTimeout = 700 * time.Millisecond
+	// syncGap separates two syncs of a service that are asked for at once.
+	syncGap = 10 * time.Millisecond
+	// maxOpenSyncs bounds the exchanges of a service that wait for a reply.
+	maxOpenSyncs = 3
+	// plainHold is the least time that requests of a lost entry instance count
+	// at a plain backend server, which reports no load.
+	plainHold = 30 * time.Second
+)
+
+// ErrNotOwner is the answer of an entry instance that does not own the credits
+// of a service.
+var ErrNotOwner = errors.New("this entry instance does not hold the lease of the service: retry with the current holder")
+
+// Owner names the holder of a service's lease.
+type Owner struct {
+	Instance    ident.InstanceID
+	PeerAddress string
+	// Epoch is the lease's fencing token.
+	Epoch ident.Epoch
+	// Acting tells, on the holder itself, that the lease has not lapsed.
+	Acting bool
+}
+
+// Owners tells who holds the lease of a service, as this entry instance knows.
+type Owners interface {
+	Owner(snapshot *view.Snapshot, name ident.ServiceName) (Owner, bool)
+}
+
+// FirstEntry is an Owners that takes the live entry instance with the highest
+// rendezvous score. It serves clusters without leases: two entry instances with
+// different lists can both act.
+type FirstEntry struct{ Self ident.InstanceID }
+
+// Owner implements Owners.
+func (f FirstEntry) Owner(s *view.Snapshot, name ident.ServiceName) (Owner, bool) {
+	best, found := Owner{Epoch: 1}, false
+	var score uint64
+	for _, e := range s.Entries {
+		if sc := ident.Score(string(name), e.Instance); e.Alive && !e.Draining && (!found || sc > score) {
+			best.Instance, best.PeerAddress = e.Instance, e.PeerAddress
+			score, found = sc, true
+		}
+	}
+	best.Acting = best.Instance == f.Self
+	return best, found
+}
+
+// CreditHolders are the traffic side of the exchange.
+type CreditHolders interface {
+	Sync(now time.Duration, name ident.ServiceName) credit.Sync
+	// Reply reports whether the next sync should be sent at once.
+	Reply(now time.Duration, name ident.ServiceName, r credit.Reply) bool
+	// Wake is signalled when a service needs a sync at once.
+	Wake() <-chan ident.ServiceName
+}
+
+// GroupSync is the request of an exchange.
+type GroupSync struct {
+	Service ident.ServiceName `msgpack:"v"`
+	Sync    credit.Sync       `msgpack:"s"`
+}
+
+// GroupSyncReply is its response. Granted is false when the sync was overtaken
+// by a later one.
+type GroupSyncReply struct {
+	Granted bool         `msgpack:"g"`
+	Reply   credit.Reply `msgpack:"r"`
+}
+
+// ownerState is the credit owner of one service.
+type ownerState struct {
+	epoch ident.Epoch
+	owner *credit.Owner
+	// known is when the last report of each backend server was sent.
+	known map[credit.BackendID]time.Duration
+}
+
+// credits is the owner side of the exchange. It belongs to the control
+// goroutine.
+type credits struct {
+	owners map[ident.ServiceName]*ownerState
+}
+
+// syncReceived is a sync that waits for the control goroutine.
+type syncReceived struct {
+	request GroupSync
+	reply   chan syncAnswer
+}
+
+type syncAnswer struct {
+	reply GroupSyncReply
+	err   error
+}
+
+func (e syncReceived) apply(l *Loop, now time.Duration) {
+	o := l.creditOwner(now, e.request.Service)
+	if o == nil {
+		e.reply <- syncAnswer{err: ErrNotOwner}
+		return
+	}
+	var out GroupSyncReply
+	for _, a := range o.owner.Step(now, e.request.Sync) {
+		if r, ok := a.(credit.Reply); ok {
+			out = GroupSyncReply{Granted: true, Reply: r}
+		}
+	}
+	e.reply <- syncAnswer{reply: out}
+}
+
+// RegisterSync adds the owner's handler. Call it before the node serves.
+func (l *Loop) RegisterSync(mux *wire.Mux) {
+	wire.Register(mux, KindGroupSync, func(ctx context.Context, from wire.Peer, req GroupSync) (GroupSyncReply, error) {
+		if req.Sync.Entry != from.Instance {
+			return GroupSyncReply{}, errors.Errorf("sync of %s came from %s", req.Sync.Entry, from.Instance)
+		}
+		return l.ownSync(ctx, req)
+	})
+}
+
+// ownSync hands a sync to the control goroutine and waits for the answer.
+func (l *Loop) ownSync(ctx context.Context, req GroupSync) (GroupSyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	e := syncReceived{request: req, reply: make(chan syncAnswer, 1)}
+	l.post(ctx, e)
+	select {
+	case a := <-e.reply:
+		return a.reply, a.err
+	case <-ctx.Done():
+		return GroupSyncReply{}, ctx.Err()
+	}
+}
+
+// creditOwner returns the acting owner of a service, or nil.
+func (l *Loop) creditOwner(now time.Duration, name ident.ServiceName) *ownerState {
+	snap := l.snapshot.Load()
+	who, ok := l.opts.Owners.Owner(snap, name)
+	if !ok || who.Instance != l.opts.Self.Instance || !who.Acting || snap.Service(name) == nil {
+		delete(l.credits.owners, name)
+		return nil
+	}
+	o, ok := l.credits.owners[name]
+	if !ok || o.epoch != who.Epoch {
+		o = &ownerState{epoch: who.Epoch, owner: credit.NewOwner(who.Epoch, now), known: make(map[credit.BackendID]time.Duration)}
+		l.credits.owners[name] = o
+	}
+	return o
+}
+
+// reportLoad gives each owner here the latest polls.
+func (l *Loop) reportLoad(now time.Duration) {
+	if l.opts.Owners == nil {
+		return
+	}
+	for _, svc := range l.snapshot.Load().Services {
+		if o := l.creditOwner(now, svc.Document.Service); o != nil {
+			o.report(now, l.loadReports(now, svc))
+		}
+	}
+}
+
+// report applies new reports and drops backend servers that left.
+func (o *ownerState) report(now time.Duration, reports []credit.Report) {
+	here := make(map[credit.BackendID]bool, len(reports))
+	for _, r := range reports {
+		here[r.Backend] = true
+		if last, ok := o.known[r.Backend]; ok && r.Sent <= last {
+			continue
+		}
+		o.known[r.Backend] = r.Sent
+		o.owner.Step(now, r)
+	}
+	for b := range o.known {
+		if !here[b] {
+			delete(o.known, b)
+			o.owner.Step(now, credit.Gone{Backend: b})
+		}
+	}
+}
+
+func (l *Loop) loadReports(now time.Duration, svc *view.Service) []credit.Report {
+	doc := &svc.Document.Backend
+	var out []credit.Report
+	for _, g := range svc.Groups {
+		s := &g.Status
+		limits := credit.Limits{
+			Requests:     least(doc.Requests, s.Limit),
+			ColdRequests: least(doc.ColdRequests, s.ColdLimit),
+			HeldTokens:   least(doc.HeldTokens, s.TokenCapacity),
+			ColdRamp:     doc.ColdRamp,
+		}
+		out = append(out, credit.Report{
+			Backend: credit.BackendID(g.ID), Incarnation: g.Incarnation, Limits: limits, Cold: g.Cold,
+			Polled: true, Running: s.Running + s.Queued, Sent: g.Confirmed, Received: now,
+		})
+	}
+	longest := max(plainHold, 2*svc.Document.Deadline)
+	for _, b := range svc.Backends {
+		out = append(out, credit.Report{
+			Backend: credit.BackendID(b.Instance), Sent: now,
+			Limits: credit.Limits{Requests: doc.Requests, ColdRequests: doc.ColdRequests, HeldTokens: doc.HeldTokens, LongestRequest: longest},
+		})
+	}
+	return out
+}
+
+// least is the smaller of the document's and the engine's limit, which is 0
+// when the engine names none.
+func least(document, engine int) int {
+	if engine > 0 && engine < document {
+		return engine
+	}
+	return document
+}
+
+// Syncer sends the syncs of one entry instance.
+type Syncer struct {
+	loop    *Loop
+	holders CreditHolders
+	sent    tally.Counter
+	failed  tally.Counter
+
+	mu   sync.Mutex
+	open map[ident.ServiceName]int
+	wg   sync.WaitGroup
+}
+
+// NewSyncer returns a syncer for the credits of an entry instance.
+func NewSyncer(loop *Loop, holders CreditHolders) *Syncer {
+	s := loop.opts.Scope
+	return &Syncer{
+		loop: loop, holders: holders, open: make(map[ident.ServiceName]int),
+		sent: s.Counter("group_syncs_total"), failed: s.Counter("group_sync_errors_total"),
+	}
+}
+
+// Run sends syncs in intervals, and at once when asked, until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	defer s.wg.Wait()
+	tick := time.NewTicker(credit.SyncInterval)
+	defer tick.Stop()
+	gap := time.NewTicker(syncGap)
+	defer gap.Stop()
+	urgent := make(map[ident.ServiceName]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			for _, svc := range s.loop.Snapshot().Services {
+				urgent[svc.Document.Service] = true
+			}
+		case name := <-s.holders.Wake():
+			urgent[name] = true
+		case <-gap.C:
+			for name := range urgent {
+				delete(urgent, name)
+				s.start(ctx, name)
+			}
+		}
+	}
+}
+
+// start begins one exchange unless too many are open.
+func (s *Syncer) start(ctx context.Context, name ident.ServiceName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[name] >= maxOpenSyncs {
+		return
+	}
+	s.open[name]++
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		again := s.exchange(ctx, name)
+		s.mu.Lock()
+		s.open[name]--
+		s.mu.Unlock()
+		if again {
+			s.start(ctx, name)
+		}
+	}()
+}
+
+// exchange sends one sync and applies the reply.
+func (s *Syncer) exchange(ctx context.Context, name ident.ServiceName) bool {
+	owner, ok := s.loop.opts.Owners.Owner(s.loop.Snapshot(), name)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	req := GroupSync{Service: name, Sync: s.holders.Sync(s.loop.opts.Now(), name)}
+	s.sent.Inc(1)
+	var resp GroupSyncReply
+	var err error
+	if owner.Instance == s.loop.opts.Self.Instance {
+		resp, err = s.loop.ownSync(ctx, req)
+	} else {
+		err = s.loop.opts.Node.Call(ctx, owner.PeerAddress, KindGroupSync, req, &resp)
+	}
+	if err != nil {
+		s.failed.Inc(1)
+		return false
+	}
+	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, resp.Reply)
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bulrushfall/bulrushfall/admission"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/telemetry"
+)
+
+// Problems of admission. None of the refused requests has run.
+var (
+	ProblemAccountLimit = newProblem("account-limit", http.StatusTooManyRequests, OutcomeNotRun,
+		"The client account exceeds its request rate or concurrency: retry after the given time")
+	ProblemOverload = newProblem("overload", http.StatusServiceUnavailable, OutcomeNotRun,
+		"The request could not start before its deadline: retry after the given time or with a later deadline")
+	ProblemTooManyTokens = newProblem("too-many-tokens", http.StatusRequestEntityTooLarge, OutcomeNotRun,
+		"The request holds more context tokens than a backend server bears: shorten the prompt or max_tokens")
+)
+
+// refusals counts refused requests by reason.
+type refusals map[admission.Reason]tally.Counter
+
+func newRefusals(m *telemetry.Metrics) refusals {
+	out := make(refusals)
+	for _, r := range []admission.Reason{
+		admission.ReasonRate, admission.ReasonConcurrency, admission.ReasonDeadline, admission.ReasonMemory,
+	} {
+		out[r] = m.Scope.Tagged(map[string]string{"reason": string(r)}).Counter("admission_refused_total")
+	}
+	return out
+}
+
+// problem counts a refusal and turns it into what the caller gets.
+func (c refusals) problem(r admission.Refusal) *Problem {
+	c[r.Reason].Inc(1)
+	p := ProblemOverload
+	if r.Reason == admission.ReasonRate || r.Reason == admission.ReasonConcurrency {
+		p = ProblemAccountLimit
+	}
+	return p.With("%s", r.Reason).After(r.RetryAfter)
+}
+
+// AccountLimits holds each client account to the rate and concurrency of its
+// service document at this entry instance.
+type AccountLimits struct {
+	now     func() time.Duration
+	refused refusals
+
+	mu       sync.Mutex
+	limiters map[ident.ServiceName]*admission.Limiter
+}
+
+// NewAccountLimits returns the limits of one entry instance.
+func NewAccountLimits(now func() time.Duration, m *telemetry.Metrics) *AccountLimits {
+	return &AccountLimits{now: now, refused: newRefusals(m), limiters: make(map[ident.ServiceName]*admission.Limiter)}
+}
+
+// Filter is the filter of the chain. A stream that continues after a pause of
+// its reader was admitted before and is not counted again.
+func (l *AccountLimits) Filter(next Endpoint) Endpoint {
+	return func(ctx context.Context, r *Request) (*Answer, error) {
+		if started(r) {
+			return next(ctx, r)
+		}
+		if err := l.open(r.Name, r.Account); err != nil {
+			return nil, err
+		}
+		defer l.close(r.Name, r.Account.Name)
+		return next(ctx, r)
+	}
+}
+
+func (l *AccountLimits) open(name ident.ServiceName, a service.Account) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim, ok := l.limiters[name]
+	if !ok {
+		lim = admission.NewLimiter()
+		l.limiters[name] = lim
+	}
+	if refusal, refused := lim.Open(l.now(), a); refused {
+		return l.refused.problem(refusal)
+	}
+	return nil
+}
+
+func (l *AccountLimits) close(name ident.ServiceName, a ident.Account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiters[name].Close(a)
+}
+
+// started reports whether the caller has received a part of the answer.
+func started(r *Request) bool { return r.Sink != nil && r.Sink.Started() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,9 @@
 	Metrics *telemetry.Metrics
 	Data    *engine.Data
 	Router  Router
+	// ServerRouter picks the backend servers of plain services. nil picks
+	// random ones without a limit.
+	ServerRouter ServerRouter
 	// Filters run between classification and dispatch, in order.
 	Filters []Filter
 	Self    view.Entry
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -124,8 +124,9 @@
 			continue
 		}
 		out = append(out, &view.Group{
-			ID: s.Group, Epoch: s.Epoch, Confirmed: sent, Limit: 1000, Cold: s.Cold,
-			Leader: view.Backend{Instance: s.Instance, Address: e.Addr(), Incarnation: s.Incarnation},
+			ID: s.Group, Epoch: s.Epoch, Confirmed: sent, Limit: 1000, Cold: s.Cold, Status: s,
+			Incarnation: string(s.Incarnation),
+			Leader:      view.Backend{Instance: s.Instance, Address: e.Addr(), Incarnation: s.Incarnation},
 		})
 	}
 	h.polls = out
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -133,19 +133,40 @@
 	return false
 }
 
+// ServerRouter picks a backend server of a plain service and acquires a credit
+// there. It waits until the request's deadline. Release must be called once;
+// further calls have no effect.
+type ServerRouter interface {
+	AcquireServer(ctx context.Context, r *Request, excluded []ident.InstanceID) (*view.Backend, func(Result), error)
+}
+
+func (g *Gateway) acquireServer(ctx context.Context, r *Request, excluded []ident.InstanceID) (*view.Backend, func(Result), error) {
+	if g.opts.ServerRouter != nil {
+		return g.opts.ServerRouter.AcquireServer(ctx, r, excluded)
+	}
+	if b := g.pickBackend(r, excluded); b != nil {
+		return b, func(Result) {}, nil
+	}
+	return nil, nil, ProblemNoCapacity.With("service %q has no backend server in service", r.Name).After(time.Second)
+}
+
 // dispatchPlain is the last endpoint of plain services. It retries idempotent
 // calls on other backend servers, and any call that certainly did not run.
 func (g *Gateway) dispatchPlain(ctx context.Context, r *Request) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline-g.now())
 	defer cancel()
 	var excluded []ident.InstanceID
-	last := error(ProblemNoCapacity.With("service %q has no backend server in service", r.Name).After(time.Second))
+	var last error
 	for range maxAttempts {
-		b := g.pickBackend(r, excluded)
-		if b == nil {
+		b, release, err := g.acquireServer(ctx, r, excluded)
+		if err != nil {
+			if len(excluded) == 0 {
+				last = err
+			}
 			return nil, plainProblem(last)
 		}
 		a, err := g.backends.call(ctx, r, b, ident.AttemptID(r.AnswerID))
+		release(Result{Err: err})
 		if err == nil {
 			return a, nil
 		}
