--- a/control/groups.go
+++ b/control/groups.go
@@ -114,14 +114,15 @@
 	c.unknown.Update(float64(sum.Unknown))
 }
 
-// followDocuments starts control of new services. A service without a document
+// followDocuments starts control of new services. A plain service has a lease,
+// whose holder owns its credits, but no groups. A service without a document
 // gives up its groups.
 func (l *Loop) followDocuments(now time.Duration) {
 	seen := make(map[ident.ServiceName]bool)
 	for _, doc := range l.groupDocuments() {
 		c, ok := l.groups.services[doc.Service]
-		if doc.Kind != service.KindModel && !ok {
-			continue
+		if doc.Kind != service.KindModel {
+			doc = service.Document{Service: doc.Service}
 		}
 		seen[doc.Service] = true
 		if !ok {
--- a/control/loop.go
+++ b/control/loop.go
@@ -80,6 +80,7 @@
 	instances     []platform.Instance
 	statuses      map[ident.InstanceID]memberStatus
 	polling       map[ident.InstanceID]bool
+	credits       credits
 	nextInstances time.Duration
 	listing       bool
 	config        configPart
@@ -102,6 +103,7 @@
 		documents: opts.Documents,
 		statuses:  make(map[ident.InstanceID]memberStatus),
 		polling:   make(map[ident.InstanceID]bool),
+		credits:   credits{owners: make(map[ident.ServiceName]*ownerState)},
 		counters: loopCounters{
 			pollErrors:    opts.Scope.Counter("status_poll_errors_total"),
 			listErrors:    opts.Scope.Counter("instance_list_errors_total"),
@@ -137,6 +139,7 @@
 			l.drainEvents()
 		}
 		l.publish(l.opts.Now())
+		l.reportLoad(l.opts.Now())
 	}
 }
 
--- a/control/publish.go
+++ b/control/publish.go
@@ -2,8 +2,11 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
@@ -16,7 +19,7 @@
 	s := view.Snapshot{Revision: l.config.shell.View().Revision, Ready: l.ready(), Entries: l.entries()}
 	groups := 0
 	for _, doc := range l.serviceDocuments() {
-		svc := &view.Service{Document: doc}
+		svc := &view.Service{Document: doc, Lease: l.leaseView(doc.Service, now)}
 		switch doc.Kind {
 		case service.KindModel:
 			svc.Groups = l.confirmedGroups(doc, now)
@@ -133,10 +136,20 @@
 	}
 	g.Members = byRank
 	g.Draining = g.Draining || l.groupStopping(doc.Service, g.ID)
+	g.Incarnation = l.joinedIncarnation(g)
 	g.Limit = effectiveLimit(doc, g)
 	return g
 }
 
+// joinedIncarnation changes with the epoch or when any member restarts.
+func (l *Loop) joinedIncarnation(g *view.Group) string {
+	d := xxhash.New()
+	for _, m := range g.Members {
+		_, _ = d.WriteString(string(l.statuses[m].status.Incarnation))
+	}
+	return strconv.FormatUint(d.Sum64(), 36) + "-" + strconv.FormatUint(uint64(g.Epoch), 36)
+}
+
 // fillLeader sets what the member with rank 0 decides.
 func (l *Loop) fillLeader(g *view.Group, inst platform.Instance, status engine.Status) {
 	g.Leader = l.backendOf(inst)
--- a/experiment/readers.go
+++ b/experiment/readers.go
@@ -40,7 +40,7 @@
 	// readerDials bounds concurrent connection attempts.
 	readerDials = 256
 	// readerWait bounds each phase.
-	readerWait = time.Minute
+	readerWait = 4 * time.Minute
 	// settleTime lets the runtime return freed memory before it is measured.
 	settleTime = 5 * time.Second
 )
--- a/view/view.go
+++ b/view/view.go
@@ -49,6 +49,17 @@
 	Groups []*Group
 	// Backends serve a plain service.
 	Backends []*Backend
+	// Lease is the service's lease as this entry instance last saw it.
+	Lease Lease
+}
+
+// Lease names the holder of a service's lease. Only the holder knows until when
+// it may act.
+type Lease struct {
+	Holder ident.InstanceID
+	Epoch  ident.Epoch
+	// ActsUntil is set on the holder itself.
+	ActsUntil time.Duration
 }
 
 // Group is a complete group of engine members. A group is usable until
@@ -63,6 +74,9 @@
 	Partner    ident.Partner
 	Leader     Backend
 	Members    []ident.InstanceID
+	// Incarnation joins the incarnations of all members: it changes when any
+	// of them restarts.
+	Incarnation string
 	// Confirmed is when the oldest poll that confirmed a member was sent.
 	Confirmed time.Duration
 	// Draining groups get no new work.
