standin: add the fault proxy for TCP and UDP

Faults count events instead of drawing random numbers, so that a test sees the same fault each time, and counters show that a fault happened.

--- a/cmd/bulrush-standin/main.go
+++ b/cmd/bulrush-standin/main.go
@@ -22,7 +22,7 @@
 	flaggy.SetName("bulrush-standin")
 	flaggy.SetDescription("stand-ins of outside systems on loopback addresses, for tests and the demo")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	commands := []command{newPlatformCommand(), newEngineCommand(), newOrdersCommand()}
+	commands := []command{newPlatformCommand(), newEngineCommand(), newOrdersCommand(), newFaultProxyCommand()}
 	subs := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		subs[i] = c.flags()
--- /dev/null
+++ b/standin/faultproxy/proxy_test.go
@@ -0,0 +1,151 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// echoServer echoes lines on loopback.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer func() { _ = c.Close() }(); _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func startProxy(t *testing.T, link Link) (*Proxy, string) {
+	t.Helper()
+	p, err := Start(Config{Control: "127.0.0.1:0"})
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	addr, err := p.Add(link)
+	assert.NilError(t, err)
+	return p, addr
+}
+
+func dial(t *testing.T, network, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial(network, addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// ping sends a line and reports whether its echo arrives in time.
+func ping(c net.Conn, timeout time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(timeout))
+	if _, err := io.WriteString(c, "ping\n"); err != nil {
+		return err
+	}
+	_, err := bufio.NewReader(c).ReadString('\n')
+	return err
+}
+
+const (
+	soon = 50 * time.Millisecond
+	long = 10 * time.Second
+)
+
+// TestSilence guards against a silence that closes the connection or reaches
+// new ones.
+func TestSilence(t *testing.T) {
+	p, addr := startProxy(t, Link{Name: "l", Target: echoServer(t)})
+	old := dial(t, "tcp", addr)
+	assert.NilError(t, ping(old, long))
+	resp, err := http.Post(p.ControlURL()+"/links/l/silence", "", nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	err = ping(old, soon)
+	ne, ok := err.(net.Error)
+	assert.Assert(t, ok && ne.Timeout(), "%v", err)
+	assert.NilError(t, ping(dial(t, "tcp", addr), long))
+	c, err := p.Counters("l")
+	assert.NilError(t, err)
+	assert.Equal(t, c.Silenced, uint64(1))
+}
+
+// TestCutHeals guards against a cut that passes traffic or that stays after it
+// is healed.
+func TestCutHeals(t *testing.T) {
+	p, addr := startProxy(t, Link{Name: "l", Target: echoServer(t), From: "a", To: "b"})
+	c := dial(t, "tcp", addr)
+	assert.NilError(t, ping(c, long))
+	p.SetCuts(Cut{A: "b", B: "a"})
+	assert.Assert(t, ping(c, soon) != nil)
+	p.SetCuts()
+	_ = c.SetDeadline(time.Now().Add(long))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, strings.TrimSpace(line), "ping")
+}
+
+// TestFaults guards against faults that do not happen or are not counted.
+func TestFaults(t *testing.T) {
+	p, addr := startProxy(t, Link{Name: "l", Target: echoServer(t)})
+	assert.NilError(t, p.SetFault("l", Fault{LatencyMillis: 30}))
+	c := dial(t, "tcp", addr)
+	start := time.Now()
+	assert.NilError(t, ping(c, long))
+	assert.Assert(t, time.Since(start) >= 60*time.Millisecond)
+	assert.NilError(t, p.SetFault("l", Fault{DropDown: true}))
+	assert.Assert(t, ping(c, soon) != nil)
+	assert.NilError(t, p.SetFault("l", Fault{BytesPerSecond: 100}))
+	start = time.Now()
+	assert.NilError(t, ping(c, long))
+	assert.Assert(t, time.Since(start) >= 40*time.Millisecond)
+	assert.NilError(t, p.SetFault("l", Fault{LossEvery: 1}))
+	assert.Assert(t, ping(c, long) != nil)
+	assert.NilError(t, p.SetFault("l", Fault{Refuse: true}))
+	refused := dial(t, "tcp", addr)
+	assert.Assert(t, ping(refused, long) != nil)
+	n, err := p.Counters("l")
+	assert.NilError(t, err)
+	assert.Assert(t, n.Delayed >= 2 && n.Dropped == 5 && n.Slowed >= 1 && n.Resets == 1 && n.Refused == 1, "%+v", n)
+}
+
+// TestUDP guards against lost datagrams without a fault and against a drop
+// that does not happen.
+func TestUDP(t *testing.T) {
+	target, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	go func() {
+		b := make([]byte, 100)
+		for {
+			n, from, err := target.ReadFrom(b)
+			if err != nil {
+				return
+			}
+			_, _ = target.WriteTo(b[:n], from)
+		}
+	}()
+	p, addr := startProxy(t, Link{Name: "u", Network: UDP, Target: target.LocalAddr().String()})
+	c := dial(t, "udp", addr)
+	assert.NilError(t, ping(c, long))
+	assert.NilError(t, p.SetFault("u", Fault{DropUp: true}))
+	assert.Assert(t, ping(c, soon) != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n, _ := p.Counters("u"); n.Dropped == 5 {
+			return poll.Success()
+		}
+		return poll.Continue("datagram is not dropped yet")
+	}, poll.WithTimeout(long))
+}
