--- /dev/null
+++ b/trace/event.go
@@ -0,0 +1,177 @@
+package trace
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+const (
+	// Format is the value of the header's format field.
+	Format = "bulrush-trace"
+	// Version is the version of the format that this package reads and writes.
+	Version = 1
+)
+
+// Header is the first line of a trace.
+type Header struct {
+	Format  string `json:"format"`
+	Version int    `json:"version"`
+	// Name and Description tell people what the trace holds.
+	Name        string `json:"name"`
+	Description string `json:"description,omitempty"`
+	// Seed is the source of randomness that a replay hands to the machines.
+	Seed uint64 `json:"seed"`
+	// TickMicros is the time between tick events of a replay. 0 means none.
+	TickMicros int64 `json:"tick_us"`
+	// EndMicros is the time until which ticks go on after the last event.
+	EndMicros int64 `json:"end_us,omitempty"`
+	// Dropped is the number of events that the recorder lost to its bound.
+	Dropped uint64 `json:"dropped,omitempty"`
+}
+
+// Kind is the type of an event.
+type Kind string
+
+// Kinds of events. KindTick is made by a replay and does not occur in traces.
+const (
+	KindRequest        Kind = "request"
+	KindAnswer         Kind = "answer"
+	KindLoadReport     Kind = "load-report"
+	KindCache          Kind = "cache"
+	KindInstance       Kind = "instance"
+	KindMemberLost     Kind = "member-lost"
+	KindMemberReturned Kind = "member-returned"
+	KindDrain          Kind = "drain"
+	KindStore          Kind = "store"
+	KindEdit           Kind = "edit"
+	KindTick           Kind = "tick"
+)
+
+// Event is one line of a trace. Exactly the payload that its kind names is set.
+type Event struct {
+	// At is the time since the start of the trace, in microseconds. It never
+	// falls from one event to the next.
+	AtMicros int64 `json:"at_us"`
+	Kind     Kind  `json:"kind"`
+	// Node is the entry instance that saw the event, or empty for all.
+	Node ident.InstanceID `json:"node,omitempty"`
+
+	Request    *Request       `json:"request,omitempty"`
+	Answer     *Answer        `json:"answer,omitempty"`
+	LoadReport *engine.Status `json:"load_report,omitempty"`
+	Cache      *Cache         `json:"cache,omitempty"`
+	// Instance is the payload of instance events: an entry of the platform's
+	// list.
+	Instance *platform.Instance `json:"instance,omitempty"`
+	// Member is the payload of member-lost and member-returned events.
+	Member *Member `json:"member,omitempty"`
+	Drain  *Drain  `json:"drain,omitempty"`
+	Store  *Store  `json:"store,omitempty"`
+	Edit   *Edit   `json:"edit,omitempty"`
+}
+
+// At returns the time of the event since the start of the trace.
+func (e *Event) At() time.Duration { return time.Duration(e.AtMicros) * time.Microsecond }
+
+// Request is the arrival of a caller's request.
+type Request struct {
+	ID           string            `json:"id"`
+	Service      ident.ServiceName `json:"service"`
+	Account      ident.Account     `json:"account"`
+	Class        service.Class     `json:"class,omitempty"`
+	Priority     int               `json:"priority,omitempty"`
+	Idempotent   bool              `json:"idempotent,omitempty"`
+	Key          string            `json:"key,omitempty"`
+	Fingerprint  ident.Fingerprint `json:"fingerprint,omitempty"`
+	PromptTokens int               `json:"prompt_tokens,omitempty"`
+	MaxTokens    int               `json:"max_tokens,omitempty"`
+	// Prefixes are hashes of the prompt's block-aligned prefixes.
+	Prefixes       []uint64 `json:"prefixes,omitempty"`
+	DeadlineMillis int64    `json:"deadline_ms,omitempty"`
+}
+
+// Answer is the end of a request.
+type Answer struct {
+	ID      string            `json:"id"`
+	Service ident.ServiceName `json:"service,omitempty"`
+	Group   ident.GroupID     `json:"group,omitempty"`
+	Account ident.Account     `json:"account,omitempty"`
+	// Outcome is answered, not-run, unknown, ran, cut or crashed.
+	Outcome          string `json:"outcome"`
+	FirstTokenMicros int64  `json:"first_token_us,omitempty"`
+	Tokens           int    `json:"tokens,omitempty"`
+}
+
+// Cache is a cache event as it reached an entry.
+type Cache struct {
+	Instance ident.InstanceID  `json:"instance,omitempty"`
+	Event    engine.CacheEvent `json:"event"`
+}
+
+// Member is a member of a group or a server that was lost or came back.
+type Member struct {
+	Instance    ident.InstanceID  `json:"instance"`
+	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
+	// Reason is killed, paused, partitioned, crashed or left.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Drain takes a data centre, an instance or a partner out or brings it back.
+type Drain struct {
+	// Kind is datacentre, instance or partner.
+	Kind     string         `json:"kind"`
+	Name     string         `json:"name"`
+	Revision ident.Revision `json:"revision"`
+	Restored bool           `json:"restored,omitempty"`
+}
+
+// StoreState is how the platform's store behaves from an event on.
+type StoreState string
+
+// States of the store.
+const (
+	StoreUp    StoreState = "up"
+	StoreDown  StoreState = "down"
+	StoreSlow  StoreState = "slow"
+	StoreLossy StoreState = "lossy"
+)
+
+// Store is a change of the store's behaviour. A lossy store applies writes
+// whose answers are lost.
+type Store struct {
+	State StoreState `json:"state"`
+}
+
+// Edit is an attempt to change a service document.
+type Edit struct {
+	Service  ident.ServiceName `json:"service"`
+	Team     ident.Team        `json:"team"`
+	Expected ident.Revision    `json:"expected"`
+	Revision ident.Revision    `json:"revision,omitempty"`
+	Document string            `json:"document,omitempty"`
+}
+
+// payloads tells which payloads are set, by field name.
+func (e *Event) payloads() []payload {
+	return []payload{
+		{"request", e.Request != nil, []Kind{KindRequest}},
+		{"answer", e.Answer != nil, []Kind{KindAnswer}},
+		{"load_report", e.LoadReport != nil, []Kind{KindLoadReport}},
+		{"cache", e.Cache != nil, []Kind{KindCache}},
+		{"instance", e.Instance != nil, []Kind{KindInstance}},
+		{"member", e.Member != nil, []Kind{KindMemberLost, KindMemberReturned}},
+		{"drain", e.Drain != nil, []Kind{KindDrain}},
+		{"store", e.Store != nil, []Kind{KindStore}},
+		{"edit", e.Edit != nil, []Kind{KindEdit}},
+	}
+}
+
+type payload struct {
+	field string
+	set   bool
+	kinds []Kind
+}
--- /dev/null
+++ b/trace/expect.go
@@ -0,0 +1,97 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+// Expectations is a file of stated outcomes for one trace.
+type Expectations struct {
+	// Trace is the file name of the trace, next to this file.
+	Trace string `yaml:"trace"`
+	// Machines are the machines that the replay drives, in order.
+	Machines []string      `yaml:"machines"`
+	Expect   []Expectation `yaml:"expect"`
+}
+
+// Expectation bounds the number of matching decisions in a span of time.
+type Expectation struct {
+	// Outcome states in words what must come out.
+	Outcome string `yaml:"outcome"`
+	Machine string `yaml:"machine"`
+	Action  string `yaml:"action"`
+	// Subject and Detail match as a prefix and as a part. Empty matches all.
+	Subject string `yaml:"subject,omitempty"`
+	Detail  string `yaml:"detail,omitempty"`
+	// FromMicros and ToMicros bound the time, both included. ToMicros 0 means
+	// until the end.
+	FromMicros int64 `yaml:"from_us,omitempty"`
+	ToMicros   int64 `yaml:"to_us,omitempty"`
+	AtLeast    int   `yaml:"at_least,omitempty"`
+	// AtMost bounds the count from above; absent means no bound.
+	AtMost *int `yaml:"at_most,omitempty"`
+}
+
+// ParseExpectations reads an expectation file strictly.
+func ParseExpectations(r io.Reader) (Expectations, error) {
+	var x Expectations
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return x, errors.Wrap(err, "read expectations")
+	}
+	if err := yaml.UnmarshalWithOptions(b, &x, yaml.Strict()); err != nil {
+		return x, errors.Wrap(err, "parse expectations")
+	}
+	for i, e := range x.Expect {
+		if e.Outcome == "" || e.Machine == "" || e.Action == "" || (e.AtLeast == 0 && e.AtMost == nil) {
+			return x, errors.Errorf("expectation %d: name outcome, machine, action and at_least or at_most", i+1)
+		}
+	}
+	if len(x.Expect) == 0 {
+		return x, errors.New("expectations are empty: state at least one outcome")
+	}
+	return x, nil
+}
+
+// Unmet is an expectation that the decision log does not meet.
+type Unmet struct {
+	Expectation Expectation
+	Count       int
+}
+
+// String names the outcome and the counts.
+func (u Unmet) String() string {
+	bound := fmt.Sprintf("at least %d", u.Expectation.AtLeast)
+	if u.Expectation.AtMost != nil {
+		bound += fmt.Sprintf(" and at most %d", *u.Expectation.AtMost)
+	}
+	return fmt.Sprintf("%s: %d decisions %s/%s, want %s", u.Expectation.Outcome, u.Count,
+		u.Expectation.Machine, u.Expectation.Action, bound)
+}
+
+func (e *Expectation) matches(d Decision) bool {
+	return d.Machine == e.Machine && d.Action == e.Action &&
+		strings.HasPrefix(d.Subject, e.Subject) && strings.Contains(d.Detail, e.Detail) &&
+		d.AtMicros >= e.FromMicros && (e.ToMicros == 0 || d.AtMicros <= e.ToMicros)
+}
+
+// Verify returns the expectations that a list of decisions does not meet.
+func (x *Expectations) Verify(decisions []Decision) []Unmet {
+	var out []Unmet
+	for _, e := range x.Expect {
+		n := 0
+		for _, d := range decisions {
+			if e.matches(d) {
+				n++
+			}
+		}
+		if n < e.AtLeast || (e.AtMost != nil && n > *e.AtMost) {
+			out = append(out, Unmet{Expectation: e, Count: n})
+		}
+	}
+	return out
+}
