--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -177,6 +177,7 @@
 
 // idle leaves the group but keeps the weights. The caller holds e.mu.
 func (e *Engine) idle() {
+	e.event(EventLeft, "")
 	e.state = engine.StateIdle
 	e.assigned = engine.AssignCommand{}
 	e.loads++
--- a/standin/engine/peers.go
+++ b/standin/engine/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -166,7 +165,7 @@
 		w := e.check()
 		e.mu.Lock()
 		if w.partial != "" && e.running > 0 && !e.broken && e.state == engine.StateReady {
-			e.event(EventPartial, fmt.Sprintf("member %s is not in the group while %d requests run", w.partial, e.running))
+			e.event(EventPartial, w.partial)
 		}
 		e.mu.Unlock()
 	}
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -21,8 +21,10 @@
 	EventCold         EventKind = "cold"
 	EventWarm         EventKind = "warm"
 	EventMemberLost   EventKind = "member-lost"
-	// EventPartial tells that a request ran while a member did not hold the
-	// group and epoch of the leader.
+	// EventLeft tells that the engine holds no group any more.
+	EventLeft EventKind = "left"
+	// EventPartial tells that a request ran while the member in its detail did
+	// not hold the group and epoch of the leader.
 	EventPartial EventKind = "partial-group"
 	EventCutRun  EventKind = "cut-running"
 )
--- /dev/null
+++ b/test/integration/rig_test.go
@@ -0,0 +1,297 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/check"
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
+	"github.com/bulrushfall/bulrushfall/standin/faultproxy"
+	"github.com/bulrushfall/bulrushfall/standin/history"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// binDir holds the binaries that TestMain builds once.
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "bulrushfall-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir, "./cmd/bulrushfalld", "./cmd/bulrush-standin")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the processes: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	// deadline bounds each wait for a condition.
+	deadline = 20 * time.Second
+	// streamTokens and the token interval make streams of about two seconds.
+	streamTokens = 100
+)
+
+// rig is a running cluster with the history of a test.
+type rig struct {
+	t       *testing.T
+	ctx     context.Context
+	c       *cluster.Cluster
+	proxy   *faultproxy.Proxy
+	engines []platform.Instance // as the stand-ins listen, not as listed
+	plain   []platform.Instance
+
+	mu      sync.Mutex
+	history check.History
+}
+
+// startRig starts three entries and groups of two engines in two data centres.
+func startRig(t *testing.T, edit func(*cluster.Config)) *rig {
+	t.Helper()
+	cfg := cluster.DefaultConfig(binDir)
+	cfg.DataCentres = []ident.DataCentre{"dc-a", "dc-b"}
+	cfg.Entries, cfg.EnginesPerDataCentre, cfg.DomainSize, cfg.OrderSystems = 3, 4, 4, 1
+	cfg.Documents = []string{cluster.ModelDocument(4, 2, 2, 2), cluster.OrderDocument(2)}
+	cfg.EngineFlags = []string{
+		"--token-interval", "20ms", "--load-time", "50ms", "--cold-time", "50ms", "--restart-delay", "200ms",
+	}
+	cfg.PlatformFlags = []string{"--instance-lag", "200ms"}
+	if edit != nil {
+		edit(&cfg)
+	}
+	c, err := cluster.Start(t.Context(), cfg)
+	assert.NilError(t, err)
+	r := &rig{t: t, ctx: t.Context(), c: c}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(c.Logs())
+		}
+		c.Close()
+	})
+	instances, err := c.Instances(r.ctx)
+	assert.NilError(t, err)
+	for _, inst := range instances {
+		switch inst.Kind {
+		case platform.KindEngine:
+			r.engines = append(r.engines, inst)
+		case platform.KindPlain:
+			r.plain = append(r.plain, inst)
+		}
+	}
+	return r
+}
+
+// interpose lists every backend server at the address of a fault proxy.
+func (r *rig) interpose() {
+	p, err := faultproxy.Start(faultproxy.Config{})
+	assert.NilError(r.t, err)
+	r.t.Cleanup(p.Close)
+	r.proxy = p
+	var listed []platform.Instance
+	for _, inst := range append(append([]platform.Instance{}, r.engines...), r.plain...) {
+		addr, err := p.Add(faultproxy.Link{Name: string(inst.ID), Target: inst.Address, From: "entries", To: string(inst.DataCentre)})
+		assert.NilError(r.t, err)
+		inst.Address = addr
+		listed = append(listed, inst)
+	}
+	assert.NilError(r.t, r.c.ChangeInstances(standin.InstanceChange{Put: listed, Now: true}))
+}
+
+// serve forms the groups and waits until a stream through each entry is
+// answered and all groups are warm.
+func (r *rig) serve() {
+	r.t.Helper()
+	doc, err := service.Parse([]byte(cluster.ModelDocument(4, 2, 2, 2)))
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, r.c.FormGroups(r.ctx, doc))
+	r.wait("all engines are ready and warm", func() bool {
+		for _, e := range r.engines {
+			var s engine.Status
+			if !r.get("http://"+e.Address+"/status", &s) || s.State != engine.StateReady || s.Cold {
+				return false
+			}
+		}
+		return true
+	})
+	for i, e := range r.c.Entries {
+		r.wait("an answer through "+string(e.Instance), func() bool {
+			return r.stream(e, fmt.Sprintf("warm-up %d", i), 1).Outcome == load.Answered
+		})
+	}
+}
+
+func (r *rig) wait(what string, cond func() bool) {
+	r.t.Helper()
+	assert.NilError(r.t, cluster.Wait(r.ctx, deadline, what, cond))
+}
+
+func (r *rig) get(url string, v any) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(v) == nil
+}
+
+func (r *rig) post(url string, body any) {
+	r.t.Helper()
+	b, err := json.Marshal(body)
+	assert.NilError(r.t, err)
+	resp, err := http.Post(url, "application/json", bytes.NewReader(b))
+	assert.NilError(r.t, err)
+	_ = resp.Body.Close()
+	assert.Assert(r.t, resp.StatusCode < 300, "%s: %s", url, resp.Status)
+}
+
+// request returns a completion with a prompt that no other test stream has.
+func request(prompt string, tokens int) engine.CompletionRequest {
+	return engine.CompletionRequest{Model: cluster.ModelService, Prompt: prompt, MaxTokens: tokens}
+}
+
+// record keeps a finished request in the history.
+func (r *rig) record(e *cluster.Entry, name string, res load.Result, killed bool) {
+	c := check.Caller{
+		Request: name, Entry: e.Instance, Sent: res.Start, Ended: res.Start.Add(res.Duration),
+		EntryKilled: killed, Complete: true,
+	}
+	switch res.Outcome {
+	case load.Answered, load.Late:
+		c.Outcome = check.OutcomeAnswered
+	case load.Wrong:
+		c.Outcome, c.Answer, c.Want = check.OutcomeAnswered, res.Detail, "the expected text"
+	case load.NotRun:
+		c.Outcome = check.OutcomeNotRun
+	case load.Unknown:
+		c.Outcome = check.OutcomeUnknown
+	case load.Cut:
+		c.Outcome = check.OutcomeCut
+	default:
+		c.Outcome = check.OutcomeUnreachable
+		if !strings.Contains(res.Detail, "connection refused") {
+			c.Outcome = check.OutcomeCut
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Callers = append(r.history.Callers, c)
+}
+
+// stream asks for a whole answer through an entry.
+func (r *rig) stream(e *cluster.Entry, prompt string, tokens int) load.Result {
+	c := load.NewCaller(cluster.AccountKey(0), []string{e.Callers})
+	defer c.Close()
+	res := c.StreamAt(r.ctx, e.Callers, request(prompt, tokens), deadline)
+	r.record(e, history.PromptRequest(prompt), res, false)
+	return res
+}
+
+// streams runs one stream per prompt, over the entries in turn.
+func (r *rig) streams(entries []*cluster.Entry, prompts []string) func() []load.Result {
+	out := make([]load.Result, len(prompts))
+	var wg sync.WaitGroup
+	for i, p := range prompts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out[i] = r.stream(entries[i%len(entries)], p, streamTokens)
+		}()
+	}
+	return func() []load.Result { wg.Wait(); return out }
+}
+
+func prompts(t *testing.T, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s stream %d", t.Name(), i)
+	}
+	return out
+}
+
+// running is a stream at an engine.
+type running struct {
+	leader platform.Instance
+	served standinengine.Served
+}
+
+// runningStreams returns where streams with at least some tokens run.
+func (r *rig) runningStreams(prompts []string, tokens int) []running {
+	sums := make(map[uint64]bool)
+	for _, p := range prompts {
+		sums[standinengine.PromptSum(p)] = true
+	}
+	var out []running
+	for _, e := range r.engines {
+		var rec standinengine.Record
+		if !r.get("http://"+e.Address+"/debug/record", &rec) {
+			continue
+		}
+		for _, s := range rec.Requests {
+			if sums[s.PromptSum] && s.Outcome == standinengine.OutcomeRunning && s.Resume+s.Tokens >= tokens {
+				out = append(out, running{leader: e, served: s})
+			}
+		}
+	}
+	return out
+}
+
+// waitRunning waits until all streams have sent some tokens.
+func (r *rig) waitRunning(prompts []string) []running {
+	r.t.Helper()
+	const tokens = 5
+	var out []running
+	r.wait("all streams run", func() bool {
+		out = r.runningStreams(prompts, tokens)
+		return len(out) == len(prompts)
+	})
+	return out
+}
+
+// judge collects the records and applies the checker.
+func (r *rig) judge() {
+	r.t.Helper()
+	h, _, err := history.Collect(r.ctx, r.c.PlatformURL, append(append([]platform.Instance{}, r.engines...), r.plain...))
+	assert.NilError(r.t, err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.Append(r.history)
+	for _, v := range check.Check(&h, check.DefaultLimits()) {
+		r.t.Error(v.String())
+	}
+}
+
+// allAnswered asserts that every request has its whole answer.
+func allAnswered(t *testing.T, results []load.Result) {
+	t.Helper()
+	for i, res := range results {
+		assert.Equal(t, res.Outcome, load.Answered, "request %d: %s", i, res.Detail)
+	}
+}
