test/integration: check cold engines and resumption at another entry

The engine stand-in gives a second of notice after it turned cold without a restart, because requests that are on their way then cannot know.

--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -36,6 +36,10 @@
 	// weights that are not in memory first reads WeightBytes there.
 	WeightStore string
 	WeightBytes int64
+	// ColdNotice is the time after the engine turned cold without a restart in
+	// which arriving requests do not count against the cold limit: they were on
+	// their way before anyone could know.
+	ColdNotice time.Duration
 	// ColdTime is the time from ready to warm after a start or a load.
 	ColdTime time.Duration
 	// RestartDelay is the time from the death of the engine to its return as a
@@ -72,6 +76,7 @@
 		PrefillPerToken:   20 * time.Microsecond,
 		LoadTime:          300 * time.Millisecond,
 		PreloadedLoadTime: 50 * time.Millisecond,
+		ColdNotice:        time.Second,
 		ColdTime:          time.Second,
 		RestartDelay:      500 * time.Millisecond,
 		ReportLag:         200 * time.Millisecond,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -36,6 +36,7 @@
 	weights     map[string]bool // "model@version" in memory
 	cold        bool
 	coldSince   time.Time
+	noticeAt    time.Time // from then on arrivals count as cold
 	warmAt      time.Time
 	slow        float64
 	broken      bool // a member of the group was lost
@@ -161,6 +162,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.setCold(true)
+	e.noticeAt = e.coldSince.Add(e.cfg.ColdNotice)
 	if e.state == engine.StateReady {
 		e.warmAt = time.Now().Add(e.cfg.ColdTime)
 	}
@@ -183,6 +185,7 @@
 		return
 	}
 	e.coldSince = time.Now()
+	e.noticeAt = e.coldSince
 	e.coldHeld = 0
 	for r := range e.held {
 		r.countsCold = false
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -137,7 +137,7 @@
 	e.held[r] = struct{}{}
 	e.queue = append(e.queue, r)
 	e.heldTokens += r.tokens
-	if e.cold {
+	if e.cold && !s.Start.Before(e.noticeAt) {
 		r.countsCold = true
 		e.coldHeld++
 		e.rec.MaxRunningCold = max(e.rec.MaxRunningCold, e.coldHeld)
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -1,10 +1,16 @@
 package integration
 
 import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +21,7 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/load"
 	"github.com/bulrushfall/bulrushfall/platform"
 	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
 )
@@ -188,3 +195,97 @@
 	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
 	return fields[0]
 }
+
+// TestColdWithoutWarning guards against load on an engine that turned cold
+// while it runs requests: it dies when it gets more than its cold limit.
+func TestColdWithoutWarning(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, func(c *cluster.Config) {
+		c.EngineFlags = append(c.EngineFlags, "--cold-time", "3s", "--cold-limit", "2")
+	})
+	r.serve()
+	var n atomic.Int64
+	stopLoad := background(t, 12, func(_ context.Context, worker int) {
+		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 10)
+		assert.Check(t, res.Outcome == load.Answered || res.Outcome == load.NotRun, "%s %s", res.Outcome, res.Detail)
+	})
+	defer stopLoad()
+	leader := r.engines[0]
+	r.wait("work at the engine", func() bool { return r.engineRecord(leader).MaxRunning > 2 })
+	r.post("http://"+leader.Address+"/debug/cold", nil)
+	r.wait("the engine is warm again", func() bool {
+		rec := r.engineRecord(leader)
+		return rec.Events[len(rec.Events)-1].Kind == standinengine.EventWarm
+	})
+	stopLoad()
+	rec := r.engineRecord(leader)
+	assert.Equal(t, rec.Crashes, 0)
+	assert.Assert(t, rec.MaxRunningCold > 0, "no request arrived in the cold start")
+	r.judge()
+}
+
+// engineRecord returns the record of an engine.
+func (r *rig) engineRecord(e platform.Instance) standinengine.Record {
+	r.t.Helper()
+	var rec standinengine.Record
+	assert.Assert(r.t, r.get("http://"+e.Address+"/debug/record", &rec))
+	return rec
+}
+
+// TestEntryKilledStreamResumes guards against a stream that cannot be resumed
+// at another entry after its own one died.
+func TestEntryKilledStreamResumes(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	prompt := t.Name()
+	first, lastID := r.readEvents(r.c.Entries[0], prompt, "", func(tokens int) {
+		if tokens == 10 {
+			r.c.Entries[0].Kill()
+		}
+	})
+	assert.Assert(t, len(first) >= 10 && len(first) < streamTokens, "%d tokens before the kill", len(first))
+	rest, _ := r.readEvents(r.c.Entries[1], prompt, lastID, func(int) {})
+	req := request(prompt, streamTokens)
+	assert.Equal(t, strings.Join(append(first, rest...), ""), standinengine.Answer(&req, streamTokens))
+	r.judge()
+}
+
+// readEvents reads a stream until its end or a broken connection and returns
+// its texts and the last event id.
+func (r *rig) readEvents(e *cluster.Entry, prompt, after string, seen func(tokens int)) ([]string, string) {
+	r.t.Helper()
+	completion := request(prompt, streamTokens)
+	completion.Stream = true
+	body, err := json.Marshal(completion)
+	assert.NilError(r.t, err)
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+e.Callers+"/v1/completions", bytes.NewReader(body))
+	assert.NilError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+cluster.AccountKey(0))
+	if after != "" {
+		req.Header.Set("Last-Event-ID", after)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(r.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(r.t, resp.StatusCode, http.StatusOK)
+	var texts []string
+	last, id := "", ""
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		line := sc.Text()
+		if v, ok := strings.CutPrefix(line, "id: "); ok {
+			id = v
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == engine.DoneMarker {
+			continue
+		}
+		var c standinengine.Chunk
+		if json.Unmarshal([]byte(data), &c) != nil || c.Choices[0].Text == "" {
+			continue
+		}
+		texts, last = append(texts, c.Choices[0].Text), id
+		seen(len(texts))
+	}
+	return texts, last
+}
