--- /dev/null
+++ b/test/integration/streams_test.go
@@ -0,0 +1,291 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/check"
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/platform"
+	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
+)
+
+// TestMemberKilledMidStream guards against streams that die with a member of
+// their group.
+func TestMemberKilledMidStream(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	p := prompts(t, 6)
+	results := r.streams(r.c.Entries, p)
+	victim := r.waitRunning(p)[0]
+	var status engine.Status
+	assert.Assert(t, r.get("http://"+victim.leader.Address+"/status", &status))
+	for _, e := range r.engines {
+		var s engine.Status
+		if r.get("http://"+e.Address+"/status", &s) && s.Group == status.Group && s.Rank != 0 {
+			r.post("http://"+e.Address+"/debug/crash", nil)
+			break
+		}
+	}
+	allAnswered(t, results())
+	var rec standinengine.Record
+	assert.Assert(t, r.get("http://"+victim.leader.Address+"/debug/record", &rec))
+	assert.Assert(t, has(rec, standinengine.EventMemberLost), "no member was lost")
+	r.judge()
+}
+
+func has(rec standinengine.Record, kind standinengine.EventKind) bool {
+	for _, e := range rec.Events {
+		if e.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// TestDataCentreOfEnginesKilled guards against streams that die when all
+// engines of a data centre die at once.
+func TestDataCentreOfEnginesKilled(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	p := prompts(t, 6)
+	results := r.streams(r.c.Entries, p)
+	inA := 0
+	for _, s := range r.waitRunning(p) {
+		if s.leader.DataCentre == "dc-a" {
+			inA++
+		}
+	}
+	assert.Assert(t, inA > 0, "no stream runs in the data centre that dies")
+	r.c.Engines[0].Kill()
+	allAnswered(t, results())
+	r.judge()
+}
+
+// TestSilentConnections guards against requests that wait for ever on
+// established connections that carry nothing, while new ones work.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.interpose()
+	r.serve()
+	r.wait("every entry polls through the proxy", func() bool {
+		for _, e := range r.engines {
+			if c, err := r.proxy.Counters(string(e.ID)); err != nil || c.Connections < uint64(len(r.c.Entries)) {
+				return false
+			}
+		}
+		return true
+	})
+	p := prompts(t, 6)
+	results := r.streams(r.c.Entries, p)
+	r.waitRunning(p)
+	for _, l := range r.proxy.Links() {
+		assert.NilError(t, r.proxy.Silence(l.Name))
+	}
+	allAnswered(t, results())
+	var silenced, held uint64
+	for _, l := range r.proxy.Links() {
+		c, err := r.proxy.Counters(l.Name)
+		assert.NilError(t, err)
+		silenced, held = silenced+c.Silenced, held+c.Held
+	}
+	assert.Assert(t, silenced >= uint64(len(p)) && held >= uint64(len(p)), "%d silenced, %d held", silenced, held)
+	r.judge()
+}
+
+// TestGracefulShutdown guards against a shutdown that cuts running streams, or
+// that never ends.
+func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	leaving := r.c.Entries[0]
+	p := prompts(t, 6)
+	results := r.streams([]*cluster.Entry{leaving}, p)
+	r.waitRunning(p)
+	r.history.Shutdowns = append(r.history.Shutdowns, check.Shutdown{Entry: leaving.Instance, At: time.Now()})
+	assert.NilError(t, leaving.Signal(syscall.SIGTERM))
+	assert.Assert(t, len(r.runningStreams(p, 0)) > 0, "no stream was running at the shutdown")
+	allAnswered(t, results())
+	select {
+	case <-leaving.Done():
+		assert.NilError(t, leaving.Err())
+	case <-time.After(deadline):
+		t.Fatal("the process did not end")
+	}
+	r.judge()
+}
+
+// TestPausedEntryMissesReassignment guards against an entry that wakes up and
+// sends requests to a group that was dissolved while it was paused. The engines
+// ignore fencing tokens, so nothing but the entry prevents it.
+func TestPausedEntryMissesReassignment(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, func(c *cluster.Config) { c.EngineFlags = append(c.EngineFlags, "--ignore-fencing") })
+	r.serve()
+	paused := r.c.Entries[0]
+	assert.NilError(t, paused.Signal(syscall.SIGSTOP))
+	r.wait("the entry is stopped", func() bool { return processState(t, paused.PID()) == "T" })
+	stopped := time.Now()
+	p := prompts(t, 12)
+	results := r.streams([]*cluster.Entry{paused}, p)
+	// Each group in one data centre swaps its members' ranks under a new name.
+	var members []platform.Instance
+	for _, e := range r.engines {
+		if e.DataCentre == "dc-a" {
+			members = append(members, e)
+		}
+	}
+	regroup(t, r, members)
+	r.wait("the confirmations of the paused entry are stale", func() bool { return time.Since(stopped) > 2*time.Second })
+	assert.NilError(t, paused.Signal(syscall.SIGCONT))
+	allAnswered(t, results())
+	r.judge()
+}
+
+// regroup dissolves the groups of engines and forms new ones with other
+// members: the first with the third, the second with the fourth.
+func regroup(t *testing.T, r *rig, e []platform.Instance) {
+	t.Helper()
+	assert.Equal(t, len(e), 4)
+	for _, inst := range e {
+		var s engine.Status
+		assert.Assert(t, r.get("http://"+inst.Address+"/status", &s))
+		r.post("http://"+inst.Address+"/admin/release", engine.ReleaseCommand{Fencing: 2, Group: s.Group, Epoch: s.Epoch})
+	}
+	for i, pair := range [][]platform.Instance{{e[0], e[2]}, {e[1], e[3]}} {
+		cmd := engine.AssignCommand{
+			Fencing: 2, Group: ident.GroupID(fmt.Sprintf("regrouped-%d", i)), Epoch: 2, Service: cluster.ModelService,
+			Role: engine.RoleCombined, Model: "base-model", Version: "1",
+		}
+		for _, m := range pair {
+			cmd.Members = append(cmd.Members, engine.Member{Instance: m.ID, Address: m.Address})
+		}
+		for rank, m := range pair {
+			cmd.Rank = rank
+			r.post("http://"+m.Address+"/admin/assign", cmd)
+		}
+	}
+}
+
+// processState returns the state letter of a process from the proc file system.
+func processState(t *testing.T, pid int) string {
+	t.Helper()
+	b, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	assert.NilError(t, err)
+	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	return fields[0]
+}
+
+// TestColdWithoutWarning guards against load on an engine that turned cold
+// while it runs requests: it dies when it gets more than its cold limit.
+func TestColdWithoutWarning(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, func(c *cluster.Config) {
+		c.EngineFlags = append(c.EngineFlags, "--cold-time", "3s", "--cold-limit", "2")
+	})
+	r.serve()
+	var n atomic.Int64
+	stopLoad := background(t, 12, func(_ context.Context, worker int) {
+		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 10)
+		assert.Check(t, res.Outcome == load.Answered || res.Outcome == load.NotRun, "%s %s", res.Outcome, res.Detail)
+	})
+	defer stopLoad()
+	leader := r.engines[0]
+	r.wait("work at the engine", func() bool { return r.engineRecord(leader).MaxRunning > 2 })
+	r.post("http://"+leader.Address+"/debug/cold", nil)
+	r.wait("the engine is warm again", func() bool {
+		rec := r.engineRecord(leader)
+		return rec.Events[len(rec.Events)-1].Kind == standinengine.EventWarm
+	})
+	stopLoad()
+	rec := r.engineRecord(leader)
+	assert.Equal(t, rec.Crashes, 0)
+	assert.Assert(t, rec.MaxRunningCold > 0, "no request arrived in the cold start")
+	r.judge()
+}
+
+// engineRecord returns the record of an engine.
+func (r *rig) engineRecord(e platform.Instance) standinengine.Record {
+	r.t.Helper()
+	var rec standinengine.Record
+	assert.Assert(r.t, r.get("http://"+e.Address+"/debug/record", &rec))
+	return rec
+}
+
+// TestEntryKilledStreamResumes guards against a stream that cannot be resumed
+// at another entry after its own one died.
+func TestEntryKilledStreamResumes(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	prompt := t.Name()
+	first, lastID := r.readEvents(r.c.Entries[0], prompt, "", func(tokens int) {
+		if tokens == 10 {
+			r.c.Entries[0].Kill()
+		}
+	})
+	assert.Assert(t, len(first) >= 10 && len(first) < streamTokens, "%d tokens before the kill", len(first))
+	rest, _ := r.readEvents(r.c.Entries[1], prompt, lastID, func(int) {})
+	req := request(prompt, streamTokens)
+	assert.Equal(t, strings.Join(append(first, rest...), ""), standinengine.Answer(&req, streamTokens))
+	r.judge()
+}
+
+// readEvents reads a stream until its end or a broken connection and returns
+// its texts and the last event id.
+func (r *rig) readEvents(e *cluster.Entry, prompt, after string, seen func(tokens int)) ([]string, string) {
+	r.t.Helper()
+	completion := request(prompt, streamTokens)
+	completion.Stream = true
+	body, err := json.Marshal(completion)
+	assert.NilError(r.t, err)
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+e.Callers+"/v1/completions", bytes.NewReader(body))
+	assert.NilError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+cluster.AccountKey(0))
+	if after != "" {
+		req.Header.Set("Last-Event-ID", after)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(r.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(r.t, resp.StatusCode, http.StatusOK)
+	var texts []string
+	last, id := "", ""
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		line := sc.Text()
+		if v, ok := strings.CutPrefix(line, "id: "); ok {
+			id = v
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == engine.DoneMarker {
+			continue
+		}
+		var c standinengine.Chunk
+		if json.Unmarshal([]byte(data), &c) != nil || c.Choices[0].Text == "" {
+			continue
+		}
+		texts, last = append(texts, c.Choices[0].Text), id
+		seen(len(texts))
+	}
+	return texts, last
+}
