Measure service while a data centre leaves and returns; use it as the demo

Cause: the demo drove closed-loop load without a drain. Change: experiment.Move drives open-loop streams and orders, drains and restores a data centre through the operators' interface, collects the records of engines, order systems and the store, and applies the checker of the promises; plot and CSV per second; the demo is a short run of it.

--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -21,3 +21,16 @@
 		return experiment.Readers(ctx, os.Stdout, binDir, readers)
 	}}
 }
+
+func moveRunner() runner {
+	cfg := experiment.MeasuredMove()
+	cfg.PlotFile, cfg.HistoryCSV = "out/move.png", "out/move.csv"
+	sub := flaggy.NewSubcommand("move")
+	sub.Description = "service while a data centre leaves and returns"
+	sub.Float64(&cfg.Streams, "", "streams", "streams per second")
+	sub.Float64(&cfg.Orders, "", "orders", "orders per second")
+	sub.String(&cfg.PlotFile, "", "plot", "file of the plot")
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
+		return experiment.Move(ctx, os.Stdout, binDir, cfg)
+	}}
+}
--- /dev/null
+++ b/experiment/move.go
@@ -0,0 +1,151 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/check"
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/config"
+	"github.com/bulrushfall/bulrushfall/operator"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/standin/history"
+)
+
+// MoveConfig describes a run in which a data centre leaves and returns under
+// load.
+type MoveConfig struct {
+	// DrainAt, RestoreAt and End are times from the start of the load.
+	DrainAt, RestoreAt, End time.Duration
+	// Streams and Orders are arrivals per second.
+	Streams, Orders float64
+	// PlotFile receives a plot, or is empty.
+	PlotFile string
+	// HistoryCSV receives the figures of each second, or is empty.
+	HistoryCSV string
+}
+
+// DemoMove is short, for the demo.
+func DemoMove() MoveConfig {
+	return MoveConfig{DrainAt: 4 * time.Second, RestoreAt: 12 * time.Second, End: 18 * time.Second, Streams: 60, Orders: 20}
+}
+
+// MeasuredMove leaves time for the groups to move and to come back.
+func MeasuredMove() MoveConfig {
+	return MoveConfig{DrainAt: 8 * time.Second, RestoreAt: 24 * time.Second, End: 40 * time.Second, Streams: 100, Orders: 30}
+}
+
+// Move measures service while a data centre leaves and returns: each second's
+// answered, late and refused requests, and lost and doubled orders. It fails
+// when an outcome is wrong.
+func Move(ctx context.Context, w io.Writer, binDir string, cfg MoveConfig) error {
+	clusterConfig := cluster.DefaultConfig(binDir)
+	c, err := cluster.Start(ctx, clusterConfig)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	doc, err := service.Parse([]byte(clusterConfig.Documents[0]))
+	if err != nil {
+		return err
+	}
+	if err := c.FormGroups(ctx, doc); err != nil {
+		return err
+	}
+	if err := waitServing(ctx, c); err != nil {
+		return err
+	}
+	traffic := newTraffic(c, cfg.Streams, cfg.Orders)
+	done := traffic.start(ctx, cfg.End)
+	drain, err := moveDataCentre(ctx, c, cfg)
+	done()
+	if err != nil {
+		return err
+	}
+	return reportMove(ctx, w, c, cfg, traffic, drain)
+}
+
+// moveDataCentre drains and restores the first data centre at the set times.
+func moveDataCentre(ctx context.Context, c *cluster.Cluster, cfg MoveConfig) (check.Drain, error) {
+	name := string(c.Entries[0].DataCentre)
+	drain := check.Drain{Kind: check.DrainDataCentre, Name: name}
+	// The operator works through an entry instance of another data centre.
+	operators := operator.NewClient([]string{c.Entries[1].Operators}, cluster.TeamToken)
+	if err := sleep(ctx, cfg.DrainAt); err != nil {
+		return drain, err
+	}
+	accepted, err := operators.SetDrain(ctx, config.DrainDataCentre, name, true, operator.Edit{Reason: "planned move"})
+	if err != nil {
+		return drain, errors.Wrap(err, "drain the data centre")
+	}
+	drain.At = time.Now()
+	if err := sleep(ctx, cfg.RestoreAt-cfg.DrainAt); err != nil {
+		return drain, err
+	}
+	edit := operator.Edit{Expected: accepted.Revision, Reason: "move is over"}
+	if _, err := operators.SetDrain(ctx, config.DrainDataCentre, name, false, edit); err != nil {
+		return drain, errors.Wrap(err, "restore the data centre")
+	}
+	drain.Restored = time.Now()
+	return drain, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "interrupted")
+	case <-t.C:
+		return nil
+	}
+}
+
+// maxViolations bounds the violations that are written out for each promise.
+const maxViolations = 5
+
+func printViolations(w io.Writer, violations []check.Violation) {
+	written := make(map[check.Promise]int)
+	for _, v := range violations {
+		if written[v.Promise]++; written[v.Promise] <= maxViolations {
+			_, _ = fmt.Fprintln(w, v.String())
+		}
+	}
+}
+
+func reportMove(ctx context.Context, w io.Writer, c *cluster.Cluster, cfg MoveConfig, traffic *traffic, drain check.Drain) error {
+	summary := traffic.summary()
+	runs, err := c.OrderRuns()
+	if err != nil {
+		return err
+	}
+	summary.countOrders(traffic.orders, runs)
+	if err := summary.print(w); err != nil {
+		return err
+	}
+	instances, err := c.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	h, _, err := history.Collect(ctx, c.PlatformURL, backendsOf(instances))
+	if err != nil {
+		return err
+	}
+	h.Callers = append(h.Callers, traffic.callers...)
+	h.Drains = append(h.Drains, drain)
+	violations := check.Check(&h, check.DefaultLimits())
+	printViolations(w, violations)
+	_, _ = fmt.Fprintf(w, "violated promises: %d (checked over %d requests of callers and %d at backend servers)\n",
+		len(violations), len(h.Callers), len(h.Served))
+	if err := writeSeconds(cfg, traffic.seconds(cfg)); err != nil {
+		return err
+	}
+	if len(violations) > 0 || summary.wrong() {
+		return errors.New("an outcome is wrong")
+	}
+	return nil
+}
