--- a/cluster/records.go
+++ b/cluster/records.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushfall/bulrushfall/platform"
 	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
 // OrderRuns returns how often each order ran, over all order systems.
@@ -63,3 +64,14 @@
 	}
 	return nil
 }
+
+// StoreCounts returns how often the table was read and written.
+func (c *Cluster) StoreCounts() (standin.Counts, error) {
+	var out standin.Counts
+	resp, err := http.Get(c.PlatformURL + "/debug/counts")
+	if err != nil {
+		return out, errors.Wrap(err, "read the counts of the platform")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "decode the counts of the platform")
+}
--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -34,3 +34,11 @@
 		return experiment.Move(ctx, os.Stdout, binDir, cfg)
 	}}
 }
+
+func idleRunner() runner {
+	sub := flaggy.NewSubcommand("idle")
+	sub.Description = "processor time, memory and store use of control without requests"
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
+		return experiment.Idle(ctx, os.Stdout, binDir)
+	}}
+}
--- a/cmd/bulrush-bench/main.go
+++ b/cmd/bulrush-bench/main.go
@@ -23,7 +23,7 @@
 	flaggy.SetName("bulrush-bench")
 	flaggy.SetDescription("demo, load experiments and measures on loopback")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	runners := []runner{demoRunner(), readersRunner(), moveRunner()}
+	runners := []runner{demoRunner(), readersRunner(), moveRunner(), idleRunner()}
 	for _, r := range runners {
 		flaggy.AttachSubcommand(r.sub, 1)
 	}
--- /dev/null
+++ b/experiment/idle.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/service"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// idleLength is the time over which idle costs are measured.
+const idleLength = 10 * time.Second
+
+// idleSize is one size of the idle experiment.
+type idleSize struct{ entries, enginesPerDataCentre int }
+
+// idleSizes vary the entry instances and the engines separately, so that the
+// slope of each can be read.
+var idleSizes = []idleSize{{3, 16}, {7, 16}, {14, 16}, {28, 16}, {7, 8}, {7, 32}, {7, 64}}
+
+// Idle measures what control costs without requests: processor time and memory
+// per entry instance, and reads and writes of the store, by the number of entry
+// instances and engines.
+func Idle(ctx context.Context, w io.Writer, binDir string) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "entries\tengines\tcore % per entry\tresident MiB per entry\tstore reads/s\tstore writes/s\t")
+	for _, size := range idleSizes {
+		if err := idleRow(ctx, t, binDir, size); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(t.Flush(), "print")
+}
+
+func idleRow(ctx context.Context, w io.Writer, binDir string, size idleSize) error {
+	cfg := cluster.DefaultConfig(binDir)
+	cfg.Entries, cfg.EnginesPerDataCentre = size.entries, size.enginesPerDataCentre
+	wanted := size.enginesPerDataCentre * len(cfg.DataCentres) / 4
+	cfg.Documents[0] = cluster.ModelDocument(wanted, 1, 4, 10)
+	c, err := cluster.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	doc, err := service.Parse([]byte(cfg.Documents[0]))
+	if err != nil {
+		return err
+	}
+	if err := c.FormGroups(ctx, doc); err != nil {
+		return err
+	}
+	before, err := idleSampleOf(c)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, idleLength); err != nil {
+		return err
+	}
+	after, err := idleSampleOf(c)
+	if err != nil {
+		return err
+	}
+	seconds := idleLength.Seconds()
+	_, _ = fmt.Fprintf(w, "%d\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t\n", size.entries, size.enginesPerDataCentre*len(cfg.DataCentres),
+		100*(after.cpu-before.cpu)/seconds/float64(size.entries), after.resident/float64(size.entries)/(1<<20),
+		float64(after.counts.Reads-before.counts.Reads)/seconds, float64(after.counts.Writes-before.counts.Writes)/seconds)
+	return nil
+}
+
+// idleSample sums up all entry instances.
+type idleSample struct {
+	cpu, resident float64
+	counts        standin.Counts
+}
+
+func idleSampleOf(c *cluster.Cluster) (idleSample, error) {
+	var out idleSample
+	for _, e := range c.Entries {
+		m, err := scrape(e.Operators)
+		if err != nil {
+			return out, err
+		}
+		out.cpu += m["process_cpu_seconds_total"]
+		out.resident += m["process_resident_memory_bytes"]
+	}
+	counts, err := c.StoreCounts()
+	out.counts = counts
+	return out, err
+}
--- a/experiment/readers.go
+++ b/experiment/readers.go
@@ -1,5 +1,3 @@
-// Package experiment holds the load experiments and measures that bulrush-bench
-// runs. Each prints a table.
 package experiment
 
 import (
