admission: let accounts within their share start first

In a model of one entry instance with 23 slots, one account at ten times its share raised the others' first token at the 95th percentile from 279 to 664 ms: its urgent requests passed the others' batch requests, and each waited for one of its requests to end.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -79,7 +79,7 @@
 	assert.Assert(t, refused && r.Reason == ReasonMemory)
 	assert.Equal(t, r.Waiter.Account, ident.Account("hog"))
 	assert.Equal(t, q.Len(), 100)
-	assert.Assert(t, !q.Cancel(r.Waiter))
+	assert.Assert(t, !q.Cancel(0, r.Waiter))
 }
 
 // TestLimiter guards against accounts past their rate or concurrency, and
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -43,11 +43,15 @@
 	// Guard is the number of starts of more urgent classes after which one
 	// request of a waiting lower class starts, so that it is never starved.
 	Guard int
+	// Headroom times the square root of the slots is what accounts above their
+	// share leave free for the other active accounts, whose requests would
+	// otherwise wait for one of theirs to end.
+	Headroom float64
 }
 
 // DefaultConfig returns the limits of one service at one entry instance.
 func DefaultConfig() Config {
-	return Config{MaxWaiters: 8192, MaxBytes: 32 << 20, Guard: 16}
+	return Config{MaxWaiters: 8192, MaxBytes: 32 << 20, Guard: 16, Headroom: 1.25}
 }
 
 // classes in order of urgency.
--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -31,35 +31,44 @@
 }
 
 // estimate is the expected wait of a request at a position of a flow: the work
-// ahead of it by the fair order, over the rate of starts that its class gets.
+// ahead of it by the fair order, over the rate of starts that it can count on.
 func (q *Queue) estimate(now time.Duration, r int, f *flow, position int) time.Duration {
-	ahead := 0.0
-	for i := range r {
-		ahead += float64(q.lanes[i].waiting)
-	}
+	ahead := float64(position)
 	turns := float64(position+1) / f.weight
-	for _, other := range q.lanes[r].flows {
-		if other != f {
-			ahead += min(float64(len(other.waiting)), turns*other.weight)
+	for i := range q.lanes {
+		for _, other := range q.lanes[i].flows {
+			n := float64(len(other.waiting))
+			switch {
+			case other == f || n == 0:
+			case other.above != f.above:
+				if f.above {
+					ahead += n
+				}
+			case i < r:
+				ahead += n
+			case i == r:
+				ahead += min(n, turns*other.weight)
+			}
 		}
 	}
-	ahead += float64(position)
 	if free := float64(q.slots - q.running); ahead < free {
 		return 0
 	}
-	return time.Duration((ahead + 1) / q.rate(now, r) * float64(time.Second))
+	return time.Duration((ahead + 1) / q.rate(now, r, f.above) * float64(time.Second))
 }
 
-// rate is the number of starts per second that a class can count on: what more
-// urgent classes leave, but at least the part that the guard gives it.
-func (q *Queue) rate(now time.Duration, r int) float64 {
+// rate is the number of starts per second that a class can count on: what those
+// ahead of it leave, but at least the part that the guard gives it.
+func (q *Queue) rate(now time.Duration, r int, above bool) float64 {
 	if q.service <= 0 {
 		return unknownRate
 	}
 	all := float64(max(1, q.slots)) / q.service
 	left := all
-	for i := range r {
-		left -= q.lanes[i].starts.perSecond(now)
+	for i := range q.lanes {
+		if i < r || above {
+			left -= q.lanes[i].starts.perSecond(now)
+		}
 	}
 	return max(left, all/float64(max(1, q.cfg.Guard)+1))
 }
@@ -72,6 +81,7 @@
 // of each account in the least urgent class.
 func (q *Queue) Shed(now time.Duration) []Refusal {
 	var out []Refusal
+	q.judge(now)
 	for r := len(q.lanes) - 1; r >= 0; r-- {
 		for _, f := range q.lanes[r].flows {
 			for i := len(f.waiting) - 1; i >= 0; i-- {
@@ -80,7 +90,7 @@
 				if now+wait <= w.Deadline && now < w.Deadline {
 					continue
 				}
-				q.remove(w)
+				q.drop(now, w)
 				out = append(out, Refusal{w, ReasonDeadline, max(wait, minRetryAfter)})
 			}
 		}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -28,8 +28,7 @@
 
 // flow is the queue of one account in one class.
 type flow struct {
-	account ident.Account
-	weight  float64
+	*account
 	// virtual is the account's service in the class, in seconds per weight.
 	virtual float64
 	waiting []*Waiter
@@ -41,18 +40,21 @@
 	flows   []*flow
 	virtual float64
 	waiting int
-	// starts counts recent starts for the rate that lower classes can count on.
+	// starts counts recent starts of accounts within their share, for the rate
+	// that lower classes can count on.
 	starts rateMeter
 }
 
 // Queue is the weighted fair queue of one service.
 type Queue struct {
-	cfg     Config
-	lanes   [len(classes)]lane
-	waiters int
-	bytes   int
-	slots   int
-	running int
+	cfg      Config
+	lanes    [len(classes)]lane
+	accounts []*account
+	judged   time.Duration
+	waiters  int
+	bytes    int
+	slots    int
+	running  int
 	// service is the smoothed time that a request holds its slot, in seconds.
 	service float64
 	// passed counts starts of more urgent classes while a lower one waited.
@@ -82,11 +84,13 @@
 func (q *Queue) Offer(now time.Duration, w *Waiter) (Refusal, bool) {
 	w.rank = rank(w.Class)
 	f := q.flow(w)
+	q.judge(now)
 	wait := q.estimate(now, w.rank, f, len(f.waiting))
 	if now+wait > w.Deadline {
 		return Refusal{w, ReasonDeadline, max(wait, minRetryAfter)}, true
 	}
 	w.queued = true
+	f.change(now, 1)
 	f.waiting = append(f.waiting, w)
 	q.lanes[w.rank].waiting++
 	q.waiters++
@@ -95,7 +99,7 @@
 		return Refusal{}, false
 	}
 	victim := q.victim()
-	q.remove(victim)
+	q.drop(now, victim)
 	return Refusal{victim, ReasonMemory, max(wait, minRetryAfter)}, true
 }
 
@@ -107,7 +111,7 @@
 func (q *Queue) flow(w *Waiter) *flow {
 	l := &q.lanes[w.rank]
 	for _, f := range l.flows {
-		if f.account == w.Account {
+		if f.name == w.Account {
 			f.weight = float64(max(1, w.Weight))
 			if len(f.waiting) == 0 && f.running == 0 {
 				f.virtual = max(f.virtual, l.virtual)
@@ -115,7 +119,7 @@
 			return f
 		}
 	}
-	f := &flow{account: w.Account, weight: float64(max(1, w.Weight)), virtual: l.virtual}
+	f := &flow{account: q.account(w), virtual: l.virtual}
 	l.flows = append(l.flows, f)
 	return f
 }
@@ -138,18 +142,24 @@
 }
 
 // Cancel removes a waiting request. It reports whether it still waited.
-func (q *Queue) Cancel(w *Waiter) bool {
+func (q *Queue) Cancel(now time.Duration, w *Waiter) bool {
 	if !w.queued {
 		return false
 	}
-	q.remove(w)
+	q.drop(now, w)
 	return true
 }
 
+// drop removes a request that will not start.
+func (q *Queue) drop(now time.Duration, w *Waiter) {
+	q.remove(w)
+	q.account(w).change(now, -1)
+}
+
 func (q *Queue) remove(w *Waiter) {
 	l := &q.lanes[w.rank]
 	for _, f := range l.flows {
-		if f.account != w.Account {
+		if f.name != w.Account {
 			continue
 		}
 		for i, have := range f.waiting {
@@ -166,8 +176,21 @@
 }
 
 // Next starts one request: it calls try for the first waiter of each account in
-// fair order until one succeeds. It returns nil when none did.
+// fair order until one succeeds. It returns nil when none did. Accounts within
+// their share go first, whatever the class; accounts above it use what is left
+// but for the headroom.
 func (q *Queue) Next(now time.Duration, try func(*Waiter) bool) *Waiter {
+	q.judge(now)
+	if w := q.next(now, false, try); w != nil {
+		return w
+	}
+	if h := q.headroom(); h > 0 && q.running >= q.slots-h {
+		return nil
+	}
+	return q.next(now, true, try)
+}
+
+func (q *Queue) next(now time.Duration, above bool, try func(*Waiter) bool) *Waiter {
 	first := q.guarded()
 	for i := range q.lanes {
 		r := i
@@ -175,8 +198,8 @@
 			// The guarded class goes first, the others keep their order.
 			r = (first + i) % len(q.lanes)
 		}
-		if w := q.nextIn(now, r, try); w != nil {
-			q.count(now, r)
+		if w := q.nextIn(now, r, above, try); w != nil {
+			q.count(now, r, above)
 			return w
 		}
 	}
@@ -197,8 +220,10 @@
 }
 
 // count keeps the guard: it grows while a lower class waits behind a start.
-func (q *Queue) count(now time.Duration, r int) {
-	q.lanes[r].starts.add(now)
+func (q *Queue) count(now time.Duration, r int, above bool) {
+	if !above {
+		q.lanes[r].starts.add(now)
+	}
 	lower := 0
 	for i := r + 1; i < len(q.lanes); i++ {
 		lower += q.lanes[i].waiting
@@ -210,11 +235,11 @@
 	}
 }
 
-func (q *Queue) nextIn(now time.Duration, r int, try func(*Waiter) bool) *Waiter {
+func (q *Queue) nextIn(now time.Duration, r int, above bool, try func(*Waiter) bool) *Waiter {
 	l := &q.lanes[r]
 	q.order = q.order[:0]
 	for _, f := range l.flows {
-		if len(f.waiting) > 0 {
+		if len(f.waiting) > 0 && f.above == above {
 			q.order = append(q.order, f)
 		}
 	}
@@ -263,8 +288,9 @@
 	}
 	q.service += smoothing * (held - q.service)
 	for _, f := range q.lanes[w.rank].flows {
-		if f.account == w.Account {
+		if f.name == w.Account {
 			f.running--
+			f.change(now, -1)
 			f.virtual += (held - w.charged) / f.weight
 			return
 		}
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -161,7 +161,7 @@
 func (l *lane) leave(t *ticket) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.queue.Cancel(t.waiter) {
+	if !l.queue.Cancel(l.b.now(), t.waiter) {
 		return false
 	}
 	l.forget(t.waiter)
