--- /dev/null
+++ b/experiment/config_scale.go
@@ -0,0 +1,139 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes and budgets of the measurement per node.
+const (
+	// configWindow is the time over which an idle cluster is measured. It is
+	// several poll intervals.
+	configWindow = 10 * time.Second
+	// configScaleEdits is the number of edits of a size.
+	configScaleEdits = 20
+	// segmentOverheadBytes is what IP and TCP headers add to one write and its
+	// acknowledgement: 52 bytes each.
+	segmentOverheadBytes = 104
+	// editsPerSecond is 4,600 edits a day.
+	editsPerSecond = 4600.0 / 86400
+	// readBudget is what the store sustains.
+	readBudget = 2000.0
+)
+
+// configSizes are the numbers of nodes; the last one is the size to design for.
+var configSizes = []int{7, 50, 200, 890}
+
+// configCost is what a node pays.
+type configCost struct {
+	nodes int
+	// Per node and second, sent and received, without edits.
+	idleBytes, idleWrites float64
+	idleCPU               float64
+	// Per node and edit.
+	editBytes, editWrites float64
+	editCPU               time.Duration
+	readsPerSecond        float64
+	worst                 time.Duration
+}
+
+func configScale(w io.Writer) error {
+	fmt.Fprintln(w, "Cost per node, with all nodes and the store stand-in in one process")
+	fmt.Fprintln(w, "nodes\tidle B/s\tidle segments/s\tidle processor\tB/edit\tsegments/edit\tprocessor/edit\tB/s at 4,600 edits a day with headers\tstore reads/s (budget 2,000)\tslowest spread")
+	var costs []configCost
+	for _, n := range configSizes {
+		c, err := measureConfigCost(n)
+		if err != nil {
+			return errors.Wrapf(err, "%d nodes", n)
+		}
+		costs = append(costs, c)
+		fmt.Fprintf(w, "%d\t%.0f\t%.1f\t%.3f%%\t%.0f\t%.1f\t%.0f us\t%.0f\t%.0f\t%s\n",
+			c.nodes, c.idleBytes, c.idleWrites, 100*c.idleCPU, c.editBytes, c.editWrites,
+			float64(c.editCPU)/float64(time.Microsecond), c.bytesPerSecond(), c.readsPerSecond, ms(c.worst))
+		if c.readsPerSecond > readBudget {
+			return errors.Errorf("%d nodes read the store %.0f times a second, over the budget of %.0f", n, c.readsPerSecond, readBudget)
+		}
+	}
+	first, last := costs[0], costs[len(costs)-1]
+	perNode := float64(last.nodes - first.nodes)
+	fmt.Fprintf(w, "slope from %d to %d nodes, per added node: %.2f B/s, %.5f%% of a core idle, %.2f store reads/s\n",
+		first.nodes, last.nodes, (last.bytesPerSecond()-first.bytesPerSecond())/perNode,
+		100*(last.idleCPU-first.idleCPU)/perNode, (last.readsPerSecond-first.readsPerSecond)/perNode)
+	return nil
+}
+
+// bytesPerSecond is the traffic of a node at the designed rate of edits, with
+// headers.
+func (c configCost) bytesPerSecond() float64 {
+	idle := c.idleBytes + c.idleWrites*segmentOverheadBytes
+	edit := c.editBytes + c.editWrites*segmentOverheadBytes
+	return idle + edit*editsPerSecond
+}
+
+// meter is a reading of what a cluster used so far.
+type meter struct {
+	at            time.Time
+	cpu           time.Duration
+	bytes, writes int64
+	reads         uint64
+}
+
+func (c *configNodes) read() meter {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return meter{
+		at: time.Now(), cpu: cpu, reads: c.store.Counts().Reads,
+		bytes: c.traffic.bytes.Load(), writes: c.traffic.writes.Load(),
+	}
+}
+
+// measureConfigCost runs n nodes without edits for a while, and then with edits
+// one after the other.
+func measureConfigCost(n int) (configCost, error) {
+	c, err := startConfigNodes(n)
+	if err != nil {
+		return configCost{}, err
+	}
+	defer c.close()
+	// Connections that the start opened close after the idle time.
+	time.Sleep(configWindow + configWindow/5)
+	before := c.read()
+	time.Sleep(configWindow)
+	idle := c.read()
+	accepted := 0
+	for range configScaleEdits {
+		accepted += c.batch(1)
+	}
+	if accepted != configScaleEdits {
+		return configCost{}, errors.Errorf("%d of %d edits were accepted", accepted, configScaleEdits)
+	}
+	times, err := c.spread(configWait)
+	if err != nil {
+		return configCost{}, err
+	}
+	after := c.read()
+	seconds := idle.at.Sub(before.at).Seconds()
+	// Each byte and write is one node's sent and another's received.
+	perNode := 2 / float64(n)
+	cost := configCost{
+		nodes:          n,
+		idleBytes:      float64(idle.bytes-before.bytes) * perNode / seconds,
+		idleWrites:     float64(idle.writes-before.writes) * perNode / seconds,
+		idleCPU:        (idle.cpu - before.cpu).Seconds() / seconds / float64(n),
+		readsPerSecond: float64(idle.reads-before.reads) / seconds,
+		worst:          times[len(times)-1],
+	}
+	// What the edits added to the idle cost of the same time.
+	busy := after.at.Sub(idle.at).Seconds()
+	edits := float64(configScaleEdits)
+	cost.editBytes = max(0, float64(after.bytes-idle.bytes)*perNode-cost.idleBytes*busy) / edits
+	cost.editWrites = max(0, float64(after.writes-idle.writes)*perNode-cost.idleWrites*busy) / edits
+	cpu := (after.cpu-idle.cpu).Seconds()/float64(n) - cost.idleCPU*busy
+	cost.editCPU = time.Duration(max(0, cpu) / edits * float64(time.Second))
+	return cost, nil
+}
