--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -73,19 +73,25 @@
 		return nil, err
 	}
 	store := platform.NewClient(cfg.Platform.URL)
+	datagrams, err := net.ListenPacket("udp", cfg.Listen.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for membership datagrams")
+	}
 	d.loop = control.New(control.Options{
-		Self:      self,
-		Table:     store,
-		Objects:   store,
-		Instances: store,
-		Engines:   engine.NewControl(),
-		Node:      d.node,
-		Mux:       mux,
-		Seeds:     cfg.Peers.Seeds,
-		Log:       log,
-		Scope:     d.metrics.Scope,
-		Now:       now,
-		Documents: documents,
+		Self:       self,
+		Table:      store,
+		Objects:    store,
+		Instances:  store,
+		Engines:    engine.NewControl(),
+		Node:       d.node,
+		Mux:        mux,
+		Datagrams:  datagrams,
+		PeerSecret: []byte(cfg.Peers.Secret),
+		Seeds:      cfg.Peers.Seeds,
+		Log:        log,
+		Scope:      d.metrics.Scope,
+		Now:        now,
+		Documents:  documents,
 	})
 	d.loop.RegisterSync(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
--- a/control/groups.go
+++ b/control/groups.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/membership"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
@@ -183,11 +184,12 @@
 	return out
 }
 
-// liveEntries lists the entries among which leases are spread.
+// liveEntries lists the entries among which leases are spread. Suspects are
+// left out, so that the next contender need not give them a head start.
 func (l *Loop) liveEntries() []ident.InstanceID {
 	var out []ident.InstanceID
 	for _, e := range l.entries() {
-		if e.Alive && !e.Draining {
+		if !e.Draining && l.entryState(e.Instance) == membership.StateAlive {
 			out = append(out, e.Instance)
 		}
 	}
--- a/control/lease.go
+++ b/control/lease.go
@@ -9,6 +9,7 @@
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/membership"
 	"github.com/bulrushfall/bulrushfall/platform"
 )
 
@@ -32,6 +33,7 @@
 
 func (leave) apply(l *Loop, now time.Duration) {
 	l.groups.leaving = true
+	l.stepMembership(now, membership.Leave{})
 	for _, c := range l.groups.services {
 		l.stepLease(now, c, lease.Leave{})
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,11 @@
 	Node      *wire.Node
 	// Mux takes the handlers for peers' messages. It is the one of Node.
 	Mux *wire.Mux
+	// Datagrams is the socket for membership messages, on the address of the
+	// peer protocol. The loop closes it. Without one, membership is off.
+	Datagrams net.PacketConn
+	// PeerSecret authenticates membership messages.
+	PeerSecret []byte
 	// Seeds are peer addresses that are known at the start.
 	Seeds []string
 	Log   logrus.FieldLogger
@@ -85,6 +91,7 @@
 	listing       bool
 	config        configPart
 	groups        groupsPart
+	membership    membershipPart
 }
 
 type loopCounters struct {
@@ -114,6 +121,7 @@
 	l.snapshot.Store(view.New(view.Snapshot{}))
 	l.startConfig()
 	l.startGroups()
+	l.startMembership()
 	return l
 }
 
@@ -127,6 +135,7 @@
 	defer l.wg.Wait()
 	defer l.config.cancel()
 	defer l.groups.cancel()
+	defer l.runMembership()()
 	l.tick(ctx, l.opts.Now())
 	for {
 		select {
@@ -180,5 +189,6 @@
 	l.listInstances(ctx, now)
 	l.pollMembers(ctx, now)
 	l.tickConfig(now)
+	l.tickMembership(now)
 	l.tickGroups(now)
 }
--- a/control/poll.go
+++ b/control/poll.go
@@ -25,6 +25,7 @@
 	l.forgetGone()
 	l.configInstances(now)
 	l.groupInstances(now)
+	l.membershipInstances(now)
 }
 
 // forgetGone drops the statuses of instances that left the list.
--- a/control/publish.go
+++ b/control/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/membership"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -55,7 +56,7 @@
 			DataCentre:  inst.DataCentre,
 			Region:      inst.Region,
 			Draining:    l.drained(inst),
-			Alive:       true,
+			Alive:       l.entryState(inst.ID) < membership.StateDead,
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -229,20 +229,20 @@
 			m.send(from, Message{Kind: KindAck, Sequence: e.Message.Sequence, Target: m.self.Instance})
 		}
 	case KindRequest:
-		m.relayPing(now, e)
+		m.relayPing(now, from, e.Message)
 	case KindAck:
 		m.ack(e.Message)
 	}
 }
 
-func (m *Machine) relayPing(now time.Duration, e Received) {
-	n, ok := m.nodes[e.Message.Target]
+func (m *Machine) relayPing(now time.Duration, from *node, msg Message) {
+	n, ok := m.nodes[msg.Target]
 	if !ok {
 		return
 	}
 	m.sequence++
 	m.relays = append(m.relays, relay{
-		sequence: m.sequence, to: e.Address, theirs: e.Message.Sequence,
+		sequence: m.sequence, to: from.address, theirs: msg.Sequence,
 		target: n.id, forgotten: now + m.cfg.Interval,
 	})
 	m.send(n, Message{Kind: KindPing, Sequence: m.sequence, Target: n.id})
