--- a/experiment/move.go
+++ b/experiment/move.go
@@ -59,7 +59,7 @@
 	if err := waitServing(ctx, c); err != nil {
 		return err
 	}
-	traffic := newTraffic(c, cfg.Streams, cfg.Orders)
+	traffic := newOpenLoad(c, cfg.Streams, cfg.Orders)
 	done := traffic.start(ctx, cfg.End)
 	drain, err := moveDataCentre(ctx, c, cfg)
 	done()
@@ -117,7 +117,7 @@
 	}
 }
 
-func reportMove(ctx context.Context, w io.Writer, c *cluster.Cluster, cfg MoveConfig, traffic *traffic, drain check.Drain) error {
+func reportMove(ctx context.Context, w io.Writer, c *cluster.Cluster, cfg MoveConfig, traffic *openLoad, drain check.Drain) error {
 	summary := traffic.summary()
 	runs, err := c.OrderRuns()
 	if err != nil {
--- a/experiment/traffic_load.go
+++ b/experiment/open_load.go
@@ -51,10 +51,10 @@
 	result load.Result
 }
 
-// traffic is an open-loop load: requests arrive at a rate, no matter how long
+// openLoad is an open-loop load: requests arrive at a rate, no matter how long
 // the answers take. Each order is placed, and then placed again under the same
 // key through another entry instance.
-type traffic struct {
+type openLoad struct {
 	cluster *cluster.Cluster
 	callers []check.Caller
 	streams float64
@@ -68,8 +68,8 @@
 	clients []*load.Caller
 }
 
-func newTraffic(c *cluster.Cluster, streams, ordersPerSecond float64) *traffic {
-	t := &traffic{cluster: c, streams: streams, rate: ordersPerSecond}
+func newOpenLoad(c *cluster.Cluster, streams, ordersPerSecond float64) *openLoad {
+	t := &openLoad{cluster: c, streams: streams, rate: ordersPerSecond}
 	for i := range loadAccounts {
 		t.clients = append(t.clients, load.NewCaller(cluster.AccountKey(i), seeds(c)))
 	}
@@ -77,7 +77,7 @@
 }
 
 // start sends load for a time. The returned function waits for the last answer.
-func (t *traffic) start(ctx context.Context, length time.Duration) func() {
+func (t *openLoad) start(ctx context.Context, length time.Duration) func() {
 	t.begin = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, length)
 	var feeders sync.WaitGroup
@@ -101,7 +101,7 @@
 }
 
 // arrive starts one request per period.
-func (t *traffic) arrive(ctx context.Context, rate float64, fn func(n int)) {
+func (t *openLoad) arrive(ctx context.Context, rate float64, fn func(n int)) {
 	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer tick.Stop()
 	for n := 0; ; n++ {
@@ -118,7 +118,7 @@
 	}
 }
 
-func (t *traffic) stream(n int) {
+func (t *openLoad) stream(n int) {
 	req := engine.CompletionRequest{
 		Model: cluster.ModelService, Prompt: fmt.Sprintf("request %d for a draft", n), MaxTokens: loadTokens,
 	}
@@ -128,7 +128,7 @@
 
 // order places an order until it is answered, then places it again through
 // other entry instances.
-func (t *traffic) order(n int) {
+func (t *openLoad) order(n int) {
 	id := fmt.Sprintf("order-%d", n)
 	body, err := json.Marshal(orders.Order{ID: id, Item: "cup", Quantity: 1})
 	if err != nil {
@@ -141,7 +141,7 @@
 	t.place(kindRepeat, n, id, body)
 }
 
-func (t *traffic) place(k kind, n int, id string, body []byte) {
+func (t *openLoad) place(k kind, n int, id string, body []byte) {
 	c := t.clients[n%loadAccounts]
 	for try := range orderTries {
 		r := c.Order(context.Background(), "", "/services/"+cluster.OrderService+"/orders", id, body)
@@ -164,7 +164,7 @@
 	load.Failed:   check.OutcomeUnreachable,
 }
 
-func (t *traffic) add(k kind, name string, r load.Result) {
+func (t *openLoad) add(k kind, name string, r load.Result) {
 	c := check.Caller{
 		Request: name, Sent: r.Start, Ended: r.Start.Add(r.Duration), Outcome: outcomes[r.Outcome], Complete: r.Outcome != load.Cut,
 	}
@@ -189,7 +189,7 @@
 }
 
 // seconds groups the streams and first placements by the second they started.
-func (t *traffic) seconds(cfg MoveConfig) []second {
+func (t *openLoad) seconds(cfg MoveConfig) []second {
 	out := make([]second, int(cfg.End/time.Second)+1)
 	for _, s := range t.samples {
 		i := int(s.result.Start.Sub(t.begin) / time.Second)
@@ -222,7 +222,7 @@
 	lost, doubled int
 }
 
-func (t *traffic) summary() *moveSummary {
+func (t *openLoad) summary() *moveSummary {
 	s := &moveSummary{counts: make(map[kind]map[load.Outcome]int), details: make(map[string]int)}
 	for _, k := range []kind{kindStream, kindOrder, kindRepeat} {
 		s.counts[k] = make(map[load.Outcome]int)
@@ -282,7 +282,7 @@
 	}
 	_, _ = fmt.Fprintf(w, "orders placed %d, lost %d, doubled %d\n", s.orders, s.lost, s.doubled)
 	_, _ = fmt.Fprintf(w, "first token: 50th percentile %s, 95th %s, 99th %s\n",
-		quantile(s.firstTokens, 0.50), quantile(s.firstTokens, 0.95), quantile(s.firstTokens, 0.99))
+		latencyQuantile(s.firstTokens, 0.50), latencyQuantile(s.firstTokens, 0.95), latencyQuantile(s.firstTokens, 0.99))
 	details := make([]string, 0, len(s.details))
 	for d := range s.details {
 		details = append(details, d)
@@ -294,8 +294,8 @@
 	return nil
 }
 
-// quantile returns a quantile of unsorted values, rounded to 0.1 ms.
-func quantile(values []time.Duration, q float64) time.Duration {
+// latencyQuantile returns a quantile of unsorted values, rounded to 0.1 ms.
+func latencyQuantile(values []time.Duration, q float64) time.Duration {
 	if len(values) == 0 {
 		return 0
 	}
--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -37,7 +37,7 @@
 	var b strings.Builder
 	b.WriteString("second,answered,late,refused,failed,first_token_p95_ms\n")
 	for i, s := range seconds {
-		p95 := float64(quantile(s.firstToken, 0.95)) / float64(time.Millisecond)
+		p95 := float64(latencyQuantile(s.firstToken, 0.95)) / float64(time.Millisecond)
 		fmt.Fprintf(&b, "%d,%d,%d,%d,%d,%.1f\n", i, s.answered, s.late, s.refused, s.failed, p95)
 	}
 	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
@@ -59,7 +59,7 @@
 		late = append(late, plotter.XY{X: x, Y: float64(s.late)})
 		refused = append(refused, plotter.XY{X: x, Y: float64(s.refused)})
 		failed = append(failed, plotter.XY{X: x, Y: float64(s.failed)})
-		first = append(first, plotter.XY{X: x, Y: float64(quantile(s.firstToken, 0.95)) / float64(time.Millisecond)})
+		first = append(first, plotter.XY{X: x, Y: float64(latencyQuantile(s.firstToken, 0.95)) / float64(time.Millisecond)})
 	}
 	err := plotutil.AddLines(p, "answered", answered, "late", late, "refused", refused, "failed", failed, "first token p95 (ms)", first)
 	if err != nil {
