Return memory after many streams were parked

Cause: 500 stopped readers held 123 KiB of heap and stack each, nearly all of it garbage of the connections before they were parked: an idle process collects every two minutes.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"time"
 
@@ -185,6 +186,8 @@
 		Now:           time.Now,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 	completion Endpoint
 	plain      Endpoint
 	backends   *plainClient
-	parked     parkedStreams
+	parked     *parkedStreams
 	draining   atomic.Bool
 
 	base   context.Context
@@ -101,6 +101,7 @@
 		parked:   newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
 	}
 	g.base, g.cancel = context.WithCancel(context.Background())
+	go g.reclaim()
 	front := []Filter{g.account, g.authenticate, g.classify}
 	filters := append(front, opts.Filters...)
 	g.completion = chain(g.dispatchCompletion, filters...)
--- a/gateway/park.go
+++ b/gateway/park.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,10 +25,12 @@
 	perProcess int
 	accounts   map[ident.Account]int
 	conns      map[*stallConn]struct{}
+	// total counts the streams that were parked so far.
+	total atomic.Uint64
 }
 
-func newParkedStreams(perAccount, perProcess int) parkedStreams {
-	return parkedStreams{
+func newParkedStreams(perAccount, perProcess int) *parkedStreams {
+	return &parkedStreams{
 		perAccount: perAccount,
 		perProcess: perProcess,
 		accounts:   make(map[ident.Account]int),
@@ -41,6 +44,7 @@
 	if p.accounts[account] >= p.perAccount || len(p.conns) >= p.perProcess {
 		return false
 	}
+	p.total.Add(1)
 	p.accounts[account]++
 	p.conns[c] = struct{}{}
 	return true
@@ -122,7 +126,10 @@
 	account := p.request.Account.Name
 	defer g.wg.Done()
 	defer func() { _ = p.writer.Close() }()
-	defer g.parked.remove(account, p.conn)
+	defer func() {
+		g.parked.remove(account, p.conn)
+		g.counters.parkedNow.Update(float64(g.parked.count()))
+	}()
 	for {
 		if err := p.conn.drain(maxParked); err != nil {
 			return
