--- a/experiment/config.go
+++ b/experiment/config.go
@@ -99,7 +99,7 @@
 	}
 	worst := times[len(times)-1]
 	fmt.Fprintf(w, "%s\t%s\t%d of %d\t%s\t%s\t%s\n", k.name, load, accepted, size*rounds,
-		ms(quantile(times, 0.5)), ms(quantile(times, 0.95)), ms(worst))
+		configMS(configQuantile(times, 0.5)), configMS(configQuantile(times, 0.95)), configMS(worst))
 	if worst > configInForce {
 		return errors.Errorf("the worst time %v exceeds the promised %v", worst, configInForce)
 	}
@@ -137,7 +137,7 @@
 			kind = "hangs"
 		}
 		fmt.Fprintf(w, "joiner while the store %s: ready at revision %d after median %s, p95 %s, worst %s (%d joins)\n",
-			kind, floor, ms(quantile(times, 0.5)), ms(quantile(times, 0.95)), ms(times[len(times)-1]), len(times))
+			kind, floor, configMS(configQuantile(times, 0.5)), configMS(configQuantile(times, 0.95)), configMS(times[len(times)-1]), len(times))
 	}
 	return nil
 }
@@ -161,11 +161,11 @@
 	return n.readyIn, nil
 }
 
-// quantile returns a quantile of sorted times.
-func quantile(sorted []time.Duration, q float64) time.Duration {
+// configQuantile returns a quantile of sorted times.
+func configQuantile(sorted []time.Duration, q float64) time.Duration {
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
-func ms(d time.Duration) string {
+func configMS(d time.Duration) string {
 	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
 }
--- a/experiment/config_nodes.go
+++ b/experiment/config_nodes.go
@@ -27,7 +27,7 @@
 type configNode struct {
 	shell    *configshell.Shell
 	node     *wire.Node
-	listener *countingListener
+	listener *configListener
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	ready    chan struct{}
@@ -40,7 +40,7 @@
 	store    *standin.Server
 	nodes    []*configNode
 	addrs    []string
-	traffic  traffic
+	traffic  configTraffic
 	dropPush atomic.Bool
 	rng      *rand.Rand
 	edits    int
@@ -53,51 +53,51 @@
 	inForce  map[ident.Revision][]time.Time
 }
 
-// traffic counts the peer protocol's bytes and writes over all connections.
-type traffic struct{ bytes, writes atomic.Int64 }
+// configTraffic counts the peer protocol's bytes and writes over all connections.
+type configTraffic struct{ bytes, writes atomic.Int64 }
 
-// countingListener counts at the accepting end of each connection.
-type countingListener struct {
+// configListener counts at the accepting end of each connection.
+type configListener struct {
 	net.Listener
-	traffic *traffic
+	traffic *configTraffic
 }
 
-func (l *countingListener) Accept() (net.Conn, error) {
+func (l *configListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: c, traffic: l.traffic}, nil
+	return &configConn{Conn: c, traffic: l.traffic}, nil
 }
 
-type countingConn struct {
+type configConn struct {
 	net.Conn
-	traffic *traffic
+	traffic *configTraffic
 }
 
-func (c *countingConn) Read(b []byte) (int, error) {
+func (c *configConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.bytes.Add(int64(n))
 	c.traffic.writes.Add(1)
 	return n, err
 }
 
-func (c *countingConn) Write(b []byte) (int, error) {
+func (c *configConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.traffic.bytes.Add(int64(n))
 	c.traffic.writes.Add(1)
 	return n, err
 }
 
-// pushDropper loses pushes while it is told to.
-type pushDropper struct {
+// configPushDropper loses pushes while it is told to.
+type configPushDropper struct {
 	configshell.Caller
 	drop *atomic.Bool
 }
 
 var errPushDropped = errors.New("push dropped by the experiment")
 
-func (p pushDropper) Call(ctx context.Context, addr string, kind wire.Kind, req, resp any) error {
+func (p configPushDropper) Call(ctx context.Context, addr string, kind wire.Kind, req, resp any) error {
 	if kind == configshell.KindPush && p.drop.Load() {
 		return errPushDropped
 	}
@@ -147,7 +147,7 @@
 	mux := wire.NewMux()
 	n := &configNode{
 		node:     wire.NewNode(wire.Peer{Instance: ident.InstanceID(addr)}, []byte("experiment"), mux),
-		listener: &countingListener{Listener: l, traffic: &c.traffic},
+		listener: &configListener{Listener: l, traffic: &c.traffic},
 		cancel:   cancel,
 		ready:    make(chan struct{}),
 		started:  time.Now(),
@@ -155,7 +155,7 @@
 	loop := configshell.NewLoop(ctx)
 	machine := config.New(addr, config.DefaultSettings(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
 	store := configshell.NewStore(platform.NewClient(c.store.URL()))
-	n.shell = configshell.New(ctx, machine, store, pushDropper{n.node, &c.dropPush}, loop.Post)
+	n.shell = configshell.New(ctx, machine, store, configPushDropper{n.node, &c.dropPush}, loop.Post)
 	n.shell.Register(mux)
 	var last ident.Revision
 	n.shell.OnPublish = func(v *config.View) {
@@ -286,11 +286,3 @@
 	}
 	return out, missing
 }
-
-// forget starts a new measurement.
-func (c *configNodes) forget() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	clear(c.accepted)
-	clear(c.inForce)
-}
--- a/experiment/config_scale.go
+++ b/experiment/config_scale.go
@@ -61,7 +61,7 @@
 		costs = append(costs, c)
 		fmt.Fprintf(w, "%d\t%.0f\t%.1f\t%.3f%%\t%.0f\t%.1f\t%.0f us\t%.0f\t%.0f\t%s\n",
 			c.nodes, c.idleBytes, c.idleWrites, 100*c.idleCPU, c.editBytes, c.editWrites,
-			float64(c.editCPU)/float64(time.Microsecond), c.bytesPerSecond(), c.readsPerSecond, ms(c.worst))
+			float64(c.editCPU)/float64(time.Microsecond), c.bytesPerSecond(), c.readsPerSecond, configMS(c.worst))
 	}
 	first, last := costs[len(costs)-2], costs[len(costs)-1]
 	line := func(a, b float64) float64 {
@@ -108,19 +108,19 @@
 	return idle + edit*editsPerSecond
 }
 
-// meter is a reading of what a cluster used so far.
-type meter struct {
+// configMeter is a reading of what a cluster used so far.
+type configMeter struct {
 	at            time.Time
 	cpu           time.Duration
 	bytes, writes int64
 	reads         uint64
 }
 
-func (c *configNodes) read() meter {
+func (c *configNodes) read() configMeter {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
-	return meter{
+	return configMeter{
 		at: time.Now(), cpu: cpu, reads: c.store.Counts().Reads,
 		bytes: c.traffic.bytes.Load(), writes: c.traffic.writes.Load(),
 	}
