--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -173,7 +174,17 @@
 	}
 	return newProblem(KindUnknownTarget, http.StatusNotFound, "Nothing has this name",
 		"no %s is called %q: use one of %s, or force=true to drain it before it is listed",
-		q.kind, q.name, strings.Join(known, ", "))
+		q.kind, q.name, someNames(known))
+}
+
+// maxNames bounds the names in a message: there are thousands of instances.
+const maxNames = 10
+
+func someNames(names []string) string {
+	if len(names) <= maxNames {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNames], ", "), len(names)-maxNames)
 }
 
 // run runs an edit of the authenticated team.
