--- a/config/machine.go
+++ b/config/machine.go
@@ -214,7 +214,7 @@
 	m.join.storeAnswered(e.Revision, e.Err)
 	if e.Err != nil && !m.storeFailing {
 		// From now on only peers tell of edits that a push missed.
-		m.nextPeer = min(m.nextPeer, now+m.jitter())
+		m.nextPeer = now
 	}
 	m.storeFailing = e.Err != nil
 	if e.Err != nil {
