trace/machines: replay lease, group, credit, admission, routing and config

Adapters answer what a machine asks of the store, of engines and of peers from small models that follow the trace, and report decisions that break a promise.

--- /dev/null
+++ b/trace/machines/machines.go
@@ -0,0 +1,71 @@
+package machines
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/trace"
+)
+
+// ActionViolation is the action of a decision that breaks a promise.
+const ActionViolation = "violation"
+
+// service is the service that the adapters decide for.
+const serviceName = "quotes"
+
+// constructors of the adapters by name.
+var constructors = map[string]func() trace.Machine{
+	"lease":     func() trace.Machine { return &Lease{} },
+	"group":     func() trace.Machine { return &Group{} },
+	"admission": func() trace.Machine { return &Admission{} },
+	"credit":    func() trace.Machine { return &Credit{} },
+	"config":    func() trace.Machine { return &Config{} },
+	"routing":   func() trace.Machine { return &Routing{} },
+}
+
+// Names lists the machines that New knows.
+func Names() []string {
+	names := make([]string, 0, len(constructors))
+	for n := range constructors {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// New returns the adapters with the given names.
+func New(names ...string) ([]trace.Machine, error) {
+	out := make([]trace.Machine, 0, len(names))
+	for _, n := range names {
+		c, ok := constructors[n]
+		if !ok {
+			return nil, errors.Errorf("no decision machine %q: choose from %s", n, strings.Join(Names(), ", "))
+		}
+		out = append(out, c())
+	}
+	return out, nil
+}
+
+// Replay replays a trace through machines and returns their decisions.
+func Replay(r io.Reader, log io.Writer, names ...string) ([]trace.Decision, trace.Summary, error) {
+	ms, err := New(names...)
+	if err != nil {
+		return nil, trace.Summary{}, err
+	}
+	t, err := trace.NewReader(r)
+	if err != nil {
+		return nil, trace.Summary{}, err
+	}
+	var out []trace.Decision
+	sum, err := trace.NewDriver(ms...).Run(t, log, func(d trace.Decision) { out = append(out, d) })
+	return out, sum, err
+}
+
+// decide formats a decision.
+func decide(action, subject, format string, args ...any) trace.Decision {
+	return trace.Decision{Action: action, Subject: subject, Detail: fmt.Sprintf(format, args...)}
+}
