test/integration: run against the planner, and check drains and racing edits

The entries now form the groups, so the tests crash members and let the planner repair them; the fault proxy is put in front of the backend servers before the entries start, through a new hook of package cluster.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -76,18 +76,27 @@
 	if err := c.startBackends(); err != nil {
 		return err
 	}
+	backends := c.cfg.OrderSystems + c.cfg.EnginesPerDataCentre*len(c.cfg.DataCentres)
+	if err := c.waitListed(ctx, backends); err != nil {
+		return err
+	}
+	if c.cfg.BeforeEntries != nil {
+		if err := c.cfg.BeforeEntries(ctx, c); err != nil {
+			return err
+		}
+	}
 	if err := c.startEntries(); err != nil {
 		return err
 	}
-	if err := c.waitListed(ctx); err != nil {
+	if err := c.waitListed(ctx, backends+c.cfg.Entries); err != nil {
 		return err
 	}
 	return c.WaitReady(ctx)
 }
 
-// waitListed waits until the platform's lagging list shows every instance.
-func (c *Cluster) waitListed(ctx context.Context) error {
-	want := c.cfg.Entries + c.cfg.OrderSystems + c.cfg.EnginesPerDataCentre*len(c.cfg.DataCentres)
+// waitListed waits until the platform's lagging list shows a number of
+// instances.
+func (c *Cluster) waitListed(ctx context.Context, want int) error {
 	return Wait(ctx, startTimeout, "all instances are listed", func() bool {
 		instances, err := c.Instances(ctx)
 		return err == nil && len(instances) == want
--- a/cluster/config.go
+++ b/cluster/config.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -29,6 +30,9 @@
 	// Settings are lines appended to each entry instance's settings file.
 	Settings string
 	LogLevel string
+	// BeforeEntries, if set, runs when all backend servers are listed and no
+	// entry instance has started. A test can put a proxy in front of them.
+	BeforeEntries func(ctx context.Context, c *Cluster) error
 }
 
 // Names used by the default documents.
--- a/standin/engine/debug.go
+++ b/standin/engine/debug.go
@@ -25,6 +25,7 @@
 	})
 	mux.HandleFunc("POST /debug/crash", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
+		_ = http.NewResponseController(w).Flush()
 		e.Crash("crash on command")
 	})
 	mux.HandleFunc("POST /debug/slow", func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/test/integration/operators_test.go
@@ -0,0 +1,197 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/check"
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/config"
+	"github.com/bulrushfall/bulrushfall/gateway"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/operator"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/standin/history"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// observeInterval separates observations of lookups and revisions.
+const observeInterval = 100 * time.Millisecond
+
+func operatorOf(e *cluster.Entry) *operator.Client {
+	return operator.NewClient([]string{e.Operators}, cluster.TeamToken)
+}
+
+// pause waits between two observations.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// observe records the revision that each entry has in force and its lookup
+// answer.
+func (r *rig) observe(ctx context.Context, e *cluster.Entry) {
+	defer pause(ctx, observeInterval)
+	sent := time.Now()
+	status, err := operatorOf(e).Status(ctx)
+	var answer gateway.LookupAnswer
+	ok := r.get("http://"+e.Callers+"/v1/lookup", &answer)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && status.Ready {
+		r.history.InForce = append(r.history.InForce, check.InForce{
+			Node: e.Instance, Incarnation: status.Incarnation, Revision: status.Revision, At: sent,
+		})
+	}
+	if ok {
+		for _, a := range answer.Addresses {
+			r.history.Lookups = append(r.history.Lookups, check.Lookup{At: sent, Entry: a.Instance, DataCentre: a.DataCentre})
+		}
+	}
+}
+
+// edited records an accepted edit.
+func (r *rig) edited(record string, a operator.Accepted) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Accepted = append(r.history.Accepted, check.Accepted{Record: record, Revision: a.Revision, At: time.Now()})
+}
+
+// TestDataCentreDrainedUnderLoad guards against new work in a drained data
+// centre, against requests that the drain cuts, and against a data centre that
+// does not come back.
+func TestDataCentreDrainedUnderLoad(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	seeds := []string{r.c.Entries[0].Callers, r.c.Entries[1].Callers, r.c.Entries[2].Callers}
+	entryAt := make(map[string]*cluster.Entry)
+	for _, e := range r.c.Entries {
+		entryAt[e.Callers] = e
+	}
+	var n atomic.Int64
+	stopLoad := background(t, 4, func(context.Context, int) {
+		c := load.NewCaller(cluster.AccountKey(1), seeds)
+		defer c.Close()
+		prompt := fmt.Sprintf("%s %d", t.Name(), n.Add(1))
+		res := c.Stream(r.ctx, request(prompt, 10), deadline)
+		r.record(entryAt[res.Entry], history.PromptRequest(prompt), res, false)
+	})
+	defer stopLoad()
+	stopObservers := background(t, len(r.c.Entries), func(ctx context.Context, i int) { r.observe(ctx, r.c.Entries[i]) })
+	defer stopObservers()
+	inA := func(since time.Time) int { return r.servedIn("dc-a", since) }
+	r.wait("work in both data centres", func() bool { return inA(time.Time{}) > 3 && r.servedIn("dc-b", time.Time{}) > 3 })
+
+	client := operatorOf(r.c.Entries[0])
+	accepted, err := client.SetDrain(r.ctx, config.DrainDataCentre, "dc-a", true, operator.Edit{Reason: "test"})
+	assert.NilError(t, err)
+	drained := time.Now()
+	r.edited("drain/dc-a", accepted)
+	limit := check.DefaultLimits().Drain
+	r.wait("work long after the drain", func() bool {
+		return time.Since(drained) > limit+time.Second && r.servedIn("dc-b", drained.Add(limit)) > 20
+	})
+	restored := time.Now()
+	accepted, err = client.SetDrain(r.ctx, config.DrainDataCentre, "dc-a", false, operator.Edit{Expected: accepted.Revision})
+	assert.NilError(t, err)
+	r.edited("drain/dc-a", accepted)
+	r.wait("work in the restored data centre", func() bool { return inA(restored) > 3 })
+	stopLoad()
+	stopObservers()
+	r.history.Drains = append(r.history.Drains, check.Drain{Kind: check.DrainDataCentre, Name: "dc-a", At: drained, Restored: restored})
+	assert.Assert(t, len(r.history.Lookups) > 0)
+	for _, c := range r.history.Callers {
+		assert.Equal(t, c.Outcome, check.OutcomeAnswered, "%s", c.String())
+	}
+	r.judge()
+}
+
+// servedIn counts the requests that engines of a data centre took since then.
+func (r *rig) servedIn(dc ident.DataCentre, since time.Time) int {
+	var engines []platform.Instance
+	for _, e := range r.engines {
+		if e.DataCentre == dc {
+			engines = append(engines, e)
+		}
+	}
+	h, _, err := history.Collect(r.ctx, r.c.PlatformURL, engines)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, s := range h.Served {
+		if s.Start.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRacingEdits guards against edits that are lost in a race, in a store that
+// loses answers, or at an entry that starts again, and against an entry that
+// falls back to an earlier revision.
+func TestRacingEdits(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	assert.NilError(t, r.c.SetFaults(standin.Faults{LoseAnswers: 3, LoseTable: "config"}))
+	stopObservers := background(t, len(r.c.Entries)-1, func(ctx context.Context, i int) { r.observe(ctx, r.c.Entries[i]) })
+	defer stopObservers()
+	const rounds = 5
+	var expected ident.Revision
+	for round := range rounds {
+		if round == 2 {
+			r.c.Entries[2].Kill()
+		}
+		var wg sync.WaitGroup
+		answers, errs := make([]operator.Accepted, 2), make([]error, 2)
+		for i := range 2 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				answers[i], errs[i] = operatorOf(r.c.Entries[i]).SetDrain(r.ctx, config.DrainPartner, "firm", round%2 == 0,
+					operator.Edit{Expected: expected, Force: true, Reason: fmt.Sprintf("operator %d", i)})
+			}()
+		}
+		wg.Wait()
+		won := 0
+		for i := range 2 {
+			if errs[i] == nil {
+				won++
+				expected = answers[i].Revision
+				r.edited("drain/firm", answers[i])
+				continue
+			}
+			var problem *operator.Problem
+			assert.Assert(t, errors.As(errs[i], &problem) && problem.Status == http.StatusConflict, "%v", errs[i])
+		}
+		assert.Equal(t, won, 1, "round %d", round)
+	}
+	var counts standin.Counts
+	assert.Assert(t, r.get(r.c.PlatformURL+"/debug/counts", &counts))
+	assert.Equal(t, counts.LostAnswers, uint64(3))
+	assert.NilError(t, r.c.StartEntry(r.c.Entries[2]))
+	r.wait("the entry that started again has the last edit", func() bool {
+		status, err := operatorOf(r.c.Entries[2]).Status(r.ctx)
+		if err == nil && status.Ready {
+			assert.Assert(t, status.Revision >= expected, "ready at revision %d of %d", status.Revision, expected)
+		}
+		return err == nil && status.Ready
+	})
+	accepted := time.Now()
+	r.wait("observations past the limit", func() bool { return time.Since(accepted) > check.DefaultLimits().Config+time.Second })
+	stopObservers()
+	assert.Assert(t, len(r.history.InForce) > 20)
+	r.judge()
+}
