--- /dev/null
+++ b/test/integration/engines_test.go
@@ -0,0 +1,88 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/load"
+	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
+)
+
+// TestEnginesRestartUnderLoad guards against the load of a warm engine on one
+// that has just restarted: it would die again of its cold limit.
+func TestEnginesRestartUnderLoad(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, func(c *cluster.Config) {
+		c.EngineFlags = append(c.EngineFlags, "--cold-time", "2s", "--cold-limit", "1")
+	})
+	r.serve()
+	var n atomic.Int64
+	stopLoad := background(t, 10, func(_ context.Context, worker int) {
+		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 10)
+		assert.Check(t, res.Outcome == load.Answered || res.Outcome == load.NotRun, "%s %s", res.Outcome, res.Detail)
+	})
+	defer stopLoad()
+	leaders := r.leaders()
+	for _, leader := range leaders[:2] {
+		r.wait("work at the engine", func() bool { return r.engineRecord(leader).Running > 0 })
+		r.post("http://"+leader.Address+"/debug/crash", nil)
+	}
+	r.waitGroups()
+	for _, leader := range leaders[:2] {
+		before := len(r.engineRecord(leader).Requests)
+		r.wait("work at the engine after its restart", func() bool {
+			return len(r.engineRecord(leader).Requests) > before || !r.leads(leader)
+		})
+	}
+	stopLoad()
+	commanded := 0
+	for _, e := range r.engines {
+		for _, ev := range r.engineRecord(e).Events {
+			if ev.Kind != standinengine.EventCrash {
+				continue
+			}
+			assert.Assert(t, strings.Contains(ev.Detail, "command"), "%s died: %s", e.ID, ev.Detail)
+			commanded++
+		}
+	}
+	assert.Equal(t, commanded, 2)
+	r.judge()
+}
+
+// TestDataCentreOfEnginesPaused guards against streams that wait for paused
+// engines, and against groups that are not whole when the engines wake up with
+// what they held before.
+func TestDataCentreOfEnginesPaused(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	p := prompts(t, 6)
+	results := r.streams(r.c.Entries, p)
+	inA := 0
+	for _, s := range r.waitRunning(p) {
+		if s.leader.DataCentre == "dc-a" {
+			inA++
+		}
+	}
+	assert.Assert(t, inA > 0, "no stream runs in the data centre that is paused")
+	engines := r.c.Engines[0]
+	assert.NilError(t, engines.Signal(syscall.SIGSTOP))
+	r.wait("the engines are stopped", func() bool { return processState(t, engines.PID()) == "T" })
+	allAnswered(t, results())
+	assert.Equal(t, processState(t, engines.PID()), "T")
+	assert.NilError(t, engines.Signal(syscall.SIGCONT))
+	r.waitGroups()
+	again := prompts(t, 12)
+	for i := range again {
+		again[i] += " after the pause"
+	}
+	allAnswered(t, r.streams(r.c.Entries, again)())
+	r.judge()
+}
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -181,6 +181,16 @@
 	return out
 }
 
+// leads reports whether an engine leads a group.
+func (r *rig) leads(e platform.Instance) bool {
+	for _, l := range r.leaders() {
+		if l.ID == e.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // crashMember kills a member of a leader's group that is not the leader.
 func (r *rig) crashMember(leader platform.Instance) {
 	r.t.Helper()
