--- a/trace/machines/config.go
+++ b/trace/machines/config.go
@@ -102,6 +102,7 @@
 	rng := rand.New(rand.NewPCG(c.seed, uint64(n.run)<<32|uint64(len(n.id))))
 	n.m = config.New(string(n.id), config.DefaultSettings(), rng)
 	n.store = configshell.NewStore(&nodeTable{c: c, n: n})
+	n.store.Parallel = 1 // the replay has one goroutine
 }
 
 // introduce tells every node its peers.
@@ -206,8 +207,8 @@
 		head, records, err := n.store.Scan(ctx)
 		c.later(now, d, n, config.Scanned{Head: head, Records: records, Err: err})
 	case config.ReadEditRows:
-		rows, err := n.store.Rows(ctx, a.Key)
-		c.later(now, d, n, config.EditRowsRead{Attempt: a.Attempt, Rows: rows, Err: err})
+		rows, err := n.store.Rows(ctx, a.Keys)
+		c.later(now, d, n, config.EditRowsRead{Batch: a.Batch, Rows: rows, Err: err})
 	case config.Commit:
 		c.later(now, d, n, n.store.Commit(ctx, a))
 	case config.Pull:
