--- a/control/loop.go
+++ b/control/loop.go
@@ -28,6 +28,9 @@
 	tickInterval = 250 * time.Millisecond
 	// instancesInterval is the time between reads of the instance list.
 	instancesInterval = time.Second
+	// publishDelay merges the events of a moment into one snapshot: a holder
+	// receives the answers to its polls in bursts.
+	publishDelay = 5 * time.Millisecond
 	// eventBuffer bounds events that wait for the control goroutine.
 	eventBuffer = 4096
 	// maxPolls bounds concurrent status polls.
@@ -136,19 +139,29 @@
 	defer l.config.cancel()
 	defer l.groups.cancel()
 	defer l.runMembership()()
+	publish := time.NewTimer(0)
+	defer publish.Stop()
+	due := true
 	l.tick(ctx, l.opts.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-publish.C:
+			due = false
+			l.publish(l.opts.Now())
+			l.reportLoad(l.opts.Now())
+			continue
 		case <-tick.C:
 			l.tick(ctx, l.opts.Now())
 		case e := <-l.events:
 			e.apply(l, l.opts.Now())
 			l.drainEvents()
 		}
-		l.publish(l.opts.Now())
-		l.reportLoad(l.opts.Now())
+		if !due {
+			due = true
+			publish.Reset(publishDelay)
+		}
 	}
 }
 
