lease, group: bound contention at many entries and the cost of a tick

A drained member is swapped at once when a spare with loaded weights is free, in place of waiting for a new group.

--- a/experiment/model.go
+++ b/experiment/model.go
@@ -73,6 +73,8 @@
 	Entries    []*ModelEntry
 	StoreDown  time.Duration
 	Violations []string
+	// Observe sees the processor time of each planner step.
+	Observe func(ev group.Event, d time.Duration)
 
 	rng       *rand.Rand
 	events    eventHeap
--- a/experiment/model_entry.go
+++ b/experiment/model_entry.go
@@ -163,7 +163,12 @@
 }
 
 func (e *ModelEntry) step(ev group.Event) {
-	for _, a := range e.Planner.Step(e.m.Now, ev) {
+	start := time.Now()
+	actions := e.Planner.Step(e.m.Now, ev)
+	if e.m.Observe != nil {
+		e.m.Observe(ev, time.Since(start))
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case group.ReadAll:
 			e.readAll()
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -28,19 +29,18 @@
 
 func (p *Planner) lossOf(now time.Duration, g *group) loss {
 	l := loss{size: len(g.row.Members)}
-	for _, m := range g.row.Members {
-		i, ok := p.instances[m.Instance]
+	for n, i := range g.members {
 		switch {
-		case !ok || i.gone():
+		case i.gone():
 			l.dead++
 			l.missing++
 			continue
 		case p.silent(now, i):
 			l.silent++
-		case p.memberDead(now, g, m, i):
+		case p.memberDead(now, g, g.row.Members[n].Incarnation, i):
 			l.dead++
 		}
-		if p.drained(i) {
+		if i.out {
 			l.drained++
 		}
 		if !p.usable(now, i) {
@@ -52,16 +52,16 @@
 
 // usable reports whether a member can be part of the next epoch of its group.
 func (p *Planner) usable(now time.Duration, i *instance) bool {
-	return !i.gone() && p.fresh(now, i) && !p.drained(i) && now >= i.avoidUntil && !i.slow.slow
+	return !i.gone() && p.fresh(now, i) && !i.out && now >= i.avoidUntil && !i.slow.slow
 }
 
 // memberDead reports whether a member that answers is lost to its group.
-func (p *Planner) memberDead(now time.Duration, g *group, m Member, i *instance) bool {
+func (p *Planner) memberDead(now time.Duration, g *group, assigned ident.Incarnation, i *instance) bool {
 	if !i.report.OK {
 		return false
 	}
 	s := &i.report.Status
-	if s.Incarnation != m.Incarnation {
+	if s.Incarnation != assigned {
 		return true
 	}
 	if serves(i, &g.row) {
@@ -80,14 +80,14 @@
 		p.runStopping(now, g)
 		return
 	}
-	l := p.lossOf(now, g)
-	g.brokenSince = firstSeen(now, g.brokenSince, l.any())
-	g.drainedSince = firstSeen(now, g.drainedSince, l.drained > 0)
-	if l.any() {
+	g.loss, g.serves = p.lossOf(now, g), p.ready(now, g)
+	g.brokenSince = firstSeen(now, g.brokenSince, g.loss.any())
+	g.drainedSince = firstSeen(now, g.drainedSince, g.loss.drained > 0)
+	if g.serves || g.loss.any() {
 		return
 	}
-	for rank, m := range g.row.Members {
-		if i := p.instances[m.Instance]; p.needsAssign(now, g, i) {
+	for rank, i := range g.members {
+		if p.needsAssign(now, g, i) {
 			p.sendAssign(now, g, rank, i)
 		}
 	}
@@ -108,7 +108,7 @@
 // that is younger than the last command. A member that another group holds is
 // left alone.
 func (p *Planner) needsAssign(now time.Duration, g *group, i *instance) bool {
-	return i != nil && p.fresh(now, i) && !serves(i, &g.row) && i.idle() &&
+	return p.fresh(now, i) && !serves(i, &g.row) && i.idle() &&
 		i.report.Sent >= i.commands.settledAt && p.mayCommand(now, i)
 }
 
@@ -123,7 +123,7 @@
 // stopping since an instant.
 func (p *Planner) stopped(i *instance, k groupKey, since time.Duration) bool {
 	switch {
-	case i == nil || i.gone():
+	case i.gone():
 		return true
 	case !i.commands.settled():
 		return false
@@ -139,7 +139,7 @@
 // the leader is told to drain; the others keep working for it.
 func (p *Planner) runStopping(now time.Duration, g *group) {
 	k := groupKey{g.row.ID, g.row.Epoch}
-	leader := p.instances[g.row.Members[0].Instance]
+	leader := g.members[0]
 	if g.graceful && (now-g.since >= p.cfg.DrainTimeout || p.lossOf(now, g).any()) {
 		g.graceful = false
 	}
@@ -149,8 +149,7 @@
 		}
 		return
 	}
-	for _, m := range g.row.Members {
-		i := p.instances[m.Instance]
+	for _, i := range g.members {
 		if !p.stopped(i, k, g.since) && p.mayCommand(now, i) {
 			p.sendRelease(now, i, k, g.version, false)
 		}
@@ -162,8 +161,7 @@
 func (p *Planner) ended(now time.Duration, g *group) bool {
 	k := groupKey{g.row.ID, g.row.Epoch}
 	ended := true
-	for _, m := range g.row.Members {
-		i := p.instances[m.Instance]
+	for _, i := range g.members {
 		switch {
 		case p.stopped(i, k, g.since):
 			g.leftAt = firstSeen(now, g.leftAt, true)
@@ -179,10 +177,9 @@
 // next assignment, so it has to wait until the last confirmation of the old
 // group has expired at every entry.
 func (p *Planner) refusesOld(g *group, k groupKey) bool {
-	m := g.row.Members[0]
-	i := p.instances[m.Instance]
+	i := g.members[0]
 	switch {
-	case i == nil || i.gone() || i.report.Status.Incarnation != m.Incarnation:
+	case i.gone() || i.report.Status.Incarnation != g.row.Members[0].Incarnation:
 		// Connections are bound to an incarnation.
 		return true
 	case !p.stopped(i, k, g.since):
@@ -193,24 +190,18 @@
 
 // stray reports whether an assigned instance is in no group of the table: its
 // group went on without it.
-func (p *Planner) stray(i *instance) bool {
-	if i.assigned == nil {
-		return false
-	}
-	g, ok := p.groups[i.assigned.Group]
-	return !ok || g.row.Epoch != i.assigned.Epoch || g.row.index(i.info.ID) < 0
-}
+func (i *instance) stray() bool { return i.assigned != nil && i.member == nil }
 
 // runStrays releases instances that hold a group they no longer belong to.
 func (p *Planner) runStrays(now time.Duration) {
 	for _, i := range p.order {
-		if !p.fresh(now, i) || !p.mayCommand(now, i) {
+		s := &i.report.Status
+		if i.member != nil || (i.assigned == nil && s.Group == "") || !p.fresh(now, i) || !p.mayCommand(now, i) {
 			continue
 		}
-		s := &i.report.Status
 		k := groupKey{s.Group, s.Epoch}
 		switch {
-		case p.stray(i):
+		case i.stray():
 			k = i.assignedKey()
 			if !p.stopped(i, k, i.strayFrom) {
 				p.sendRelease(now, i, k, i.version, false)
--- a/group/place.go
+++ b/group/place.go
@@ -15,7 +15,7 @@
 func (p *Planner) free(now time.Duration, i *instance) bool {
 	return i.assigned == nil && !i.gone() && p.fresh(now, i) && i.idle() &&
 		(i.report.Status.State == engine.StateIdle || i.report.Status.Group != "") &&
-		!p.drained(i) && now >= i.blockedUntil && now >= i.avoidUntil && !i.slow.slow &&
+		!i.out && now >= i.blockedUntil && now >= i.avoidUntil && !i.slow.slow &&
 		i.commands.settled() && i.commands.pending == 0
 }
 
@@ -125,9 +125,9 @@
 // cannot stay is replaced in its rank by a free instance of the domain.
 func (p *Planner) repaired(now time.Duration, g *group) ([]*instance, bool) {
 	var free []*instance
-	out := make([]*instance, len(g.row.Members))
-	for rank, m := range g.row.Members {
-		if i, ok := p.instances[m.Instance]; ok && p.usable(now, i) {
+	out := make([]*instance, len(g.members))
+	for rank, i := range g.members {
+		if p.usable(now, i) {
 			out[rank] = i
 			continue
 		}
@@ -146,9 +146,8 @@
 func (p *Planner) reform(g *group, members []*instance) {
 	p.Counters.Swapped++
 	var out []*instance
-	for _, m := range g.row.Members {
-		i := p.instances[m.Instance]
-		if i != nil && i.assigned != nil && !slices.Contains(members, i) {
+	for _, i := range g.members {
+		if i.member == g && !slices.Contains(members, i) {
 			out = append(out, i)
 		}
 	}
@@ -182,11 +181,12 @@
 		return append(writes, deletes...)
 	}
 	p.begin(conds, build, func(version uint64) {
-		p.groups[row.ID] = &group{row: row, version: version, since: p.lastStep}
+		next := &group{row: row, version: version, members: members, since: p.lastStep}
+		p.groups[row.ID] = next
 		for rank, i := range members {
 			m := row.Members[rank]
 			i.assigned = &Assignment{row.ID, row.Epoch, p.service, m.Incarnation, row.Attempt}
-			i.version = version
+			i.version, i.member = version, next
 			i.commands.next = 0
 		}
 		p.removed(gone, leavers)
@@ -198,8 +198,8 @@
 	p.Counters.Dissolved++
 	key := Key(p.service, g.row.ID)
 	var members []*instance
-	for _, m := range g.row.Members {
-		if i := p.instances[m.Instance]; i != nil && i.assigned != nil {
+	for _, i := range g.members {
+		if i.member == g {
 			members = append(members, i)
 		}
 	}
@@ -218,7 +218,7 @@
 	var deletes []platform.Write
 	k := groupKey{g.row.ID, g.row.Epoch}
 	for _, i := range leavers {
-		if p.stopped(i, k, g.since) && i.assignedKey() == k {
+		if p.stopped(i, k, g.since) {
 			gone = append(gone, i)
 			conds = append(conds, i.condition())
 			deletes = append(deletes, platform.Write{RowKey: AssignmentKey(i.info.ID), Delete: true})
@@ -234,7 +234,7 @@
 // removed records which leavers lost their row; the others are strays now.
 func (p *Planner) removed(gone, leavers []*instance) {
 	for _, i := range leavers {
-		i.strayFrom = p.lastStep
+		i.member, i.strayFrom = nil, p.lastStep
 	}
 	for _, i := range gone {
 		i.assigned, i.version = nil, 0
@@ -244,7 +244,7 @@
 // clearStrays deletes the row of one stray that has provably left its group.
 func (p *Planner) clearStrays() bool {
 	for _, i := range p.order {
-		if !p.stray(i) || !p.stopped(i, i.assignedKey(), i.strayFrom) {
+		if !i.stray() || !p.stopped(i, i.assignedKey(), i.strayFrom) {
 			continue
 		}
 		p.begin([]platform.Condition{i.condition()}, func(string) []platform.Write {
--- a/group/plan.go
+++ b/group/plan.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for _, c := range roles {
-		if p.rollOut(now, c) || p.trim(now, c) {
+		if p.rollOut(now, c) || p.trim(c) {
 			return
 		}
 	}
@@ -90,11 +90,14 @@
 	case g.brokenSince > 0:
 		return
 	}
-	if p.ready(now, g) && g.drainedSince == 0 {
+	if g.serves && g.drainedSince == 0 {
 		c.ready++
 	}
 	switch {
 	case g.drainedSince > 0:
+		if p.swapReady(now, g) {
+			c.coming++
+		}
 	case p.current(&g.row):
 		c.current++
 		c.healthy = append(c.healthy, g)
@@ -160,7 +163,7 @@
 		if g.brokenSince == 0 || g.row.State != StateActive {
 			continue
 		}
-		l := p.lossOf(now, g)
+		l := g.loss
 		if !l.any() || l.dark() {
 			continue
 		}
@@ -194,26 +197,26 @@
 		return false
 	}
 	for _, g := range c.stale {
-		if !p.ready(now, g) {
+		if !g.serves {
 			return p.stop(g, false, false)
 		}
 	}
 	if c.counted() < c.want && c.counted()+len(c.stale) < c.want+surge && p.form(now, c.role) {
 		return true
 	}
-	if !p.settledRole(now, c) || c.ready-1 < p.minimum(c) {
+	if !p.settledRole(c) || c.ready-1 < p.minimum(c) {
 		return false
 	}
 	return p.stop(c.stale[0], true, false)
 }
 
 // settledRole reports whether no group of the role is changing.
-func (p *Planner) settledRole(now time.Duration, c *census) bool {
+func (p *Planner) settledRole(c *census) bool {
 	if c.coming > 0 {
 		return false
 	}
 	for _, g := range c.healthy {
-		if !p.ready(now, g) {
+		if !g.serves {
 			return false
 		}
 	}
@@ -233,12 +236,12 @@
 }
 
 // trim stops groups above the wanted number, those that do not serve first.
-func (p *Planner) trim(now time.Duration, c *census) bool {
+func (p *Planner) trim(c *census) bool {
 	if c.current <= c.want {
 		return false
 	}
 	for _, g := range c.healthy {
-		if !p.ready(now, g) {
+		if !g.serves {
 			return p.stop(g, false, false)
 		}
 	}
@@ -255,7 +258,10 @@
 		if g.drainedSince == 0 || g.brokenSince > 0 || g.row.State != StateActive {
 			continue
 		}
-		replaced := !p.below(roles, g.row.Role) && p.allReady(now, roles, g.row.Role)
+		if p.swapReady(now, g) {
+			return p.stop(g, true, true)
+		}
+		replaced := !p.below(roles, g.row.Role) && p.allReady(roles, g.row.Role)
 		if !replaced && now-g.drainedSince < p.cfg.DrainGrace {
 			continue
 		}
@@ -268,10 +274,20 @@
 	return false
 }
 
-func (p *Planner) allReady(now time.Duration, roles []*census, r engine.Role) bool {
+// swapReady reports whether instances with loaded weights can take the place of
+// the drained members of a group. That takes less time than a new group.
+func (p *Planner) swapReady(now time.Duration, g *group) bool {
+	if !p.cfg.Policy.Swap || g.brokenSince > 0 || g.row.State != StateActive || !p.current(&g.row) {
+		return false
+	}
+	members, ok := p.repaired(now, g)
+	return ok && !slices.ContainsFunc(members, func(i *instance) bool { return i.member != g && !p.preloaded(i) })
+}
+
+func (p *Planner) allReady(roles []*census, r engine.Role) bool {
 	for _, c := range roles {
 		for _, g := range c.healthy {
-			if c.role == r && !p.ready(now, g) {
+			if c.role == r && !g.serves {
 				return false
 			}
 		}
@@ -285,7 +301,7 @@
 		return false
 	}
 	for _, c := range roles {
-		if len(c.healthy) == 0 || c.counted() < c.want || !p.settledRole(now, c) || c.ready-1 < p.minimum(c) {
+		if len(c.healthy) == 0 || c.counted() < c.want || !p.settledRole(c) || c.ready-1 < p.minimum(c) {
 			continue
 		}
 		for _, g := range c.healthy {
--- a/group/planner.go
+++ b/group/planner.go
@@ -37,6 +37,9 @@
 type instance struct {
 	info   platform.Instance
 	missed int
+	// out instances may get no new work: they are leaving, drained or excluded
+	// by the document.
+	out    bool
 	report Report
 	// lastOK is when the last answered poll was sent.
 	lastOK time.Duration
@@ -44,6 +47,8 @@
 	// assigned is the instance's row if it belongs to this service.
 	assigned *Assignment
 	version  uint64
+	// member is the group whose current epoch the instance belongs to.
+	member *group
 	// strayFrom is when the group of the row went on without the instance.
 	strayFrom time.Duration
 
@@ -59,6 +64,11 @@
 type group struct {
 	row     Row
 	version uint64
+	// members are the instances in rank order.
+	members []*instance
+	// loss and serves are as of the last tick.
+	loss   loss
+	serves bool
 	// since is when the state or epoch was written or first read.
 	since time.Duration
 	// graceful groups finish running requests while they stop.
@@ -94,6 +104,7 @@
 	drains    drainSet
 	times     []int
 	nextSpeed time.Duration
+	nextSpare time.Duration
 
 	// reachableFrom is the earliest instant from which silence of a member
 	// counts.
@@ -156,10 +167,13 @@
 		return nil
 	case DocumentChanged:
 		p.doc, p.hasDoc = e.Document, true
+		p.updateDrained()
 	case InstancesListed:
 		p.list(e.Instances)
+		p.updateDrained()
 	case DrainsChanged:
 		p.drains = newDrainSet(e)
+		p.updateDrained()
 	case LeaseChanged:
 		p.leaseChanged(now, e)
 	case Committed:
@@ -222,7 +236,7 @@
 	clear(p.groups)
 	p.sorted = nil
 	for _, i := range p.instances {
-		i.assigned, i.version = nil, 0
+		i.assigned, i.version, i.member = nil, 0, nil
 	}
 }
 
@@ -296,6 +310,12 @@
 	return d
 }
 
+func (p *Planner) updateDrained() {
+	for _, i := range p.order {
+		i.out = p.drained(i)
+	}
+}
+
 // drained reports whether an instance may get no new work.
 func (p *Planner) drained(i *instance) bool {
 	if i.info.State == platform.StateLeaving || p.drains.instances[i.info.ID] ||
@@ -330,10 +350,9 @@
 	if g.row.State != StateActive {
 		return false
 	}
-	for _, m := range g.row.Members {
-		i, ok := p.instances[m.Instance]
-		if !ok || !serves(i, &g.row) || !confirms(&i.report, p.service, now) ||
-			i.report.Status.Incarnation != m.Incarnation {
+	for n, i := range g.members {
+		if !serves(i, &g.row) || !confirms(&i.report, p.service, now) ||
+			i.report.Status.Incarnation != g.row.Members[n].Incarnation {
 			return false
 		}
 	}
@@ -387,10 +406,7 @@
 func (p *Planner) CapacityWithout(now time.Duration, partner ident.Partner) int {
 	n := 0
 	for _, g := range p.sorted {
-		uses := slices.ContainsFunc(g.row.Members, func(m Member) bool {
-			i, ok := p.instances[m.Instance]
-			return ok && i.info.Partner == partner
-		})
+		uses := slices.ContainsFunc(g.members, func(i *instance) bool { return i.info.Partner == partner })
 		if !uses && p.ready(now, g) {
 			n++
 		}
--- a/group/rows.go
+++ b/group/rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -107,8 +106,3 @@
 	}
 	return b
 }
-
-// index returns the rank of an instance, or -1.
-func (r *Row) index(id ident.InstanceID) int {
-	return slices.IndexFunc(r.Members, func(m Member) bool { return m.Instance == id })
-}
--- a/group/spare.go
+++ b/group/spare.go
@@ -19,14 +19,18 @@
 	return slices.Contains(i.report.Status.Preloaded, p.doc.Model.Name+"@"+p.doc.Model.Version)
 }
 
+// spareInterval is the time between two looks at the spares.
+const spareInterval = time.Second
+
 // preload keeps spares in the domains that groups use. A bounded number of
 // preloads runs at a time, so that loads of groups get their share of the
 // weight store.
 func (p *Planner) preload(now time.Duration) {
 	wanted := p.doc.Replicas.SparesPerDomain
-	if !p.cfg.Policy.Spares || wanted == 0 || p.doc.Kind != service.KindModel {
+	if !p.cfg.Policy.Spares || wanted == 0 || p.doc.Kind != service.KindModel || now < p.nextSpare {
 		return
 	}
+	p.nextSpare = now + spareInterval
 	need := make(map[ident.Domain]int)
 	for _, g := range p.sorted {
 		if g.row.State == StateActive && g.drainedSince == 0 {
@@ -39,6 +43,9 @@
 		if i.preloadFrom > 0 && (p.preloaded(i) || now-i.preloadFrom >= p.cfg.PreloadTimeout || i.assigned != nil) {
 			i.preloadFrom = 0
 		}
+		if i.assigned != nil {
+			continue
+		}
 		loading := i.preloadFrom > 0
 		if loading {
 			running++
@@ -104,8 +111,5 @@
 }
 
 func (p *Planner) hasStraggler(g *group) bool {
-	return slices.ContainsFunc(g.row.Members, func(m Member) bool {
-		i, ok := p.instances[m.Instance]
-		return ok && i.slow.slow
-	})
+	return slices.ContainsFunc(g.members, func(i *instance) bool { return i.slow.slow })
 }
--- a/group/txn.go
+++ b/group/txn.go
@@ -172,12 +172,27 @@
 	}
 	p.readAssignments(now, e.Assignments)
 	p.readEpoch = p.grant.Epoch
+	for _, g := range p.groups {
+		p.link(g)
+	}
 	p.sortGroups()
 }
 
+// link connects a group with its members.
+func (p *Planner) link(g *group) {
+	g.members = make([]*instance, len(g.row.Members))
+	for n, m := range g.row.Members {
+		i := p.instance(m.Instance)
+		g.members[n] = i
+		if i.assigned != nil && i.assignedKey() == (groupKey{g.row.ID, g.row.Epoch}) {
+			i.member = g
+		}
+	}
+}
+
 func (p *Planner) readAssignments(now time.Duration, rows []platform.Row) {
 	for _, i := range p.instances {
-		i.assigned, i.version = nil, 0
+		i.assigned, i.version, i.member = nil, 0, nil
 	}
 	for _, r := range rows {
 		a, ok := DecodeAssignment(r)
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -70,8 +70,8 @@
 	epochVersion uint64
 	row          Row
 	epoch        ident.Epoch
-	// since is when this version was first seen.
-	since time.Duration
+	// since is when this version was first seen, and at when it was last seen.
+	since, at time.Duration
 }
 
 // Machine contends for and holds the lease of one service.
@@ -136,6 +136,7 @@
 			m.rankFrom = now
 		}
 		m.rank = e.Rank
+		m.nextRead = min(m.nextRead, now+m.readInterval())
 	case Leave:
 		m.leaving = true
 	}
@@ -151,7 +152,11 @@
 func (m *Machine) observe(now time.Duration, e RowsRead, out []Action) []Action {
 	row := decodeRow(e.Lease)
 	m.see(now, e.Lease.Version, e.Epoch.Version, row, max(row.Epoch, decodeEpoch(e.Epoch).Epoch))
-	m.nextRead = now + m.cfg.Read*time.Duration(1+m.rank)
+	m.nextRead = now + m.readInterval()
+	if end := m.seen.since + m.wait(); m.rank < maxRankDelay && end > now {
+		// The likely next holders look again at the end of the lease.
+		m.nextRead = min(m.nextRead, end)
+	}
 	for _, a := range m.attempts {
 		if e.Lease.Version != 0 && a.id == row.Attempt {
 			return m.apply(now, a, out)
@@ -167,7 +172,7 @@
 	if !m.seen.known || m.seen.version != version {
 		m.seen.since = now
 	}
-	m.seen.known = true
+	m.seen.known, m.seen.at = true, now
 	m.seen.version, m.seen.epochVersion = version, epochVersion
 	m.seen.row, m.seen.epoch = row, epoch
 }
@@ -247,7 +252,7 @@
 	if m.leaving {
 		return out
 	}
-	if m.seen.known && m.mayAcquire(now) {
+	if m.seen.known && m.mayAcquire() {
 		return m.write(now, attempt{acquire: true}, out)
 	}
 	if !m.seen.known || now >= m.nextRead {
@@ -269,17 +274,25 @@
 	return out
 }
 
-// mayAcquire reports whether no other entry can hold the lease.
-func (m *Machine) mayAcquire(now time.Duration) bool {
-	if m.seen.row.Holder == m.self {
-		return true
-	}
+// mayAcquire reports whether no other entry can hold the lease: a read after
+// the wait showed the row unchanged.
+func (m *Machine) mayAcquire() bool {
+	return m.seen.row.Holder == m.self || m.seen.at-m.seen.since >= m.wait()
+}
+
+// wait is how long the row has to stay unchanged before this entry may take the
+// lease.
+func (m *Machine) wait() time.Duration {
 	wait := m.cfg.HeadStart * time.Duration(min(m.rank, maxRankDelay))
 	if m.seen.row.Holder.Instance != "" {
 		// The holder's own length counts: it may run another version.
 		wait += m.seen.row.Length + Margin(m.seen.row.Length)
 	}
-	return now-m.seen.since >= wait
+	return wait
+}
+
+func (m *Machine) readInterval() time.Duration {
+	return m.cfg.Read * time.Duration(1+m.rank)
 }
 
 func (m *Machine) read(out []Action) []Action {
