--- a/experiment/groups.go
+++ b/experiment/groups.go
@@ -144,8 +144,8 @@
 	return d, nil
 }
 
-// quantile returns a quantile of sorted durations in seconds.
-func quantile(d []time.Duration, q float64) float64 {
+// outageQuantile returns a quantile of sorted durations in seconds.
+func outageQuantile(d []time.Duration, q float64) float64 {
 	if len(d) == 0 {
 		return 0
 	}
@@ -195,7 +195,7 @@
 			}
 			slices.Sort(sum.outages)
 			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.0f\t%d\t%.0f\t%d\t%d\n", s.name, p.name, len(sum.outages),
-				quantile(sum.outages, 0.5), quantile(sum.outages, 0.95), quantile(sum.outages, 1),
+				outageQuantile(sum.outages, 0.5), outageQuantile(sum.outages, 0.95), outageQuantile(sum.outages, 1),
 				sum.missing, sum.lowest, sum.stranded, sum.moved.Formed, sum.moved.Swapped)
 		}
 	}
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -9,10 +9,13 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/experiment"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/view"
 )
 
 func document(wanted, size int) service.Document {
@@ -203,3 +206,92 @@
 	}
 	noViolations(t, m)
 }
+
+// Guards against the loss of a domain that leaves groups missing, and against a
+// domain that comes back and leaves more groups than wanted.
+func TestDarkDomain(t *testing.T) {
+	cfg := modelConfig(1)
+	cfg.Domains = 6
+	m := ready(t, cfg)
+	dark := holder(m).Groups(m.Now)[0].Row.Domain
+	for _, e := range m.Engines {
+		if e.Info.Domain == dark {
+			e.Pause(20 * time.Second)
+		}
+	}
+	m.Run(m.Now + 15*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	m.Run(m.Now + 30*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	assert.Equal(t, len(holder(m).Groups(m.Now)), 3, "%v", status(m))
+	assert.Equal(t, m.Stranded(), 0)
+	noViolations(t, m)
+}
+
+// Guards against a service whose roles do not get their share of the groups,
+// and against groups that go on using a partner which withdrew.
+func TestRolesAndPartner(t *testing.T) {
+	cfg := modelConfig(1)
+	cfg.Domains = 6
+	cfg.Document.Model.Roles = []engine.Role{engine.RolePrefill, engine.RoleDecode}
+	m := experiment.NewModel(cfg)
+	for _, e := range m.Engines {
+		if e.Info.DataCentre == "dc1" {
+			e.Info.Partner = "firm"
+		}
+	}
+	m.Run(40 * time.Second)
+	roles := map[engine.Role]int{}
+	for _, g := range holder(m).Confirmed(m.Now) {
+		roles[g.Role]++
+	}
+	assert.Equal(t, roles[engine.RolePrefill], 2, "%v", status(m))
+	assert.Equal(t, roles[engine.RoleDecode], 1)
+	assert.Equal(t, holder(m).CapacityWithout(m.Now, "firm"), 2)
+	m.SetDrains(group.DrainsChanged{Partners: []ident.Partner{"firm"}})
+	m.Run(m.Now + 30*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	assert.Equal(t, holder(m).CapacityWithout(m.Now, "firm"), 3)
+	noViolations(t, m)
+}
+
+// Guards against a group that is confirmed although a member is missing,
+// loading, of another epoch, doubled, or was polled too long ago.
+func TestConfirmedNeedsEveryMember(t *testing.T) {
+	doc := document(1, 3)
+	const now = 10 * time.Second
+	fresh := func() []group.Observed {
+		out := make([]group.Observed, 3)
+		for rank := range out {
+			id := ident.InstanceID(fmt.Sprint(rank))
+			out[rank] = group.Observed{Info: platform.Instance{ID: id}, Report: group.Report{
+				Instance: id, OK: true, Sent: now - time.Second,
+				Status: engine.Status{
+					State: engine.StateReady, Group: "g", Epoch: 2, Service: doc.Service,
+					Rank: rank, Size: 3, Limit: 20, ColdLimit: 1,
+				},
+			}}
+		}
+		return out
+	}
+	whole := group.Confirmed(&doc, fresh(), now)
+	assert.Equal(t, len(whole), 1)
+	assert.Equal(t, whole[0].Confirmed, 9*time.Second)
+	assert.Equal(t, whole[0].Limit, doc.Backend.Requests)
+	cold := fresh()
+	cold[2].Report.Status.Cold = true
+	assert.Equal(t, group.Confirmed(&doc, cold, now)[0].Limit, 1)
+	for name, edit := range map[string]func(r *group.Report){
+		"silent":        func(r *group.Report) { r.OK = false },
+		"loading":       func(r *group.Report) { r.Status.State = engine.StateLoading },
+		"failed":        func(r *group.Report) { r.Status.State = engine.StateFailed },
+		"other epoch":   func(r *group.Report) { r.Status.Epoch = 1 },
+		"other service": func(r *group.Report) { r.Status.Service = "drafts" },
+		"doubled rank":  func(r *group.Report) { r.Status.Rank = 1 },
+		"late poll":     func(r *group.Report) { r.Sent = now - view.ConfirmTTL },
+	} {
+		seen := fresh()
+		edit(&seen[2].Report)
+		assert.Equal(t, len(group.Confirmed(&doc, seen, now)), 0, name)
+	}
+}
