Add the measure command

Cause: the three measures of the users had no common command. Change: bulrush-bench measure runs groups, move and readers, prints one report and appends it to docs/measurements.md; further experiments have subcommands. Conclusion: one command, the same bounds every time.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	./bin/bulrush-bench demo --keep
 
 measure: build
-	./bin/bulrush-bench measure
+	./bin/bulrush-bench measure --append docs/measurements.md --commit $(shell git rev-parse --short HEAD)
 
 fmt:
 	$(GO) tool gofumpt -w .
--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -9,6 +10,13 @@
 	"github.com/bulrushfall/bulrushfall/experiment"
 )
 
+// plainRunner is a subcommand for an experiment that starts no processes.
+func plainRunner(name, description string, run func(w io.Writer) error) runner {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	return runner{sub: sub, run: func(context.Context, string) error { return run(os.Stdout) }}
+}
+
 // defaultReaders is the number of stopped readers in the measure.
 const defaultReaders = 8000
 
--- a/cmd/bulrush-bench/main.go
+++ b/cmd/bulrush-bench/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+
+	"github.com/bulrushfall/bulrushfall/experiment"
 )
 
 // runner is one subcommand.
@@ -23,7 +25,16 @@
 	flaggy.SetName("bulrush-bench")
 	flaggy.SetDescription("demo, load experiments and measures on loopback")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	runners := []runner{demoRunner(), readersRunner(), moveRunner(), idleRunner()}
+	runners := []runner{
+		demoRunner(),
+		measureRunner(),
+		moveRunner(),
+		readersRunner(),
+		idleRunner(),
+		plainRunner("groups", "group downtime and stranded accelerators against a baseline planner", experiment.Groups),
+		plainRunner("membership", "cost and false suspicions of membership by number of nodes", experiment.Membership),
+		plainRunner("config", "spread of configuration changes and its cost", experiment.Config),
+	}
 	for _, r := range runners {
 		flaggy.AttachSubcommand(r.sub, 1)
 	}
--- /dev/null
+++ b/cmd/bulrush-bench/measure.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/experiment"
+)
+
+// measureRunner prints the three measures of the users as one report.
+func measureRunner() runner {
+	file, commit, readers := "", "unknown", defaultReaders
+	sub := flaggy.NewSubcommand("measure")
+	sub.Description = "the users' three measures: group downtime and stranded accelerators, service while a data centre moves, memory for slow readers"
+	sub.String(&file, "", "append", "file that the report is appended to")
+	sub.String(&commit, "", "commit", "commit that is measured")
+	sub.Int(&readers, "n", "readers", "number of stopped readers")
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
+		var report bytes.Buffer
+		err := measure(ctx, io.MultiWriter(os.Stdout, &report), binDir, readers)
+		if file == "" {
+			return err
+		}
+		if appendErr := appendReport(file, commit, report.Bytes(), err); appendErr != nil {
+			return appendErr
+		}
+		return err
+	}}
+}
+
+// measure runs all three measures, also when one misses its bound.
+func measure(ctx context.Context, w io.Writer, binDir string, readers int) error {
+	var failed error
+	run := func(title string, fn func() error) {
+		_, _ = fmt.Fprintf(w, "\n%s\n", title)
+		if err := fn(); err != nil {
+			_, _ = fmt.Fprintf(w, "bound missed: %v\n", err)
+			failed = errors.Wrap(err, title)
+		}
+	}
+	move := experiment.MeasuredMove()
+	move.PlotFile, move.HistoryCSV = "out/move.png", "out/move.csv"
+	run("Group downtime and stranded accelerators", func() error { return experiment.Groups(w) })
+	run("Service while a data centre leaves and returns", func() error { return experiment.Move(ctx, w, binDir, move) })
+	run("Memory held for slow readers", func() error { return experiment.Readers(ctx, w, binDir, readers) })
+	return failed
+}
+
+// appendReport keeps a round of figures.
+func appendReport(file, commit string, report []byte, failed error) error {
+	f, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "open the file of figures")
+	}
+	verdict := "all bounds met"
+	if failed != nil {
+		verdict = "a bound was missed"
+	}
+	_, err = fmt.Fprintf(f, "\n## %s, commit %s: %s\n\n```\n%s```\n", time.Now().UTC().Format("2006-01-02 15:04 UTC"), commit, verdict, bytes.TrimLeft(report, "\n"))
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "append the figures")
+}
