--- /dev/null
+++ b/claim/batch_test.go
@@ -0,0 +1,167 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bulrushfall/bulrushfall/platform"
+)
+
+// TestBatcher guards against a write that is lost, reported twice or reported
+// wrongly, and against a conflict of one row that fails the others of its
+// transaction, over random store answers.
+func TestBatcher(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultBatchConfig()
+		cfg.MaxRows, cfg.MaxInFlight = 4, 2
+		b := NewBatcher(cfg)
+		rows := map[platform.RowKey]platform.Row{}
+		writes := map[uint64]RowWrite{}
+		applied := map[uint64]bool{}
+		done := map[uint64]StoreStatus{}
+		var now time.Duration
+		var open []Commit
+		var version uint64
+		handle := func(actions []BatchAction) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Commit:
+					assert.Assert(t, len(a.Txn.Writes) <= cfg.MaxRows)
+					open = append(open, a)
+					assert.Assert(t, len(open) <= cfg.MaxInFlight)
+				case Complete:
+					_, twice := done[a.Result.ID]
+					assert.Assert(t, !twice, "result reported twice")
+					done[a.Result.ID] = a.Result.Status
+					w := writes[a.Result.ID]
+					switch a.Result.Status {
+					case StoreApplied:
+						assert.Assert(t, applied[a.Result.ID])
+					case StoreConflict:
+						assert.Assert(t, !applied[a.Result.ID])
+						assert.Assert(t, rows[w.Key].Version != w.Version, "conflict of a row that matches")
+					case StoreNotApplied:
+						assert.Assert(t, !applied[a.Result.ID])
+					}
+				}
+			}
+		}
+		commit := func(c Commit) Committed {
+			conflict := &platform.ConflictError{}
+			for _, cond := range c.Txn.Conditions {
+				if row := rows[cond.RowKey]; row.Version != cond.Version {
+					row.RowKey = cond.RowKey
+					conflict.Rows = append(conflict.Rows, row)
+				}
+			}
+			if len(conflict.Rows) > 0 {
+				return Committed{ID: c.ID, Err: conflict}
+			}
+			version++
+			for _, w := range c.Txn.Writes {
+				rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: version, Value: w.Value}
+				for id, rw := range writes {
+					if string(rw.Value) == string(w.Value) {
+						applied[id] = true
+					}
+				}
+			}
+			return Committed{ID: c.ID, Version: version}
+		}
+		answer := func(t *rapid.T) {
+			if len(open) == 0 {
+				t.Skip("no transaction")
+			}
+			c := open[0]
+			open = open[1:]
+			e := Committed{ID: c.ID, Err: platform.ErrThrottled}
+			switch rapid.IntRange(0, 4).Draw(t, "answer") {
+			case 0:
+			case 1:
+				e.Err = platform.ErrUnavailable
+			case 2:
+				if commit(c).Err == nil {
+					e.Err = platform.ErrOutcomeUnknown
+				}
+			default:
+				e = commit(c)
+			}
+			handle(b.Step(now, e))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				id := uint64(len(writes) + 1)
+				w := RowWrite{
+					ID: id, Key: Key(fmt.Sprint(rapid.IntRange(0, 7).Draw(t, "key"))).Row(),
+					Value: []byte(fmt.Sprint("value ", id)), Deadline: now + 50*time.Millisecond,
+				}
+				if rapid.Bool().Draw(t, "current") {
+					w.Version = rows[w.Key].Version
+				}
+				writes[id] = w
+				handle(b.Step(now, Submit{w}))
+			},
+			"answer": answer,
+			"tick": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 10).Draw(t, "ms")) * time.Millisecond
+				handle(b.Step(now, Tick{}))
+			},
+		})
+		for range 100 {
+			now += 200 * time.Millisecond
+			handle(b.Step(now, Tick{}))
+			for len(open) > 0 {
+				c := open[0]
+				open = open[1:]
+				handle(b.Step(now, commit(c)))
+			}
+		}
+		assert.Equal(t, len(done), len(writes), "write without a result")
+	})
+}
+
+// TestBatcherGroups guards against one transaction per write: 64 writes within
+// 5 ms share one.
+func TestBatcherGroups(t *testing.T) {
+	b := NewBatcher(DefaultBatchConfig())
+	var commits []Commit
+	for i := range 64 {
+		key := Key(fmt.Sprint(i)).Row()
+		for _, a := range b.Step(time.Millisecond, Submit{RowWrite{ID: uint64(i), Key: key, Deadline: time.Second}}) {
+			if c, ok := a.(Commit); ok {
+				commits = append(commits, c)
+			}
+		}
+	}
+	assert.Equal(t, len(commits), 1)
+	assert.Equal(t, len(commits[0].Txn.Writes), 64)
+}
+
+// TestSweeper guards against the deletion of a row before its end and against
+// a deletion that does not check the row's version.
+func TestSweeper(t *testing.T) {
+	cfg := DefaultSweepConfig()
+	cfg.Page = 2
+	s := NewSweeper(cfg)
+	row := func(key string, expires int64) platform.Row {
+		r := Record{State: StateDone, Expires: expires, Answer: &Answer{Object: "object-" + key}}
+		b, err := r.Encode()
+		assert.NilError(t, err)
+		return platform.Row{RowKey: Key(key).Row(), Version: 9, Value: b}
+	}
+	wall := time.Unix(10_000, 0)
+	old := wall.Add(-cfg.Margin).Unix()
+	txn, objects, delay := s.Page(wall, []platform.Row{row("a", old), row("b", old+1)})
+	assert.DeepEqual(t, txn.Writes, []platform.Write{{RowKey: Key("a").Row(), Delete: true}})
+	assert.DeepEqual(t, txn.Conditions, []platform.Condition{{RowKey: Key("a").Row(), Version: 9}})
+	assert.DeepEqual(t, objects, []string{"object-a"})
+	assert.Equal(t, delay, cfg.Interval)
+	after, _ := s.Next()
+	assert.Equal(t, after, "b")
+	_, _, delay = s.Page(wall, nil)
+	assert.Equal(t, delay, cfg.Rest)
+}
--- /dev/null
+++ b/claim/outcome.go
@@ -0,0 +1,96 @@
+package claim
+
+// This file holds the steps of Machine that end a request.
+
+// reply returns the Reply action unless the caller was answered before.
+func (m *Machine) reply(v Verdict) []Action {
+	if m.replied {
+		return nil
+	}
+	m.replied = true
+	return []Action{Reply{Reply: v}}
+}
+
+// verdict is a reply for use with abandon.
+func (m *Machine) verdict(kind VerdictKind, reason Reason) []Action {
+	return []Action{Reply{Verdict{Kind: kind, Reason: reason}}}
+}
+
+// abandon makes sure that the attempt never dispatches, records that in the
+// register, and only then replies.
+func (m *Machine) abandon(reply []Action) []Action {
+	m.phase = phaseFinished
+	m.next = nil
+	var out []Action
+	if m.reserved && !m.settled {
+		out = append(out, Remember{State: StateAbandoned})
+	}
+	m.settled = true
+	if len(reply) > 0 {
+		m.replied = true
+	}
+	return append(out, reply...)
+}
+
+func (m *Machine) finish(out []Action) []Action {
+	m.phase = phaseFinished
+	m.next = nil
+	return out
+}
+
+// wait schedules a step after an exponentially growing delay.
+func (m *Machine) wait(next func() []Action) []Action {
+	m.next = next
+	d := m.delay
+	m.delay = min(2*m.delay, m.cfg.MaxDelay)
+	return []Action{Wait{Delay: d}}
+}
+
+func (m *Machine) onWait() []Action {
+	if m.next == nil {
+		return nil
+	}
+	next := m.next
+	m.next = nil
+	return next()
+}
+
+// writeOutcome starts the write of the attempt's final state.
+func (m *Machine) writeOutcome(r Record) []Action {
+	m.settled = true
+	m.outcome = r
+	return m.retryOutcome()
+}
+
+func (m *Machine) retryOutcome() []Action {
+	m.phase = phaseOutcome
+	m.attempts++
+	return []Action{WriteOutcome{Record: m.outcome, Version: m.version}}
+}
+
+// onOutcome handles the result of an outcome write. The write is conditional
+// on the version of the own row, so that repeating it is safe.
+func (m *Machine) onOutcome(r StoreResult) []Action {
+	own := r.Row != nil && r.Row.Attempt == m.req.Owner.Attempt
+	switch {
+	case r.Status == StoreApplied, r.Status == StoreConflict && own && r.Row.State == m.outcome.State:
+		return m.finish([]Action{Recorded{}})
+	case r.Status == StoreConflict && own:
+		m.version = r.Row.Version
+		return m.delayOutcome()
+	case r.Status == StoreConflict:
+		return m.finish(nil)
+	default:
+		return m.delayOutcome()
+	}
+}
+
+func (m *Machine) delayOutcome() []Action {
+	if m.outcome.State == StateAbandoned && m.attempts >= m.cfg.MaxAbandonWrites {
+		return m.finish(nil)
+	}
+	m.next = m.retryOutcome
+	d := m.delay
+	m.delay = min(2*m.delay, m.cfg.MaxOutcomeDelay)
+	return []Action{Wait{Delay: d}}
+}
--- /dev/null
+++ b/claim/register.go
@@ -0,0 +1,183 @@
+package claim
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// RegisterConfig bounds what an incarnation remembers.
+type RegisterConfig struct {
+	// MaxAttempts and MaxAnswerBytes bound the register. When only attempts
+	// that must be remembered are left, new ones are refused.
+	MaxAttempts    int
+	MaxAnswerBytes int
+	// RecordedAge is how long an attempt whose outcome is in the store stays.
+	RecordedAge time.Duration
+	// AbandonedAge is how long an abandoned attempt stays. Afterwards a retry
+	// gets an unknown outcome, so it exceeds the time in which callers retry.
+	AbandonedAge time.Duration
+}
+
+// DefaultRegisterConfig returns the defaults: 32 MiB of answers is an eighth of
+// the memory that an entry instance may use for control.
+func DefaultRegisterConfig() RegisterConfig {
+	return RegisterConfig{
+		MaxAttempts:    65536,
+		MaxAnswerBytes: 32 << 20,
+		RecordedAge:    5 * time.Minute,
+		AbandonedAge:   time.Hour,
+	}
+}
+
+// attempt is one remembered attempt.
+type attempt struct {
+	key      Key
+	digest   Digest
+	owner    Owner
+	state    State
+	answer   *Answer
+	bytes    int
+	recorded bool
+	// pinned is the end of the key's ticket. Until then the minting incarnation
+	// is the only memory that the ticket was used.
+	pinned time.Duration
+	since  time.Duration
+	list   *list.List
+	elem   *list.Element
+}
+
+// Register remembers the attempts of one incarnation. It is the place where an
+// attempt changes from running to abandoned, once. The caller serialises calls.
+type Register struct {
+	cfg       RegisterConfig
+	byAttempt map[ident.AttemptID]*attempt
+	byKey     map[Key]*attempt
+	bytes     int
+	// The lists hold attempts that may be forgotten, oldest first.
+	recorded, abandoned, pinned list.List
+}
+
+// NewRegister returns an empty register.
+func NewRegister(cfg RegisterConfig) *Register {
+	return &Register{
+		cfg:       cfg,
+		byAttempt: make(map[ident.AttemptID]*attempt),
+		byKey:     make(map[Key]*attempt),
+	}
+}
+
+// Len returns the number of remembered attempts.
+func (r *Register) Len() int { return len(r.byAttempt) }
+
+// Bytes returns the size of the remembered answers.
+func (r *Register) Bytes() int { return r.bytes }
+
+// Reserve makes the request's attempt the only local one for its key. It
+// returns the attempt that already holds the key, or StateGone when the
+// register is full. Pinned is the end of the ticket that is the key, or 0.
+func (r *Register) Reserve(now time.Duration, req Request, pinned time.Duration) Reserved {
+	r.expire(now)
+	if a, ok := r.byKey[req.Key]; ok && a.state != StateAbandoned {
+		owner := a.owner
+		return Reserved{Existing: &owner, Report: a.report()}
+	}
+	if !r.makeRoom(now) {
+		return Reserved{Existing: &Owner{}, Report: Report{State: StateGone, Digest: req.Digest}}
+	}
+	a := &attempt{
+		key: req.Key, digest: req.Digest, owner: req.Owner,
+		state: StateRunning, pinned: pinned, since: now,
+	}
+	r.byKey[req.Key] = a
+	r.byAttempt[req.Owner.Attempt] = a
+	return Reserved{}
+}
+
+// Remember records the final state of a running attempt. It returns false if
+// the attempt is not running, so that no state is ever replaced.
+func (r *Register) Remember(now time.Duration, id ident.AttemptID, state State, answer *Answer) bool {
+	a, ok := r.byAttempt[id]
+	if !ok || a.state != StateRunning {
+		return false
+	}
+	a.state, a.answer, a.since = state, answer, now
+	if answer != nil {
+		a.bytes = len(answer.Body)
+		r.bytes += a.bytes
+	}
+	switch {
+	case state == StateAbandoned:
+		r.file(a, &r.abandoned)
+	case a.pinned > 0:
+		r.file(a, &r.pinned)
+	}
+	return true
+}
+
+// Recorded marks an attempt whose outcome the store holds.
+func (r *Register) Recorded(now time.Duration, id ident.AttemptID) {
+	a, ok := r.byAttempt[id]
+	if !ok || a.state == StateRunning {
+		return
+	}
+	a.recorded, a.since = true, now
+	if a.list == nil {
+		r.file(a, &r.recorded)
+	}
+}
+
+// Ask reports the state of an attempt, StateGone if it is not remembered.
+func (r *Register) Ask(id ident.AttemptID) Report {
+	a, ok := r.byAttempt[id]
+	if !ok {
+		return Report{State: StateGone}
+	}
+	return a.report()
+}
+
+// MayDispatch reports whether an attempt is still running. It guards against a
+// dispatch after the attempt was reported as abandoned.
+func (r *Register) MayDispatch(id ident.AttemptID) bool {
+	a, ok := r.byAttempt[id]
+	return ok && a.state == StateRunning
+}
+
+func (a *attempt) report() Report {
+	return Report{State: a.state, Digest: a.digest, Answer: a.answer}
+}
+
+func (r *Register) file(a *attempt, l *list.List) {
+	a.list, a.elem = l, l.PushBack(a)
+}
+
+// expire forgets old attempts.
+func (r *Register) expire(now time.Duration) {
+	r.dropWhile(&r.recorded, func(a *attempt) bool { return now-a.since >= r.cfg.RecordedAge })
+	r.dropWhile(&r.abandoned, func(a *attempt) bool { return now-a.since >= r.cfg.AbandonedAge })
+	r.dropWhile(&r.pinned, func(a *attempt) bool { return a.recorded && now >= a.pinned })
+}
+
+// makeRoom forgets attempts before their age if the register is full. Attempts
+// whose outcome is in the store go first.
+func (r *Register) makeRoom(now time.Duration) bool {
+	full := func(*attempt) bool {
+		return len(r.byAttempt) >= r.cfg.MaxAttempts || r.bytes > r.cfg.MaxAnswerBytes
+	}
+	r.dropWhile(&r.recorded, full)
+	r.dropWhile(&r.abandoned, full)
+	r.dropWhile(&r.pinned, func(a *attempt) bool { return full(a) && now >= a.pinned })
+	return !full(nil)
+}
+
+func (r *Register) dropWhile(l *list.List, drop func(*attempt) bool) {
+	for e := l.Front(); e != nil && drop(e.Value.(*attempt)); e = l.Front() {
+		a := l.Remove(e).(*attempt)
+		delete(r.byAttempt, a.owner.Attempt)
+		if r.byKey[a.key] == a {
+			delete(r.byKey, a.key)
+		}
+		r.bytes -= a.bytes
+	}
+}
