quarantine: add suspects, convictions and the serialised run alone

The requests in flight at a crash become suspects everywhere; their owner lets one of them run alone at a time, and a crash then convicts it for ten minutes. Two crashes with one request in common convict it without a run alone, which covers a lost spread message. A loss of several backend servers of one data centre at once clears its suspects, once per request.

--- /dev/null
+++ b/quarantine/owner.go
@@ -0,0 +1,123 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// OwnerOf returns the live entry instance that serialises the runs of a
+// suspect: the one with the highest rendezvous score. It returns "" if there
+// is none.
+func OwnerOf(f ident.Fingerprint, live []ident.InstanceID) ident.InstanceID {
+	var owner ident.InstanceID
+	var best uint64
+	key := f.String()
+	for _, id := range live {
+		if s := ident.Score(key, id); owner == "" || s > best || (s == best && id > owner) {
+			owner, best = id, s
+		}
+	}
+	return owner
+}
+
+// Holder identifies one run of a suspect at an entry instance.
+type Holder struct {
+	Entry       ident.InstanceID  `msgpack:"e"`
+	Incarnation ident.Incarnation `msgpack:"n"`
+	Attempt     ident.AttemptID   `msgpack:"a"`
+}
+
+// Permission is the answer to a request to run a suspect.
+type Permission int
+
+// Permissions.
+const (
+	// PermitAlone allows one run with nothing else on the backend server.
+	PermitAlone Permission = iota + 1
+	// PermitShared allows a run with others: the request is not a suspect.
+	PermitShared
+	// PermitLater asks to try again: another run of the request is under way.
+	PermitLater
+	// PermitNever refuses: the request is convicted.
+	PermitNever
+)
+
+// RunResult tells how a run alone ended.
+type RunResult int
+
+// Results of a run alone.
+const (
+	// RunInconclusive did not reach a backend server or was cancelled.
+	RunInconclusive RunResult = iota
+	// RunSucceeded clears the request.
+	RunSucceeded
+	// RunCrashed convicts the request.
+	RunCrashed
+)
+
+type run struct {
+	holder Holder
+	until  time.Duration
+}
+
+// Owner serialises the runs of the suspects that an entry instance owns.
+type Owner struct {
+	tracker *Tracker
+	runs    map[ident.Fingerprint]run
+}
+
+// NewOwner returns an owner that shares the tracker of its entry instance.
+func NewOwner(t *Tracker) *Owner {
+	return &Owner{tracker: t, runs: make(map[ident.Fingerprint]run)}
+}
+
+// Acquire asks for a run alone, or renews it for the same holder. Known tells
+// that the asking entry instance holds the request for a suspect.
+func (o *Owner) Acquire(now time.Duration, f ident.Fingerprint, h Holder, known bool) Permission {
+	o.lapse(now)
+	if known && o.tracker.Standing(now, f) == Free {
+		o.tracker.Apply(now, Finding{Fingerprint: f, Standing: Suspect})
+	}
+	switch o.tracker.Standing(now, f) {
+	case Convicted:
+		return PermitNever
+	case Free:
+		return PermitShared
+	}
+	if r, ok := o.runs[f]; ok && r.holder != h {
+		return PermitLater
+	}
+	o.runs[f] = run{holder: h, until: now + o.tracker.cfg.RunLease}
+	return PermitAlone
+}
+
+// Release ends a run alone. It returns the finding to spread; ok is false when
+// there is none.
+func (o *Owner) Release(now time.Duration, f ident.Fingerprint, h Holder, result RunResult) (Finding, bool) {
+	if r, ok := o.runs[f]; ok && r.holder == h {
+		delete(o.runs, f)
+	}
+	finding := Finding{Fingerprint: f}
+	switch result {
+	case RunSucceeded:
+		finding.Standing = Free
+	case RunCrashed:
+		finding.Standing = Convicted
+	default:
+		return Finding{}, false
+	}
+	o.tracker.Apply(now, finding)
+	return finding, true
+}
+
+// lapse convicts the requests whose run was not renewed. The holder may have
+// lost its backend server and itself; a further run could cost a third one.
+func (o *Owner) lapse(now time.Duration) {
+	for f, r := range o.runs {
+		if now >= r.until {
+			delete(o.runs, f)
+			o.tracker.Apply(now, Finding{Fingerprint: f, Standing: Convicted})
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,333 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Config bounds what is remembered.
+type Config struct {
+	// MaxRecords bounds suspects and convicted requests, MaxCrashes the
+	// remembered crashes, and MaxPerCrash the requests of one crash.
+	MaxRecords, MaxCrashes, MaxPerCrash int
+	// SuspectAge and ConvictionAge are how long a record counts.
+	SuspectAge, ConvictionAge time.Duration
+	// MassBackends crashes in one data centre within MassWindow without a
+	// request in common are a loss of machines, not the work of a request.
+	MassBackends int
+	MassWindow   time.Duration
+	// RunLease is how long a run alone counts without a renewal by its holder.
+	RunLease time.Duration
+}
+
+// DefaultConfig returns the defaults. 512 requests exceed what one group holds.
+func DefaultConfig() Config {
+	return Config{
+		MaxRecords: 4096, MaxCrashes: 256, MaxPerCrash: 512,
+		SuspectAge: 10 * time.Minute, ConvictionAge: 10 * time.Minute,
+		MassBackends: 3, MassWindow: time.Second,
+		RunLease: 30 * time.Second,
+	}
+}
+
+// Standing is what is known about a request.
+type Standing int
+
+// Standings.
+const (
+	// Free requests run with others.
+	Free Standing = iota
+	// Suspect requests run alone only.
+	Suspect
+	// Convicted requests are refused.
+	Convicted
+)
+
+// Server identifies one run of a backend server.
+type Server struct {
+	Instance    ident.InstanceID  `msgpack:"i"`
+	Incarnation ident.Incarnation `msgpack:"n"`
+	DataCentre  ident.DataCentre  `msgpack:"d"`
+}
+
+// Crash names the requests that were in flight on a backend server when it
+// crashed. It is spread to all entry instances.
+type Crash struct {
+	Server       Server              `msgpack:"s"`
+	Fingerprints []ident.Fingerprint `msgpack:"f"`
+	// Age is the time since the crash was seen, so that no clocks are compared.
+	Age time.Duration `msgpack:"a"`
+}
+
+// Finding is the standing of one request, spread to all entry instances. Free
+// clears it.
+type Finding struct {
+	Fingerprint ident.Fingerprint `msgpack:"f"`
+	Standing    Standing          `msgpack:"s"`
+	Age         time.Duration     `msgpack:"a"`
+}
+
+// record is what is remembered of one request.
+type record struct {
+	standing Standing
+	since    time.Duration
+	// pardoned is set once a mass loss cleared the request. It is pardoned once
+	// only, so that several crashing requests at a time cannot go on for ever.
+	pardoned bool
+}
+
+type crash struct {
+	at       time.Duration
+	requests map[ident.Fingerprint]bool
+	mass     bool
+}
+
+// Tracker is the memory of one entry instance.
+type Tracker struct {
+	cfg     Config
+	records map[ident.Fingerprint]*record
+	crashes map[Server]*crash
+	running map[Server]map[ident.Fingerprint]int
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker(cfg Config) *Tracker {
+	return &Tracker{
+		cfg:     cfg,
+		records: make(map[ident.Fingerprint]*record),
+		crashes: make(map[Server]*crash),
+		running: make(map[Server]map[ident.Fingerprint]int),
+	}
+}
+
+// Len returns the number of remembered requests.
+func (t *Tracker) Len() int { return len(t.records) }
+
+// Begin notes that a request runs on a backend server.
+func (t *Tracker) Begin(s Server, f ident.Fingerprint) {
+	if t.running[s] == nil {
+		t.running[s] = make(map[ident.Fingerprint]int)
+	}
+	t.running[s][f]++
+}
+
+// End notes that a run ended. Success clears the request and reports whether
+// it was a suspect.
+func (t *Tracker) End(now time.Duration, s Server, f ident.Fingerprint, success bool) bool {
+	if t.running[s][f]--; t.running[s][f] <= 0 {
+		delete(t.running[s], f)
+	}
+	if len(t.running[s]) == 0 {
+		delete(t.running, s)
+	}
+	if !success || t.Standing(now, f) != Suspect {
+		return false
+	}
+	delete(t.records, f)
+	return true
+}
+
+// Crashed makes the requests in flight on a backend server suspects. Call it
+// before End of the run that noticed the crash. The result is to be spread
+// before the failure is answered.
+func (t *Tracker) Crashed(now time.Duration, s Server) Crash {
+	c := Crash{Server: s}
+	for f := range t.running[s] {
+		if len(c.Fingerprints) >= t.cfg.MaxPerCrash {
+			break
+		}
+		c.Fingerprints = append(c.Fingerprints, f)
+	}
+	t.Merge(now, c)
+	return c
+}
+
+// Merge applies a crash that this or another entry instance saw. It returns
+// the requests that it convicts: those in flight at two crashes, if there is
+// only one that these crashes have in common.
+func (t *Tracker) Merge(now time.Duration, c Crash) []ident.Fingerprint {
+	at := now - c.Age
+	if c.Age >= t.cfg.SuspectAge {
+		return nil
+	}
+	have := t.crash(now, c.Server, at)
+	for _, f := range c.Fingerprints {
+		if len(have.requests) >= t.cfg.MaxPerCrash {
+			break
+		}
+		if have.requests[f] {
+			continue
+		}
+		have.requests[f] = true
+		if r := t.records[f]; r != nil && r.standing != Free {
+			continue
+		}
+		t.set(now, f, Suspect, at)
+	}
+	if t.pardonMass(now, c.Server.DataCentre) {
+		return nil
+	}
+	return t.convictCommon(now, c.Server)
+}
+
+// crash returns the remembered crash of a backend server.
+func (t *Tracker) crash(now time.Duration, s Server, at time.Duration) *crash {
+	if c, ok := t.crashes[s]; ok {
+		return c
+	}
+	var oldest Server
+	found := false
+	for k, c := range t.crashes {
+		if now-c.at >= t.cfg.SuspectAge {
+			delete(t.crashes, k)
+		} else if !found || c.at < t.crashes[oldest].at {
+			oldest, found = k, true
+		}
+	}
+	if found && len(t.crashes) >= t.cfg.MaxCrashes {
+		delete(t.crashes, oldest)
+	}
+	c := &crash{at: at, requests: make(map[ident.Fingerprint]bool)}
+	t.crashes[s] = c
+	return c
+}
+
+// convictCommon convicts the only request that a crash shares with an earlier
+// one. It matters when a spread message was lost: otherwise a suspect runs
+// alone and Convict is called.
+func (t *Tracker) convictCommon(now time.Duration, s Server) []ident.Fingerprint {
+	var out []ident.Fingerprint
+	last := t.crashes[s]
+	for other, c := range t.crashes {
+		if other == s || c.mass {
+			continue
+		}
+		var common []ident.Fingerprint
+		for f := range last.requests {
+			if c.requests[f] {
+				common = append(common, f)
+			}
+		}
+		if len(common) == 1 && t.Standing(now, common[0]) != Convicted {
+			t.set(now, common[0], Convicted, now)
+			out = append(out, common[0])
+		}
+	}
+	return out
+}
+
+// pardonMass clears the suspects of a loss of many backend servers at once.
+func (t *Tracker) pardonMass(now time.Duration, dc ident.DataCentre) bool {
+	var lost []*crash
+	seen := make(map[ident.Fingerprint]int)
+	for s, c := range t.crashes {
+		if s.DataCentre != dc || now-c.at >= t.cfg.MassWindow {
+			continue
+		}
+		lost = append(lost, c)
+		for f := range c.requests {
+			seen[f]++
+		}
+	}
+	if len(lost) < t.cfg.MassBackends {
+		return false
+	}
+	pardon := true
+	for f, n := range seen {
+		r := t.records[f]
+		if n > 1 || r == nil || r.standing != Suspect || r.pardoned {
+			pardon = pardon && n == 1
+			continue
+		}
+		r.standing, r.pardoned = Free, true
+	}
+	for _, c := range lost {
+		c.mass = pardon
+	}
+	return pardon
+}
+
+// Apply takes over a finding of another entry instance or of this one.
+func (t *Tracker) Apply(now time.Duration, f Finding) {
+	switch {
+	case f.Standing == Free:
+		if t.Standing(now, f.Fingerprint) == Suspect {
+			delete(t.records, f.Fingerprint)
+		}
+	case f.Age >= t.age(f.Standing):
+	case f.Standing > t.Standing(now, f.Fingerprint):
+		t.set(now, f.Fingerprint, f.Standing, now-f.Age)
+	}
+}
+
+// Standing returns what is known about a request.
+func (t *Tracker) Standing(now time.Duration, f ident.Fingerprint) Standing {
+	r, ok := t.records[f]
+	if !ok {
+		return Free
+	}
+	if now-r.since >= t.age(r.standing) {
+		delete(t.records, f)
+		return Free
+	}
+	return r.standing
+}
+
+// Remaining returns how long a request keeps its standing.
+func (t *Tracker) Remaining(now time.Duration, f ident.Fingerprint) time.Duration {
+	r, ok := t.records[f]
+	if !ok {
+		return 0
+	}
+	return max(0, t.age(r.standing)-(now-r.since))
+}
+
+// Findings lists all standings, for an entry instance that has just started.
+func (t *Tracker) Findings(now time.Duration) []Finding {
+	out := make([]Finding, 0, len(t.records))
+	for f, r := range t.records {
+		if r.standing != Free && now-r.since < t.age(r.standing) {
+			out = append(out, Finding{Fingerprint: f, Standing: r.standing, Age: now - r.since})
+		}
+	}
+	return out
+}
+
+func (t *Tracker) age(s Standing) time.Duration {
+	if s == Convicted {
+		return t.cfg.ConvictionAge
+	}
+	return t.cfg.SuspectAge
+}
+
+// set stores a standing. When the table is full, the oldest record goes.
+func (t *Tracker) set(now time.Duration, f ident.Fingerprint, s Standing, since time.Duration) {
+	if r, ok := t.records[f]; ok {
+		r.standing, r.since = s, since
+		return
+	}
+	if len(t.records) >= t.cfg.MaxRecords {
+		t.evict(now)
+	}
+	t.records[f] = &record{standing: s, since: since}
+}
+
+// evict forgets expired records, or else the oldest one; suspects go before
+// convicted requests.
+func (t *Tracker) evict(now time.Duration) {
+	var oldest ident.Fingerprint
+	var worst *record
+	for f, r := range t.records {
+		if now-r.since >= t.age(r.standing) {
+			delete(t.records, f)
+			continue
+		}
+		if worst == nil || r.standing < worst.standing || (r.standing == worst.standing && r.since < worst.since) {
+			oldest, worst = f, r
+		}
+	}
+	if worst != nil && len(t.records) >= t.cfg.MaxRecords {
+		delete(t.records, oldest)
+	}
+}
