--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -100,7 +100,7 @@
 	if k.alone {
 		k.server = fl.server()
 	}
-	tr.Begin(k.server, f)
+	tr.Begin(fl.now, k.server, f)
 	return k, Free
 }
 
@@ -110,6 +110,7 @@
 	result := RunSucceeded
 	if k.f == poison {
 		result = RunCrashed
+		fl.now += time.Millisecond
 		fl.crash(k.entry, k.server)
 		if k.server == *shared {
 			*shared = fl.server()
@@ -231,7 +232,11 @@
 	lose := func(at time.Duration, round, n int) {
 		for i := range n {
 			s := Server{Instance: ident.InstanceID(fmt.Sprint(round, i)), DataCentre: "dc"}
-			tr.Merge(at, Crash{Server: s, Fingerprints: []ident.Fingerprint{ident.Fingerprint(2 * i), ident.Fingerprint(2*i + 1)}})
+			tr.Merge(at, Crash{
+				Server:       s,
+				Fingerprints: []ident.Fingerprint{ident.Fingerprint(2 * i), ident.Fingerprint(2*i + 1)},
+				Running:      make([]time.Duration, 2),
+			})
 		}
 	}
 	lose(0, 1, 2)
@@ -244,6 +249,20 @@
 	assert.Equal(t, tr.Standing(time.Minute, 0), Suspect, "a request is pardoned once")
 }
 
+// TestPopularRequest guards against the conviction of a request that runs on
+// many backend servers at a time and happens to be on two that crash.
+func TestPopularRequest(t *testing.T) {
+	tr := NewTracker(DefaultConfig())
+	a, b := Server{Instance: "a"}, Server{Instance: "b"}
+	tr.Begin(0, a, 1)
+	tr.Begin(0, b, 1)
+	tr.Crashed(time.Second, a)
+	tr.Crashed(2*time.Second, b)
+	assert.Equal(t, tr.Standing(2*time.Second, 1), Suspect)
+	assert.Assert(t, tr.End(3*time.Second, a, 1, true))
+	assert.Equal(t, tr.Standing(3*time.Second, 1), Free)
+}
+
 // TestBounds guards against memory that grows with the number of crashes.
 func TestBounds(t *testing.T) {
 	cfg := DefaultConfig()
@@ -254,7 +273,7 @@
 		at := time.Duration(i) * 2 * time.Second
 		s := Server{Instance: ident.InstanceID(fmt.Sprint(i))}
 		for j := range 6 {
-			tr.Begin(s, ident.Fingerprint(1000+10*i+j))
+			tr.Begin(at, s, ident.Fingerprint(1000+10*i+j))
 		}
 		tr.Crashed(at, s)
 		assert.Assert(t, tr.Len() <= cfg.MaxRecords)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -56,6 +56,8 @@
 type Crash struct {
 	Server       Server              `msgpack:"s"`
 	Fingerprints []ident.Fingerprint `msgpack:"f"`
+	// Running is how long each of them had run there.
+	Running []time.Duration `msgpack:"r"`
 	// Age is the time since the crash was seen, so that no clocks are compared.
 	Age time.Duration `msgpack:"a"`
 }
@@ -78,17 +80,24 @@
 }
 
 type crash struct {
-	at       time.Duration
-	requests map[ident.Fingerprint]bool
+	at time.Duration
+	// requests maps each request in flight to the instant when it started.
+	requests map[ident.Fingerprint]time.Duration
 	mass     bool
 }
 
+// flight counts the runs of one request on one backend server.
+type flight struct {
+	count   int
+	started time.Duration // of the latest run
+}
+
 // Tracker is the memory of one entry instance.
 type Tracker struct {
 	cfg     Config
 	records map[ident.Fingerprint]*record
 	crashes map[Server]*crash
-	running map[Server]map[ident.Fingerprint]int
+	running map[Server]map[ident.Fingerprint]flight
 }
 
 // NewTracker returns an empty tracker.
@@ -97,7 +106,7 @@
 		cfg:     cfg,
 		records: make(map[ident.Fingerprint]*record),
 		crashes: make(map[Server]*crash),
-		running: make(map[Server]map[ident.Fingerprint]int),
+		running: make(map[Server]map[ident.Fingerprint]flight),
 	}
 }
 
@@ -105,26 +114,37 @@
 func (t *Tracker) Len() int { return len(t.records) }
 
 // Begin notes that a request runs on a backend server.
-func (t *Tracker) Begin(s Server, f ident.Fingerprint) {
+func (t *Tracker) Begin(now time.Duration, s Server, f ident.Fingerprint) {
 	if t.running[s] == nil {
-		t.running[s] = make(map[ident.Fingerprint]int)
+		t.running[s] = make(map[ident.Fingerprint]flight)
 	}
-	t.running[s][f]++
+	t.running[s][f] = flight{count: t.running[s][f].count + 1, started: now}
 }
 
 // End notes that a run ended. Success clears the request and reports whether
-// it was a suspect.
+// there was a suspicion to clear.
 func (t *Tracker) End(now time.Duration, s Server, f ident.Fingerprint, success bool) bool {
-	if t.running[s][f]--; t.running[s][f] <= 0 {
+	if fl := t.running[s][f]; fl.count > 1 {
+		fl.count--
+		t.running[s][f] = fl
+	} else {
 		delete(t.running[s], f)
 	}
 	if len(t.running[s]) == 0 {
 		delete(t.running, s)
 	}
-	if !success || t.Standing(now, f) != Suspect {
+	return success && t.clear(now, f)
+}
+
+// clear forgets a suspicion and the crashes that the request was in.
+func (t *Tracker) clear(now time.Duration, f ident.Fingerprint) bool {
+	if t.Standing(now, f) != Suspect {
 		return false
 	}
 	delete(t.records, f)
+	for _, c := range t.crashes {
+		delete(c.requests, f)
+	}
 	return true
 }
 
@@ -133,11 +153,12 @@
 // before the failure is answered.
 func (t *Tracker) Crashed(now time.Duration, s Server) Crash {
 	c := Crash{Server: s}
-	for f := range t.running[s] {
+	for f, fl := range t.running[s] {
 		if len(c.Fingerprints) >= t.cfg.MaxPerCrash {
 			break
 		}
 		c.Fingerprints = append(c.Fingerprints, f)
+		c.Running = append(c.Running, now-fl.started)
 	}
 	t.Merge(now, c)
 	return c
@@ -148,18 +169,18 @@
 // only one that these crashes have in common.
 func (t *Tracker) Merge(now time.Duration, c Crash) []ident.Fingerprint {
 	at := now - c.Age
-	if c.Age >= t.cfg.SuspectAge {
+	if c.Age >= t.cfg.SuspectAge || len(c.Running) != len(c.Fingerprints) {
 		return nil
 	}
 	have := t.crash(now, c.Server, at)
-	for _, f := range c.Fingerprints {
+	for i, f := range c.Fingerprints {
 		if len(have.requests) >= t.cfg.MaxPerCrash {
 			break
 		}
-		if have.requests[f] {
+		if _, ok := have.requests[f]; ok {
 			continue
 		}
-		have.requests[f] = true
+		have.requests[f] = at - c.Running[i]
 		if r := t.records[f]; r != nil && r.standing != Free {
 			continue
 		}
@@ -188,14 +209,14 @@
 	if found && len(t.crashes) >= t.cfg.MaxCrashes {
 		delete(t.crashes, oldest)
 	}
-	c := &crash{at: at, requests: make(map[ident.Fingerprint]bool)}
+	c := &crash{at: at, requests: make(map[ident.Fingerprint]time.Duration)}
 	t.crashes[s] = c
 	return c
 }
 
-// convictCommon convicts the only request that a crash shares with an earlier
+// convictCommon convicts the only request that a crash shares with another
 // one. It matters when a spread message was lost: otherwise a suspect runs
-// alone and Convict is called.
+// alone and its owner convicts it.
 func (t *Tracker) convictCommon(now time.Duration, s Server) []ident.Fingerprint {
 	var out []ident.Fingerprint
 	last := t.crashes[s]
@@ -203,21 +224,35 @@
 		if other == s || c.mass {
 			continue
 		}
-		var common []ident.Fingerprint
-		for f := range last.requests {
-			if c.requests[f] {
-				common = append(common, f)
-			}
-		}
-		if len(common) == 1 && t.Standing(now, common[0]) != Convicted {
-			t.set(now, common[0], Convicted, now)
-			out = append(out, common[0])
+		if f, ok := resent(c, last); ok && t.Standing(now, f) != Convicted {
+			t.set(now, f, Convicted, now)
+			out = append(out, f)
 		}
 	}
 	return out
 }
 
-// pardonMass clears the suspects of a loss of many backend servers at once.
+// resent returns the request of the later crash that started after the earlier
+// one, if there is exactly one. A request that ran on both backend servers at
+// the same time may be a popular one that did no harm.
+func resent(a, b *crash) (f ident.Fingerprint, ok bool) {
+	if a.at > b.at {
+		a, b = b, a
+	}
+	for g, started := range b.requests {
+		if _, both := a.requests[g]; !both || started < a.at {
+			continue
+		}
+		if ok {
+			return 0, false
+		}
+		f, ok = g, true
+	}
+	return f, ok
+}
+
+// pardonMass clears the suspects of a loss of many backend servers at once,
+// but for those that were on more than one of them.
 func (t *Tracker) pardonMass(now time.Duration, dc ident.DataCentre) bool {
 	var lost []*crash
 	seen := make(map[ident.Fingerprint]int)
@@ -233,28 +268,23 @@
 	if len(lost) < t.cfg.MassBackends {
 		return false
 	}
-	pardon := true
 	for f, n := range seen {
 		r := t.records[f]
-		if n > 1 || r == nil || r.standing != Suspect || r.pardoned {
-			pardon = pardon && n == 1
-			continue
+		if n == 1 && r != nil && r.standing == Suspect && !r.pardoned {
+			r.standing, r.pardoned = Free, true
 		}
-		r.standing, r.pardoned = Free, true
 	}
 	for _, c := range lost {
-		c.mass = pardon
+		c.mass = true
 	}
-	return pardon
+	return true
 }
 
 // Apply takes over a finding of another entry instance or of this one.
 func (t *Tracker) Apply(now time.Duration, f Finding) {
 	switch {
 	case f.Standing == Free:
-		if t.Standing(now, f.Fingerprint) == Suspect {
-			delete(t.records, f.Fingerprint)
-		}
+		t.clear(now, f.Fingerprint)
 	case f.Age >= t.age(f.Standing):
 	case f.Standing > t.Standing(now, f.Fingerprint):
 		t.set(now, f.Fingerprint, f.Standing, now-f.Age)
