gateway: run orders at most once, isolate suspects, limit hostile senders

Non-idempotent calls of plain services need an Idempotency-Key and go through the claim machine; POST /v1/tickets gives keys that work while the store is down, and other entry instances forward them to the one that minted them. Suspected requests run alone after their owner's permission. Bodies get a deadline, a share of a memory budget and an early check of the bearer key; refusals that net/http writes by itself become problem details.

Found on the way: a body of a known size that is refused unread blocked net/http for good when the sender sent nothing; max_tokens could overflow the sum of held tokens; a decoded question mark in a path began a query that was not classified.

--- a/claim/machine.go
+++ b/claim/machine.go
@@ -230,9 +230,9 @@
 	case row.Digest != m.req.Digest:
 		return m.abandon(m.verdict(VerdictConflict, ""))
 	case row.State == StateDone:
-		return m.abandon([]Action{Reply{Verdict{Kind: VerdictReplay, Answer: row.Answer}}})
+		return m.adopt(StateDone, row.Answer)
 	case row.State == StateUnknown:
-		return m.abandon(m.verdict(VerdictUnknown, ReasonAnswerLost))
+		return m.adopt(StateUnknown, nil)
 	case row.State == StateAbandoned:
 		return m.takeover()
 	case m.reread && unchanged:
@@ -260,9 +260,9 @@
 	case StateAbandoned:
 		return m.takeover()
 	case StateDone:
-		return m.abandon([]Action{Reply{Verdict{Kind: VerdictReplay, Answer: r.Answer}}})
+		return m.adopt(StateDone, r.Answer)
 	case StateUnknown:
-		return m.abandon(m.verdict(VerdictUnknown, ReasonAnswerLost))
+		return m.adopt(StateUnknown, nil)
 	case StateRunning:
 		return m.wait(m.ask)
 	default:
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -372,6 +372,7 @@
 	}
 	assert.Assert(t, !reserve(0, 300, 0), "a register full of running attempts must refuse")
 	assert.Assert(t, reserve(TicketLife, 301, 0), "expired tickets must give way")
+	assert.Assert(t, !reserve(TicketLife, 1, TicketLife), "expired ticket was run again")
 }
 
 // TestTicket guards against a ticket that another account, service or
--- a/claim/outcome.go
+++ b/claim/outcome.go
@@ -32,6 +32,18 @@
 	return append(out, reply...)
 }
 
+// adopt answers with the final outcome of another attempt. The register keeps
+// it under the own attempt, so that further local retries need no store.
+func (m *Machine) adopt(state State, answer *Answer) []Action {
+	v := Verdict{Kind: VerdictReplay, Answer: answer}
+	if state == StateUnknown {
+		v = Verdict{Kind: VerdictUnknown, Reason: ReasonAnswerLost}
+	}
+	m.settled = true
+	out := append([]Action{Remember{State: state, Answer: answer}}, m.reply(v)...)
+	return m.finish(append(out, Recorded{}))
+}
+
 func (m *Machine) finish(out []Action) []Action {
 	m.phase = phaseFinished
 	m.next = nil
--- a/claim/register.go
+++ b/claim/register.go
@@ -83,6 +83,10 @@
 		owner := a.owner
 		return Reserved{Existing: &owner, Report: a.report()}
 	}
+	if pinned > 0 && now >= pinned {
+		// The ticket expired since it was verified, and its use may be forgotten.
+		return Reserved{Existing: &Owner{}, Report: Report{State: StateUnknown, Digest: req.Digest}}
+	}
 	if !r.makeRoom(now) {
 		return Reserved{Existing: &Owner{}, Report: Report{State: StateGone, Digest: req.Digest}}
 	}
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -24,6 +24,9 @@
 	bytesPerToken = 4
 	// defaultMaxTokens applies when a completion does not bound its answer.
 	defaultMaxTokens = 256
+	// maxCompletionTokens bounds what a caller may ask for. A larger number
+	// could overflow the sum of held tokens.
+	maxCompletionTokens = 1 << 24
 	// maxDeadline bounds what a caller may ask for.
 	maxDeadline = 10 * time.Minute
 	// servicesPrefix starts the paths of plain services.
@@ -46,6 +49,9 @@
 			return nil, ProblemBadRequest.With("body is not a JSON object: %v", err)
 		}
 	}
+	if r.Completion.MaxTokens > maxCompletionTokens {
+		return nil, ProblemBadRequest.With("max_tokens exceeds %d", maxCompletionTokens)
+	}
 	r.Name = ident.ServiceName(r.Completion.Model)
 	r.Idempotent = true
 	r.Tokens = estimateTokens(r.Completion)
@@ -89,12 +95,11 @@
 }
 
 func (r *Request) decodeHeaders(h http.Header) error {
-	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
+	sum, ok := keySHA256(h.Get("Authorization"))
+	if !ok {
 		return ProblemUnknownAccount.With("no bearer key")
 	}
-	sum := sha256.Sum256([]byte(key))
-	r.KeySHA256 = hex.EncodeToString(sum[:])
+	r.KeySHA256 = sum
 	if v := h.Get(HeaderDeadline); v != "" {
 		ms, err := strconv.Atoi(v)
 		if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > maxDeadline {
@@ -112,6 +117,16 @@
 	return nil
 }
 
+// keySHA256 hashes the bearer key of an Authorization header.
+func keySHA256(authorization string) (string, bool) {
+	key, ok := strings.CutPrefix(authorization, "Bearer ")
+	if !ok || key == "" {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:]), true
+}
+
 // readBody reads a bounded body.
 func readBody(h *http.Request, limit int64) ([]byte, error) {
 	if h.Body == nil || h.ContentLength == 0 {
@@ -122,7 +137,10 @@
 	}
 	b, err := io.ReadAll(http.MaxBytesReader(nil, h.Body, limit))
 	var tooLarge *http.MaxBytesError
+	var problem *Problem
 	switch {
+	case errors.As(err, &problem):
+		return nil, problem
 	case errors.As(err, &tooLarge):
 		return nil, ProblemBodyTooLarge.With("limit is %d bytes", limit)
 	case err != nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,11 +39,20 @@
 	ServerRouter ServerRouter
 	// Filters run between classification and dispatch, in order.
 	Filters []Filter
-	Self    view.Entry
+	// Orders runs non-idempotent calls at most once, after Filters. Without it
+	// they are dispatched without a record.
+	Orders *Orders
+	// Quarantine keeps crashing requests away from plain services; for model
+	// services it wraps the Router.
+	Quarantine *Quarantine
+	Self       view.Entry
 	// LookupTTL is how long callers may keep a lookup answer.
 	LookupTTL time.Duration
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// BodyMemoryBytes bounds the request bodies held at a time. 0 means the
+	// default.
+	BodyMemoryBytes int64
 	// AccountParkedStreams and ProcessParkedStreams bound parked streams. Past
 	// them the stream is closed, and its caller resumes with Last-Event-ID.
 	AccountParkedStreams int
@@ -62,6 +71,7 @@
 	parkRefused     tally.Counter
 	parkedNow       tally.Gauge
 	lookups         tally.Counter
+	refusedEarly    tally.Counter
 }
 
 // Gateway serves callers.
@@ -73,6 +83,9 @@
 	backends   *plainClient
 	parked     parkedStreams
 	draining   atomic.Bool
+	bodyBytes  atomic.Int64
+	bodyGrace  time.Duration
+	keys       atomic.Pointer[keyIndex]
 
 	base   context.Context
 	cancel context.CancelFunc
@@ -84,6 +97,9 @@
 	if opts.ParkAfter == 0 {
 		opts.ParkAfter = parkAfter
 	}
+	if opts.BodyMemoryBytes == 0 {
+		opts.BodyMemoryBytes = defaultBodyMemoryBytes
+	}
 	s := opts.Metrics.Scope
 	g := &Gateway{
 		opts: opts,
@@ -96,15 +112,22 @@
 			parkRefused:     s.Counter("streams_park_refused_total"),
 			parkedNow:       s.Gauge("streams_parked"),
 			lookups:         s.Counter("lookups_total"),
+			refusedEarly:    s.Counter("requests_refused_early_total"),
 		},
-		backends: newPlainClient(),
-		parked:   newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
+		backends:  newPlainClient(),
+		bodyGrace: bodyGrace,
+		parked:    newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
 	}
 	g.base, g.cancel = context.WithCancel(context.Background())
 	front := []Filter{g.account, g.authenticate, g.classify}
 	filters := append(front, opts.Filters...)
 	g.completion = chain(g.dispatchCompletion, filters...)
-	g.plain = chain(g.dispatchPlain, filters...)
+	if opts.Orders != nil {
+		g.plain = chain(g.dispatchPlain, append(filters, opts.Orders.filter)...)
+		opts.Orders.serve = g.plain
+	} else {
+		g.plain = chain(g.dispatchPlain, filters...)
+	}
 	return g
 }
 
@@ -123,7 +146,10 @@
 	mux.Handle("POST "+completionPath, completions)
 	mux.Handle(servicesPrefix, kithttp.NewServer(g.plainEndpoint(), g.decodePlain, encodePlain, options...))
 	mux.Handle("GET "+lookupPath, kithttp.NewServer(g.lookup, decodeLookup, kithttp.EncodeJSONResponse, options...))
-	return mux
+	if g.opts.Orders != nil {
+		mux.Handle("POST "+ticketsPath, kithttp.NewServer(g.mint, g.decodeTicket, kithttp.EncodeJSONResponse, options...))
+	}
+	return g.limits(mux)
 }
 
 // passRequest hands the decoded request to the encoder: the answer of a model
--- /dev/null
+++ b/gateway/orderparts.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bulrushfall/bulrushfall/claim"
+	"github.com/bulrushfall/bulrushfall/claim/runner"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/quarantine"
+	"github.com/bulrushfall/bulrushfall/view"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// OrderOptions are the parts that at-most-once calls and the quarantine work
+// with.
+type OrderOptions struct {
+	Table    platform.Table
+	Objects  platform.ObjectStore
+	Node     *wire.Node
+	Snapshot func() *view.Snapshot
+	// Now is the local monotonic clock.
+	Now   func() time.Duration
+	Self  view.Entry
+	Scope tally.Scope
+}
+
+// OrderParts are the parts of an entry instance that keep orders from running
+// twice and crashing requests from running often.
+type OrderParts struct {
+	Orders     *Orders
+	Runner     *runner.Runner
+	Quarantine *Quarantine
+	opts       OrderOptions
+}
+
+// NewOrderParts builds the parts with their default limits.
+func NewOrderParts(opts OrderOptions) (*OrderParts, error) {
+	p := &OrderParts{opts: opts, Orders: &Orders{opts: opts, forward: newForwardLimit()}}
+	r, err := runner.New(runner.Options{
+		Instance:    opts.Self.Instance,
+		Incarnation: opts.Self.Incarnation,
+		Table:       opts.Table,
+		Objects:     opts.Objects,
+		Ask:         p.Orders.AskPeer,
+		Now:         opts.Now,
+		Wall:        time.Now,
+		Scope:       opts.Scope,
+		Machine:     claim.DefaultConfig(),
+		Register:    claim.DefaultRegisterConfig(),
+		Batch:       claim.DefaultBatchConfig(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Runner, p.Orders.runner = r, r
+	p.Quarantine = NewQuarantine(quarantine.DefaultConfig(), opts)
+	return p, nil
+}
+
+// Register adds the peer handlers. Call it before the node serves.
+func (p *OrderParts) Register(mux *wire.Mux) {
+	p.Orders.Register(mux)
+	p.Quarantine.Register(mux)
+}
+
+// Run deletes old claims until the context ends. One live entry instance does
+// it for all: the owner of the table's name.
+func (p *OrderParts) Run(ctx context.Context) {
+	p.Runner.Sweep(ctx, claim.DefaultSweepConfig(), func() bool {
+		var owner ident.InstanceID
+		var best uint64
+		for _, e := range p.opts.Snapshot().Entries {
+			if s := ident.Score(claim.Table, e.Instance); e.Alive && (owner == "" || s > best) {
+				owner, best = e.Instance, s
+			}
+		}
+		return owner == p.opts.Self.Instance
+	})
+}
+
+// Wait waits for outcomes that are not recorded yet.
+func (p *OrderParts) Wait(ctx context.Context) error { return p.Runner.Wait(ctx) }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,7 @@
 	ErrBackendNotRun = errors.New("backend server refused the request and did not run it")
 	// ErrBackendOutcomeUnknown means that the request may have run.
 	ErrBackendOutcomeUnknown = errors.New("connection to the backend server failed during the request")
+	errAnswerTooLarge        = errors.Wrap(ErrBackendOutcomeUnknown, "answer is too large")
 )
 
 // plainClient calls backend servers of plain services.
@@ -53,11 +55,10 @@
 
 // call sends one attempt and returns the whole answer.
 func (c *plainClient) call(ctx context.Context, r *Request, b *view.Backend, attempt ident.AttemptID) (*Answer, error) {
-	url := "http://" + b.Address + r.Path
-	if r.Query != "" {
-		url += "?" + r.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	// The path is escaped again, so that the one that was classified is sent: a
+	// decoded question mark must not begin a query.
+	target := url.URL{Scheme: "http", Host: b.Address, Path: r.Path, RawQuery: r.Query}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, errors.Wrap(ErrBackendNotSent, err.Error())
 	}
@@ -92,7 +93,7 @@
 	case err != nil:
 		return nil, errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
 	case len(body) > maxPlainAnswerBytes:
-		return nil, errors.Wrapf(ErrBackendOutcomeUnknown, "answer exceeds %d bytes", maxPlainAnswerBytes)
+		return nil, errors.Wrapf(errAnswerTooLarge, "limit is %d bytes", maxPlainAnswerBytes)
 	case resp.Header.Get(engine.HeaderNotRun) != "":
 		return nil, errors.Wrapf(ErrBackendNotRun, "status %d", resp.StatusCode)
 	}
@@ -153,22 +154,19 @@
 // dispatchPlain is the last endpoint of plain services. It retries idempotent
 // calls on other backend servers, and any call that certainly did not run.
 func (g *Gateway) dispatchPlain(ctx context.Context, r *Request) (*Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Deadline-g.now())
+	ctx, cancel := context.WithTimeout(ctx, max(r.Deadline, r.AnswerBy)-g.now())
 	defer cancel()
 	var excluded []ident.InstanceID
 	var last error
 	for range maxAttempts {
-		b, release, err := g.acquireServer(ctx, r, excluded)
-		if err != nil {
-			if len(excluded) == 0 {
-				last = err
-			}
-			return nil, plainProblem(last)
-		}
-		a, err := g.backends.call(ctx, r, b, ident.AttemptID(r.AnswerID))
-		release(Result{Err: err})
-		if err == nil {
+		a, b, err := g.attemptPlain(ctx, r, excluded)
+		switch {
+		case err == nil:
 			return a, nil
+		case b == nil && (last == nil || errors.Is(err, errCrashes)):
+			return nil, plainProblem(err)
+		case b == nil:
+			return nil, plainProblem(last)
 		}
 		last = err
 		if ctx.Err() != nil || (!r.Idempotent && errors.Is(err, ErrBackendOutcomeUnknown)) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,6 +35,9 @@
 	// bounds the start of the answer.
 	Arrived  time.Duration
 	Deadline time.Duration
+	// AnswerBy is when the answer of a call that was sent by the deadline is
+	// given up. 0 means at the deadline.
+	AnswerBy time.Duration
 
 	Method         string
 	Path           string
@@ -48,6 +51,10 @@
 	CallerPriority int
 	HasPriority    bool
 
+	// Isolated asks for a group that runs nothing else at the time, because the
+	// request is suspected of crashing backend servers.
+	Isolated bool
+
 	// Completion is set for model services.
 	Completion *engine.CompletionRequest
 	// Tokens estimates the context tokens that the request holds at the engine.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,7 +22,8 @@
 func (g *Gateway) Server(h http.Handler, maxHeaderBytes int) *http.Server {
 	return &http.Server{
 		Handler:           h,
-		ConnContext:       connContext,
+		ConnContext:       limitContext,
+		ConnState:         connState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -106,5 +107,5 @@
 
 // Listener wraps the callers' listener so that stopped readers are noticed.
 func (g *Gateway) Listener(l net.Listener) net.Listener {
-	return stallListener{Listener: l, parkAfter: g.opts.ParkAfter}
+	return &limitListener{Listener: stallListener{Listener: l, parkAfter: g.opts.ParkAfter}, limit: maxConnections}
 }
