gateway: run suspects on an exclusive credit; daemon: connect orders and quarantine

A suspect keeps to the target with the fewest requests, which gets no other work until it is idle and the suspect has run. The refusal of a convicted request is what its caller gets, not the failure of the attempt before it.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -47,6 +47,7 @@
 	data     *engine.Data
 	balancer *gateway.Balancer
 	syncer   *control.Syncer
+	orders   *gateway.OrderParts
 }
 
 func newDaemon(cfg settings.Config, documents []service.Document) (*daemon, error) {
@@ -96,14 +97,23 @@
 	d.loop.RegisterSync(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
 	d.syncer = control.NewSyncer(d.loop, d.balancer)
+	d.orders, err = gateway.NewOrderParts(gateway.OrderOptions{
+		Table: store, Objects: store, Node: d.node, Snapshot: d.loop.Snapshot, Now: now, Self: self, Scope: d.metrics.Scope,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.orders.Register(mux)
 	d.gateway = gateway.New(gateway.Options{
 		Snapshot:             d.loop.Snapshot,
 		Now:                  now,
 		Metrics:              d.metrics,
 		Data:                 d.data,
-		Router:               d.balancer,
+		Router:               d.orders.Quarantine.Router(d.balancer),
 		ServerRouter:         d.balancer,
 		Filters:              []gateway.Filter{gateway.NewAccountLimits(now, d.metrics).Filter},
+		Orders:               d.orders.Orders,
+		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
@@ -143,6 +153,7 @@
 	g.Go(func() error { d.loop.Run(loopCtx); return nil })
 	g.Go(func() error { d.syncer.Run(loopCtx); return nil })
 	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
+	g.Go(func() error { d.orders.Run(loopCtx); return nil })
 	g.Go(func() error {
 		<-ctx.Done()
 		d.drain(callerServer)
@@ -171,6 +182,9 @@
 		d.log.WithError(err).Warn("requests were still running at the end of the grace period")
 	}
 	d.gateway.Wait(ctx)
+	if err := d.orders.Wait(ctx); err != nil {
+		d.log.WithError(err).Warn("callers that retry will get an unknown outcome for these orders")
+	}
 }
 
 // operatorHandler serves the operators' interface, health, readiness and
--- a/gateway/credit.go
+++ b/gateway/credit.go
@@ -69,6 +69,6 @@
 		part.Tokens = max(l.largestTokens, (l.waitingTokens+n-1)/n)
 	}
 	for i := range l.targets {
-		l.holder.SetWaiting(l.targets[i].backend, part, false)
+		l.holder.SetWaiting(l.targets[i].backend, part, l.isolating[l.targets[i].backend] > 0)
 	}
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -61,7 +61,7 @@
 	for range maxAttempts {
 		grant, err := g.opts.Router.Acquire(ctx, r, excluded)
 		if err != nil {
-			if last != nil {
+			if last != nil && !errors.Is(err, errCrashes) {
 				return nil, attemptProblem(last)
 			}
 			return nil, err
--- /dev/null
+++ b/gateway/isolate_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/quarantine"
+	standin "github.com/bulrushfall/bulrushfall/standin/engine"
+	"github.com/bulrushfall/bulrushfall/telemetry"
+)
+
+// TestPoisonRunsAlone guards against a completion that crashes more than two
+// engines, against a suspect that takes other requests down with it, and
+// against innocent streams that do not come to their end.
+func TestPoisonRunsAlone(t *testing.T) {
+	cfg := standin.DefaultConfig()
+	cfg.PoisonMarker, cfg.ColdTime, cfg.LoadTime, cfg.RestartDelay = "poison", 0, 0, time.Hour
+	var b *Balancer
+	h := newHarness(t, 4, cfg, func(o *Options) {
+		b = NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
+		// A new owner grants no run alone, because unknown holders may use reserves.
+		go serveCredits(t.Context(), b, o.Snapshot, o.Now, 20*time.Millisecond, time.Hour)
+		o.Quarantine = NewQuarantine(quarantine.DefaultConfig(), OrderOptions{
+			Snapshot: o.Snapshot, Now: o.Now, Self: o.Self, Scope: o.Metrics.Scope,
+		})
+		o.Router = o.Quarantine.Router(b)
+	})
+	_, body := completionBody(60, true)
+	h.waitFor("credits are given", func() bool { return h.post(body, HeaderDeadline, "500").StatusCode == 200 })
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() {
+			resp := h.post(body, HeaderDeadline, "10000")
+			_, _, done := readText(resp.Body)
+			assert.Check(t, done, "innocent stream was cut")
+		})
+	}
+	poison := []byte(`{"model":"` + testService + `","prompt":"poison","stream":true}`)
+	for range 5 {
+		resp := h.post(poison, HeaderDeadline, "10000")
+		text, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, ProblemCrashes.Status, string(text))
+	}
+	wg.Wait()
+	lost := 0
+	for _, e := range h.engines {
+		if _, err := engine.NewControl().Status(t.Context(), e.Addr()); err != nil {
+			lost++
+		}
+	}
+	assert.Equal(t, lost, 2)
+	resp := h.post(body)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	_, _, done := readText(resp.Body)
+	assert.Assert(t, done)
+	h.waitFor("everything is returned", func() bool { ok, _ := b.lane(testService).idle(); return ok })
+	assert.Equal(t, len(b.lane(testService).isolating), 0)
+}
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -62,6 +62,7 @@
 	credit   credit.Credit
 	started  time.Duration
 	uncached int
+	alone    bool // outside the queue, on an exclusive credit
 	once     sync.Once
 }
 
@@ -76,13 +77,15 @@
 	b    *Balancer
 	name ident.ServiceName
 
-	mu            sync.Mutex
-	holder        *credit.Holder
-	queue         *admission.Queue
-	retries       *admission.RetryBudget
-	table         *routing.Table
-	policy        routing.Policy
-	waiting       map[*admission.Waiter]*ticket
+	mu      sync.Mutex
+	holder  *credit.Holder
+	queue   *admission.Queue
+	retries *admission.RetryBudget
+	table   *routing.Table
+	policy  routing.Policy
+	waiting map[*admission.Waiter]*ticket
+	// isolating counts the suspects that wait to run alone at a target.
+	isolating     map[credit.BackendID]int
 	waitingTokens int
 	largestTokens int
 
@@ -283,7 +286,7 @@
 	for i := range l.targets {
 		t := &l.targets[i]
 		l.free[i] = 0
-		if t.usable(now) && l.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
 			l.free[i] = l.holder.Free(now, t.backend, true)
 		}
 		found = found || l.free[i] > 0
@@ -335,7 +338,11 @@
 	if l.holder.Over(p.target.backend) {
 		l.wakeSync()
 	}
-	l.queue.Done(now, p.ticket.waiter)
+	if p.alone {
+		l.endIsolating(p.target.backend)
+	} else {
+		l.queue.Done(now, p.ticket.waiter)
+	}
 	hold := now - p.started
 	if r.Err != nil {
 		hold = 0
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -138,6 +138,10 @@
 // acquire waits for a credit until the request's deadline.
 func (b *Balancer) acquire(ctx context.Context, t *ticket) (*permit, error) {
 	l := b.lane(t.request.Name)
+	if t.request.Isolated {
+		t.waiter = newWaiter(t.request, b.now())
+		return l.acquireAlone(ctx, t)
+	}
 	t.result = make(chan outcome, 1)
 	t.waiter = newWaiter(t.request, b.now())
 	l.enter(t)
@@ -189,6 +193,8 @@
 		table:   routing.NewTable(routing.Place{DataCentre: b.self.DataCentre, Region: b.self.Region}, maxHints),
 		policy:  routing.ExpectedDelay{Rand: rand.New(rand.NewPCG(seed, seed))},
 		waiting: make(map[*admission.Waiter]*ticket),
+
+		isolating: make(map[credit.BackendID]int),
 	}
 }
 
--- a/gateway/route_test.go
+++ b/gateway/route_test.go
@@ -29,13 +29,13 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go b.Run(ctx)
-		go serveCredits(ctx, b, o.Snapshot, o.Now, every)
+		go serveCredits(ctx, b, o.Snapshot, o.Now, every, 0)
 	}
 }
 
-// serveCredits is a credit owner beside the balancer.
-func serveCredits(ctx context.Context, b *Balancer, snapshot func() *view.Snapshot, now func() time.Duration, every time.Duration) {
-	owner := credit.NewOwner(1, now())
+// serveCredits is a credit owner of some age beside the balancer.
+func serveCredits(ctx context.Context, b *Balancer, snapshot func() *view.Snapshot, now func() time.Duration, every, age time.Duration) {
+	owner := credit.NewOwner(1, now()-age)
 	limits := credit.Limits{Requests: testLimit, ColdRequests: 1, HeldTokens: 10_000, ColdRamp: time.Millisecond}
 	tick := time.NewTicker(every)
 	defer tick.Stop()
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -90,6 +90,10 @@
 // permit waits until a request may run, alone or with others.
 func (q *Quarantine) permit(ctx context.Context, r *Request) (*suspectRun, error) {
 	run := &suspectRun{q: q, f: r.Fingerprint}
+	deadline := r.Deadline
+	if started(r) {
+		deadline = q.opts.Now() + resumeWait
+	}
 	for {
 		switch standing, remaining := q.standing(run.f); standing {
 		case quarantine.Free:
@@ -114,7 +118,7 @@
 			q.apply(quarantine.Finding{Fingerprint: run.f, Standing: quarantine.Convicted})
 			continue
 		}
-		if q.opts.Now()+suspectPoll >= r.Deadline {
+		if q.opts.Now()+suspectPoll >= deadline {
 			return nil, ProblemNoCapacity.With("the request waits for a run alone after a crash").After(time.Second)
 		}
 		select {
