Spread confirmations from the lease holder with the group sync

Change: the holder polls the members of its service; facts and loads of groups travel with the replies to syncs, with ages counted from the instant the sync was sent; other entry instances poll only after a missed sync. The syncer no longer wakes every 10 ms.

--- a/control/loop.go
+++ b/control/loop.go
@@ -87,6 +87,8 @@
 	// The fields below belong to the control goroutine.
 	documents     []service.Document
 	instances     []platform.Instance
+	byID          map[ident.InstanceID]platform.Instance
+	learned       map[ident.ServiceName]groupsLearned
 	statuses      map[ident.InstanceID]memberStatus
 	polling       map[ident.InstanceID]bool
 	credits       credits
@@ -111,6 +113,7 @@
 		events:    make(chan event, eventBuffer),
 		polls:     make(chan struct{}, maxPolls),
 		documents: opts.Documents,
+		learned:   make(map[ident.ServiceName]groupsLearned),
 		statuses:  make(map[ident.InstanceID]memberStatus),
 		polling:   make(map[ident.InstanceID]bool),
 		credits:   credits{owners: make(map[ident.ServiceName]*ownerState)},
--- a/control/poll.go
+++ b/control/poll.go
@@ -28,14 +28,14 @@
 	l.membershipInstances(now)
 }
 
-// forgetGone drops the statuses of instances that left the list.
+// forgetGone indexes the list and drops the statuses of instances that left the list.
 func (l *Loop) forgetGone() {
-	listed := make(map[ident.InstanceID]bool, len(l.instances))
+	l.byID = make(map[ident.InstanceID]platform.Instance, len(l.instances))
 	for _, inst := range l.instances {
-		listed[inst.ID] = true
+		l.byID[inst.ID] = inst
 	}
 	for id := range l.statuses {
-		if !listed[id] {
+		if _, ok := l.byID[id]; !ok {
 			delete(l.statuses, id)
 		}
 	}
@@ -73,10 +73,11 @@
 	l.statuses[e.instance] = memberStatus{status: e.status, sent: e.sent, ok: true}
 }
 
-// pollMembers polls each engine member that has no poll on the way.
+// pollMembers polls the engine members in scope that have no poll on the way.
 func (l *Loop) pollMembers(ctx context.Context, now time.Duration) {
+	scope := l.pollScope(now)
 	for _, inst := range l.instances {
-		if inst.Kind != platform.KindEngine || l.polling[inst.ID] {
+		if inst.Kind != platform.KindEngine || l.polling[inst.ID] || !scope.due(l, inst, now) {
 			continue
 		}
 		l.polling[inst.ID] = true
--- a/control/publish.go
+++ b/control/publish.go
@@ -23,7 +23,7 @@
 		svc := &view.Service{Document: doc, Lease: l.leaseView(doc.Service, now)}
 		switch doc.Kind {
 		case service.KindModel:
-			svc.Groups = l.confirmedGroups(doc, now)
+			svc.Groups = l.serviceGroups(doc, now)
 			groups += len(svc.Groups)
 		case service.KindPlain:
 			svc.Backends = l.plainBackends(doc.Service)
--- a/control/sync.go
+++ b/control/sync.go
@@ -58,6 +58,7 @@
 type GroupSync struct {
 	Service ident.ServiceName `msgpack:"v"`
 	Sync    credit.Sync       `msgpack:"s"`
+	Known   Known             `msgpack:"k"`
 }
 
 // GroupSyncReply is its response. Granted is false when the sync was overtaken
@@ -65,6 +66,8 @@
 type GroupSyncReply struct {
 	Granted bool         `msgpack:"g"`
 	Reply   credit.Reply `msgpack:"r"`
+	// Confirmations are sent with each reply, also when the sync was overtaken.
+	Confirmations Confirmations `msgpack:"c"`
 }
 
 // ownerState is the credit owner of one service.
@@ -73,6 +76,7 @@
 	owner *credit.Owner
 	// known is when the last report of each backend server was sent.
 	known map[credit.BackendID]time.Duration
+	facts factTable
 }
 
 // credits is the owner side of the exchange. It belongs to the control
@@ -104,6 +108,10 @@
 			out = GroupSyncReply{Granted: true, Reply: r}
 		}
 	}
+	if e.request.Sync.Entry != l.opts.Self.Instance {
+		svc := l.snapshot.Load().Service(e.request.Service)
+		out.Confirmations = o.facts.since(now, o.epoch, e.request.Known, svc.Groups)
+	}
 	e.reply <- syncAnswer{reply: out}
 }
 
@@ -152,6 +160,7 @@
 	for _, svc := range l.snapshot.Load().Services {
 		if o := l.creditOwner(now, svc.Document.Service); o != nil {
 			o.report(now, l.loadReports(now, svc))
+			o.facts.update(svc.Groups)
 		}
 	}
 }
@@ -216,6 +225,7 @@
 	holders CreditHolders
 	sent    tally.Counter
 	failed  tally.Counter
+	learner *learner
 
 	mu   sync.Mutex
 	open map[ident.ServiceName]int
@@ -228,15 +238,17 @@
 	return &Syncer{
 		loop: loop, holders: holders, open: make(map[ident.ServiceName]int),
 		sent: s.Counter("group_syncs_total"), failed: s.Counter("group_sync_errors_total"),
+		learner: newLearner(),
 	}
 }
 
 // Run sends syncs in intervals, and at once when asked, until the context ends.
+// What is asked for within syncGap is merged.
 func (s *Syncer) Run(ctx context.Context) {
 	defer s.wg.Wait()
 	tick := time.NewTicker(credit.SyncInterval)
 	defer tick.Stop()
-	gap := time.NewTicker(syncGap)
+	gap := time.NewTimer(0)
 	defer gap.Stop()
 	urgent := make(map[ident.ServiceName]bool)
 	for {
@@ -245,15 +257,18 @@
 			return
 		case <-tick.C:
 			for _, svc := range s.loop.Snapshot().Services {
-				urgent[svc.Document.Service] = true
+				s.start(ctx, svc.Document.Service)
 			}
 		case name := <-s.holders.Wake():
+			if len(urgent) == 0 {
+				gap.Reset(syncGap)
+			}
 			urgent[name] = true
 		case <-gap.C:
 			for name := range urgent {
-				delete(urgent, name)
 				s.start(ctx, name)
 			}
+			clear(urgent)
 		}
 	}
 }
@@ -287,7 +302,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	req := GroupSync{Service: name, Sync: s.holders.Sync(s.loop.opts.Now(), name)}
+	sent := s.loop.opts.Now()
+	req := GroupSync{Service: name, Sync: s.holders.Sync(sent, name), Known: s.learner.known(name)}
 	s.sent.Inc(1)
 	var resp GroupSyncReply
 	var err error
@@ -300,5 +316,9 @@
 		s.failed.Inc(1)
 		return false
 	}
+	if owner.Instance != s.loop.opts.Self.Instance {
+		groups := s.learner.learn(name, resp.Confirmations, sent)
+		s.loop.post(ctx, groupsLearned{service: name, sent: sent, groups: groups})
+	}
 	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, resp.Reply)
 }
