--- a/control/groups.go
+++ b/control/groups.go
@@ -119,6 +119,10 @@
 // whose holder owns its credits, but no groups. A service without a document
 // gives up its groups.
 func (l *Loop) followDocuments(now time.Duration) {
+	if !l.ready() {
+		// An older document must not change groups.
+		return
+	}
 	seen := make(map[ident.ServiceName]bool)
 	for _, doc := range l.groupDocuments() {
 		c, ok := l.groups.services[doc.Service]
@@ -132,7 +136,7 @@
 		l.setDocument(now, c, doc)
 	}
 	for name, c := range l.groups.services {
-		if !seen[name] && l.ready() {
+		if !seen[name] {
 			l.setDocument(now, c, service.Document{Service: name})
 		}
 	}
