group: keep a stopping group whose members are all silent

If they came back together after the group was dissolved, entries confirmed it again while the planner released its members and gave the leader to another group at once; a leader that ignores the epoch of requests would have run them there.

--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -157,7 +157,9 @@
 }
 
 // ended reports whether a stopping group has stopped: each member has left or
-// is silent, and no entry sends requests to the leader any more.
+// is silent, and no entry sends requests to the leader any more. At least one
+// member has to have left: if all are silent they may come back together as a
+// whole group, which entries would confirm again.
 func (p *Planner) ended(now time.Duration, g *group) bool {
 	k := groupKey{g.row.ID, g.row.Epoch}
 	ended := true
@@ -169,7 +171,7 @@
 			ended = false
 		}
 	}
-	return ended && (p.refusesOld(g, k) || now-max(g.leftAt, g.since) >= view.ConfirmTTL+p.cfg.CommandFlight)
+	return ended && g.leftAt > 0 && (p.refusesOld(g, k) || now-max(g.leftAt, g.since) >= view.ConfirmTTL+p.cfg.CommandFlight)
 }
 
 // refusesOld reports whether the leader of a stopped group refuses requests for
--- a/group/plan.go
+++ b/group/plan.go
@@ -83,7 +83,7 @@
 func (p *Planner) count(now time.Duration, c *census, g *group) {
 	switch {
 	case g.row.State == StateStopping:
-		if g.repair && p.current(&g.row) {
+		if g.repair && p.current(&g.row) && !p.lossOf(now, g).dark() {
 			c.coming++
 		}
 		return
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -295,3 +295,23 @@
 		assert.Equal(t, len(group.Confirmed(&doc, seen, now)), 0, name)
 	}
 }
+
+// Guards against a stopping group whose members all fall silent and come back
+// together: entries confirm it again, so its leader must not be given away at
+// once if it ignores the epoch of requests.
+func TestSilentGroupComesBackWhole(t *testing.T) {
+	cfg := modelConfig(1)
+	cfg.IgnoresFencing, cfg.PerDomain = 1, 4
+	m := ready(t, cfg)
+	doc := cfg.Document
+	doc.Replicas.Wanted = 2
+	m.SetDocument(doc)
+	for _, e := range m.Engines {
+		e.Pause(12 * time.Second)
+	}
+	m.Run(m.Now + 8*time.Second)
+	m.SetDocument(cfg.Document)
+	m.Run(m.Now + 30*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	noViolations(t, m)
+}
