--- /dev/null
+++ b/experiment/config_read.go
@@ -0,0 +1,62 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/config/configshell"
+	"github.com/bulrushfall/bulrushfall/platform"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// configReads is the number of reads of the head row that are counted.
+const configReads = 100
+
+// configReadBytes measures what one read of the head row carries in both
+// directions, on a connection that stays open.
+func configReadBytes(w io.Writer) error {
+	store, err := standin.Start(standin.DefaultConfig())
+	if err != nil {
+		return errors.Wrap(err, "start store stand-in")
+	}
+	defer store.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	var traffic configTraffic
+	go configRelay(&configListener{Listener: l, traffic: &traffic}, strings.TrimPrefix(store.URL(), "http://"))
+	defer func() { _ = l.Close() }()
+	s := configshell.NewStore(platform.NewClient("http://" + l.Addr().String()))
+	for range configReads {
+		if _, err := s.Head(context.Background()); err != nil {
+			return err
+		}
+	}
+	bytes, segments := traffic.bytes.Load()/configReads, float64(traffic.writes.Load())/configReads
+	fmt.Fprintf(w, "one read of the head row: %d B in %.1f segments\n", bytes, segments)
+	return nil
+}
+
+// configRelay passes each accepted connection on to an address until the listener
+// closes.
+func configRelay(l net.Listener, addr string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", addr)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		go func() { _, _ = io.Copy(to, c); _ = to.Close() }()
+		go func() { _, _ = io.Copy(c, to); _ = c.Close() }()
+	}
+}
--- a/experiment/config_scale.go
+++ b/experiment/config_scale.go
@@ -71,6 +71,9 @@
 	fmt.Fprintf(w, "%d nodes by the slope from %d to %d: %.0f B/s of %.0f, %.3f%% of a core of %.1f%%\n",
 		configDesignSize, first.nodes, last.nodes, line(first.bytesPerSecond(), last.bytesPerSecond()), byteBudget,
 		100*line(first.cpuShare(), last.cpuShare()), 100*cpuBudget)
+	if err := configReadBytes(w); err != nil {
+		return err
+	}
 	return configStoreReads(w)
 }
 
