--- a/cmd/bulrushctl/flags.go
+++ b/cmd/bulrushctl/flags.go
@@ -39,6 +39,7 @@
 	revision uint64
 	force    bool
 	explain  bool
+	machines []string
 }
 
 // command runs after the command line was parsed.
@@ -65,6 +66,7 @@
 	choices = append(choices, t.drainCommands(p, "instance", "drain", config.DrainInstance)...)
 	choices = append(choices, t.drainCommands(p, "partner", "withdraw", config.DrainPartner)...)
 	choices = append(choices, t.otherCommands(p)...)
+	choices = append(choices, t.traceCommands(p)...)
 	if err := p.ParseArgs(args); err != nil {
 		return nil, &usageError{err.Error()}
 	}
--- a/cmd/bulrushctl/main_test.go
+++ b/cmd/bulrushctl/main_test.go
@@ -144,6 +144,33 @@
 	assert.Assert(t, strings.Contains(out, "read the record") && strings.Contains(out, "attempt: "), out)
 }
 
+// TestReplay guards against a replay that passes a broken expectation or trace.
+func TestReplay(t *testing.T) {
+	p := &part{}
+	data := filepath.Join("..", "..", "trace", "testdata")
+	code, out := p.ctl("", "trace", "replay", filepath.Join(data, "config-store-down.expect.yaml"))
+	assert.Equal(t, code, exitOK, out)
+	code, out = p.ctl("", "trace", "replay", filepath.Join(data, "config-store-down.jsonl"), "--machine", "config")
+	assert.Equal(t, code, exitOK, out)
+	assert.Assert(t, strings.Contains(out, `"action":"accepted"`), out)
+
+	dir := t.TempDir()
+	b, err := os.ReadFile(filepath.Join(data, "config-store-down.jsonl"))
+	assert.NilError(t, err)
+	write := func(name, s string) string {
+		file := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(file, []byte(s), 0o600))
+		return file
+	}
+	write("a.jsonl", string(b))
+	code, out = p.ctl("", "trace", "replay", write("a.expect.yaml",
+		"trace: a.jsonl\nmachines: [config]\nexpect: [{outcome: none is accepted, machine: config, action: accepted, at_most: 0}]\n"))
+	assert.Equal(t, code, exitUnmet, out)
+	assert.Assert(t, strings.Contains(out, "none is accepted: 1 decisions"), out)
+	code, out = p.ctl("", "trace", "replay", write("b.jsonl", "{}\n"))
+	assert.Equal(t, code, exitInvalid, out)
+}
+
 // TestCheck guards against a check that accepts a broken file, and against
 // defaults that --explain leaves out.
 func TestCheck(t *testing.T) {
--- a/cmd/bulrushctl/output.go
+++ b/cmd/bulrushctl/output.go
@@ -11,6 +11,7 @@
 
 	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/trace"
 )
 
 // Output formats.
@@ -32,10 +33,11 @@
 	exitUnknown    = 7
 	exitNotFound   = 8
 	exitDiffers    = 9
+	exitUnmet      = 10
 )
 
 const exitCodesHelp = "0 done; 1 failure; 2 usage; 3 invalid file; 4 conflict; 5 wrong owner or token; " +
-	"6 not applied, repeat later; 7 outcome unknown; 8 not found; 9 diff found differences"
+	"6 not applied, repeat later; 7 outcome unknown; 8 not found; 9 diff found differences; 10 replay missed an expectation"
 
 // errDiffers tells that diff found differences.
 var errDiffers = errors.New("the documents differ")
@@ -63,6 +65,7 @@
 		p       *operator.Problem
 		invalid *service.Error
 		usage   *usageError
+		format  *trace.FormatError
 	)
 	switch {
 	case err == nil:
@@ -79,6 +82,10 @@
 		return exitUnknown
 	case errors.Is(err, errDiffers):
 		return exitDiffers
+	case errors.Is(err, errUnmet):
+		return exitUnmet
+	case errors.As(err, &format):
+		return exitInvalid
 	default:
 		return exitFailure
 	}
