config: bound messages by the frame size, and leave more time to fetch a missed edit

A batch of large documents made a push of more than a frame, which would have failed until the polls made up for it. A service that was deleted does not come back from a document given at the start.

--- a/config/machine.go
+++ b/config/machine.go
@@ -11,10 +11,11 @@
 
 // Settings holds the intervals and limits of the machine.
 type Settings struct {
-	// PollInterval is the mean time between reads of the head row, and between
-	// questions to a random peer. With its jitter of a fifth and the tick of
-	// 250 ms, a node that missed a push learns of an edit within 2.65 s, which
-	// leaves 0.35 s of the promised 3 s to fetch it.
+	// PollInterval is the longest time between reads of the head row, and between
+	// questions to a random peer; jitter shortens it by up to a fifth. With the
+	// tick of 250 ms, a node that missed a push learns of an edit within 2.25 s,
+	// which leaves 0.75 s of the promised 3 s to fetch it: from a peer, and one
+	// tick later from the store.
 	PollInterval time.Duration
 	// GapDelay is how long a missing revision may be on its way as a push
 	// before it is pulled.
@@ -180,11 +181,10 @@
 	return append(out, m.editTick(now)...)
 }
 
-// jitter returns the poll interval changed by up to a fifth, which spreads the
-// reads of many nodes.
+// jitter returns the poll interval less up to a fifth, which spreads the reads
+// of many nodes.
 func (m *Machine) jitter() time.Duration {
-	fifth := int64(m.set.PollInterval / 5)
-	return m.set.PollInterval + time.Duration(m.rng.Int64N(2*fifth+1)-fifth)
+	return m.set.PollInterval - time.Duration(m.rng.Int64N(int64(m.set.PollInterval/5)+1))
 }
 
 // peerInterval returns the time until the next question to a random peer.
@@ -238,8 +238,10 @@
 	}
 }
 
-// catchUp fetches what is missing below head: from the peer that named it, from
-// a random peer, then from the store, and so on with growing delay.
+// catchUp fetches what is missing below head: from the peer that named it or a
+// random one, then from the store, then from random peers and the store in turn
+// with growing delay. The store comes second because peers may lack the same
+// push.
 func (m *Machine) catchUp(now time.Duration) []Action {
 	if m.complete >= m.head || m.fetch.inFlight || now < m.fetch.next {
 		return nil
@@ -249,7 +251,7 @@
 	m.fetch.tries++
 	m.fetch.next = now + m.set.RetryDelay<<min(try, 3)
 	switch {
-	case len(m.peers) == 0 || try%3 == 2:
+	case len(m.peers) == 0 || try%3 == 1:
 		m.Counters.Scans++
 		return []Action{Scan{}}
 	case m.fetch.hint != "" && try == 0:
@@ -363,8 +365,13 @@
 	m.head = max(m.head, m.complete)
 }
 
-// pullPageBytes bounds the records of one response; the frame limit is 1 MiB.
-const pullPageBytes = 256 << 10
+const (
+	// pageBytes bounds the records of one message unless it carries only one.
+	// A record has at most about 256 KiB, and a frame 1 MiB.
+	pageBytes = 256 << 10
+	// recordOverheadBytes is a generous size of a record without its body.
+	recordOverheadBytes = 512
+)
 
 // Answer answers a peer's pull.
 func (m *Machine) Answer(q PullRequest) PullResponse {
@@ -375,18 +382,16 @@
 		}
 	}
 	slices.SortFunc(resp.Records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
-	size := 0
-	for i, r := range resp.Records {
-		size += len(r.Body) + recordOverheadBytes
-		if size > pullPageBytes && i > 0 {
-			resp.Records = resp.Records[:i]
-			resp.More = true
-			resp.Complete = min(m.complete, resp.Records[i-1].Revision)
-			break
-		}
+	if n := fitting(resp.Records); n < len(resp.Records) {
+		resp.Records = resp.Records[:n]
+		resp.More = true
+		resp.Complete = min(m.complete, resp.Records[n-1].Revision)
 	}
 	return resp
 }
 
-// recordOverheadBytes is a generous size of a record without its body.
-const recordOverheadBytes = 512
+// Known tells whether there ever was a record with a key, deleted ones included.
+func (m *Machine) Known(k Key) bool {
+	_, ok := m.records[k]
+	return ok
+}
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -190,3 +190,23 @@
 	assert.Assert(t, errors.As(s.answers["other"].Err, &owner))
 	assert.Equal(t, owner.Owner, ident.Team("team"))
 }
+
+// TestLargeRecords guards against a push or an answer to a pull that does not
+// fit a frame of 1 MiB, and against records that paging leaves out.
+func TestLargeRecords(t *testing.T) {
+	s := newSim(5, 3, t.Fatalf)
+	s.run(3 * time.Second)
+	s.maxMessage = 600 << 10
+	s.padding = 200 << 10
+	pulls := s.nodes[2].machine.Counters.Pulls
+	for i := range 12 {
+		s.edit(s.nodes[0], config.ServiceKey(ident.ServiceName(fmt.Sprintf("s%d", i))), config.VerbApply, 0)
+	}
+	s.run(time.Second)
+	s.checkConverged()
+	assert.Equal(t, s.nodes[2].machine.Counters.Pulls, pulls, "pushes did not suffice")
+	s.table.down = true
+	s.restart(1)
+	s.run(3 * time.Second)
+	assert.Equal(t, s.nodes[1].readyWith, ident.Revision(12))
+}
--- a/config/push.go
+++ b/config/push.go
@@ -34,11 +34,31 @@
 	return out
 }
 
-// pushAll sends records to all peers. The order starts after the own address,
-// so that different nodes choose different relays.
+// pushAll sends records to all peers, in messages that fit a frame. The order of
+// peers starts after the own address, so that different nodes choose different
+// relays.
 func (m *Machine) pushAll(records []Record) []Action {
 	i, _ := slices.BinarySearch(m.peers, m.self)
-	return m.spread(records, slices.Concat(m.peers[i:], m.peers[:i]))
+	targets := slices.Concat(m.peers[i:], m.peers[:i])
+	var out []Action
+	for len(records) > 0 {
+		n := fitting(records)
+		out = append(out, m.spread(records[:n], targets)...)
+		records = records[n:]
+	}
+	return out
+}
+
+// fitting returns how many records one message carries, at least one.
+func fitting(records []Record) int {
+	size := 0
+	for i, r := range records {
+		size += len(r.Body) + recordOverheadBytes
+		if size > pageBytes && i > 0 {
+			return i
+		}
+	}
+	return len(records)
 }
 
 func (m *Machine) pushReceived(now time.Duration, e PushReceived) []Action {
--- a/config/sim_test.go
+++ b/config/sim_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -140,7 +141,9 @@
 	// loss is the probability that a peer message or its answer is lost, or
 	// arrives again seconds later.
 	loss float64
-	fail func(format string, args ...any)
+	// padding enlarges documents; maxMessage, if set, bounds a peer message.
+	padding, maxMessage int
+	fail                func(format string, args ...any)
 }
 
 func newSim(seed uint64, n int, fail func(string, ...any)) *sim {
@@ -205,18 +208,15 @@
 	for _, a := range m.Step(s.now, e) {
 		s.act(n, m, a)
 	}
-	answer := m.Answer(config.PullRequest{})
-	if answer.Complete < n.complete || (n.readyAt > 0 && !answer.Ready) {
-		s.fail("%s went back from revision %d to %d, ready %v", n.addr, n.complete, answer.Complete, answer.Ready)
+	v := m.View()
+	if v.Revision < n.complete || (n.readyAt > 0 && !v.Ready) {
+		s.fail("%s went back from revision %d to %d, ready %v", n.addr, n.complete, v.Revision, v.Ready)
 	}
-	n.complete = answer.Complete
-	if answer.Ready && n.readyAt == 0 {
-		n.readyAt, n.readyWith = s.now, answer.Complete
-	}
-	held := make(map[config.Key]ident.Revision)
-	for _, r := range answer.Records {
-		held[r.Key] = r.Revision
+	n.complete = v.Revision
+	if v.Ready && n.readyAt == 0 {
+		n.readyAt, n.readyWith = s.now, v.Revision
 	}
+	held := revisions(m)
 	for k, r := range n.seen {
 		if held[k] < r {
 			s.fail("%s: %s went back from revision %d to %d", n.addr, k, r, held[k])
@@ -225,6 +225,21 @@
 	n.seen = held
 }
 
+// revisions reads the records of a machine page by page, as a peer does.
+func revisions(m *config.Machine) map[config.Key]ident.Revision {
+	held := make(map[config.Key]ident.Revision)
+	for after := ident.Revision(0); ; {
+		answer := m.Answer(config.PullRequest{After: after})
+		for _, r := range answer.Records {
+			held[r.Key] = r.Revision
+		}
+		if !answer.More {
+			return held
+		}
+		after = answer.Records[len(answer.Records)-1].Revision
+	}
+}
+
 func (s *sim) find(addr string) *node {
 	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.addr == addr })
 	return s.nodes[i]
@@ -240,9 +255,12 @@
 		s.answers[a.Attempt] = a
 	case config.Pull:
 		s.send(n, a.From, func(to *node) {
-			reply(config.Pulled{From: a.From, Request: a.Request, Response: to.machine.Answer(a.Request)})
+			resp := to.machine.Answer(a.Request)
+			s.checkSize(resp.Records)
+			reply(config.Pulled{From: a.From, Request: a.Request, Response: resp})
 		}, func() { reply(config.Pulled{From: a.From, Request: a.Request, Err: errLost}) })
 	case config.Push:
+		s.checkSize(a.Message.Records)
 		s.send(n, a.To, func(to *node) {
 			s.step(to, to.machine, config.PushReceived{Message: a.Message})
 			reply(config.PushDone{Push: a})
@@ -290,11 +308,21 @@
 	})
 }
 
+func (s *sim) checkSize(records []config.Record) {
+	size := 0
+	for _, r := range records {
+		size += len(r.Body)
+	}
+	if s.maxMessage > 0 && size > s.maxMessage {
+		s.fail("a message carries %d bytes of records", size)
+	}
+}
+
 // edit starts an edit of a key at a node.
 func (s *sim) edit(n *node, k config.Key, verb config.Verb, expected ident.Revision) ident.AttemptID {
 	s.edits++
 	id := ident.AttemptID(fmt.Sprintf("edit-%d", s.edits))
-	body := fmt.Sprintf(`{"service":%q,"owner":"team"}`, k.Name)
+	body := fmt.Sprintf(`{"service":%q,"owner":"team","kind":%q}`, k.Name, strings.Repeat("x", s.padding))
 	s.step(n, n.machine, config.EditRequested{Edit: config.Edit{
 		Attempt: id, Team: "team", Owner: "team", Verb: verb, Key: k, Expected: expected, Body: []byte(body),
 	}})
--- a/control/config.go
+++ b/control/config.go
@@ -88,7 +88,7 @@
 }
 
 // serviceDocuments returns the documents in force. Documents given at the start
-// apply to services that the configuration does not have.
+// apply to services that the configuration never had: a deleted one stays so.
 func (l *Loop) serviceDocuments() []service.Document {
 	v := l.config.shell.View()
 	out := make([]service.Document, 0, len(v.Services)+len(l.documents))
@@ -96,7 +96,7 @@
 		out = append(out, s.Document)
 	}
 	for _, d := range l.documents {
-		if _, ok := v.Service(d.Service); !ok {
+		if !l.config.machine.Known(config.ServiceKey(d.Service)) {
 			out = append(out, d)
 		}
 	}
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode document")
 	}
+	if len(body) > maxDocumentBytes {
+		return nil, &http.MaxBytesError{Limit: maxDocumentBytes}
+	}
 	return o.run(ctx, config.Edit{
 		Verb: config.VerbApply, Key: config.ServiceKey(q.name), Owner: doc.Owner, Body: body,
 	}, q.edit)
