bulrushctl: give an edit whose answer is lost time for its repetition in the test

The limit of 300 ms was shorter than the delay before the repetition plus one tick of 250 ms, so the edit ended as unknown. The check is the same; only the case of an outage, in which nothing can apply, keeps the short limit.

--- a/cmd/bulrushctl/main_test.go
+++ b/cmd/bulrushctl/main_test.go
@@ -39,14 +39,14 @@
 }
 
 // startPart runs the part over a store stand-in until the test ends.
-func startPart(t *testing.T) *part {
+func startPart(t *testing.T, editTimeout time.Duration) *part {
 	t.Helper()
 	store, err := standin.Start(standin.DefaultConfig())
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	loop := configshell.NewLoop(ctx)
 	set := config.DefaultSettings()
-	set.EditTimeout = 300 * time.Millisecond
+	set.EditTimeout = editTimeout
 	machine := config.New("self", set, rand.New(rand.NewPCG(1, 1)))
 	p := &part{store: store}
 	p.Shell = configshell.New(ctx, machine, configshell.NewStore(platform.NewClient(store.URL())), nil, loop.Post)
@@ -83,7 +83,7 @@
 // TestEdits walks an operator through the life of a document and a drain. It
 // guards against wrong exit codes, and against refusals without their remedy.
 func TestEdits(t *testing.T) {
-	p := startPart(t)
+	p := startPart(t, time.Minute)
 	mine := filepath.Join(t.TempDir(), "mine.yaml")
 	write := func(s string) { assert.NilError(t, os.WriteFile(mine, []byte(s), 0o600)) }
 	expect := func(code int, want, team string, args ...string) string {
@@ -126,13 +126,15 @@
 // TestStoreFaults guards against an edit reported as refused that applied, and
 // against an outage without its own exit code.
 func TestStoreFaults(t *testing.T) {
-	p := startPart(t)
+	p := startPart(t, time.Minute)
 	p.store.SetFaults(standin.Faults{LoseAnswers: 1})
 	code, out := p.ctl("quotes", "service", "apply", example("quotes.yaml"))
 	assert.Equal(t, code, exitOK, out)
 	assert.Equal(t, p.store.Counts().LostAnswers, uint64(1))
 	assert.Equal(t, p.View().Revision, ident.Revision(1))
 
+	// No edit can apply during the outage, so a short limit is enough.
+	p = startPart(t, 300*time.Millisecond)
 	p.store.SetFaults(standin.Faults{Outage: true})
 	code, out = p.ctl("quotes", "service", "apply", example("quotes.yaml"))
 	assert.Equal(t, code, exitNotApplied, out)
