--- a/cmd/bulrushctl/output.go
+++ b/cmd/bulrushctl/output.go
@@ -103,7 +103,7 @@
 		return exitNotApplied
 	case operator.KindOutcomeUnknown:
 		return exitUnknown
-	case operator.KindUnknownService, operator.KindUnknownTarget:
+	case operator.KindUnknownService, operator.KindUnknownTarget, operator.KindNoTrace:
 		return exitNotFound
 	default:
 		return exitFailure
--- a/cmd/bulrushctl/trace.go
+++ b/cmd/bulrushctl/trace.go
@@ -22,7 +22,21 @@
 	replay := leaf(g, "replay", "replay a trace through the decision machines and print their decisions, one JSON object a line")
 	replay.AddPositionalValue(&t.file, "file", 1, true, "trace (.jsonl), or expectations (.yaml) with the trace next to them")
 	replay.StringSlice(&t.machines, "M", "machine", "decision machine to drive; repeat it for more: "+strings.Join(machines.Names(), ", "))
-	return []choice{{replay, t.traceReplay}}
+	get := leaf(g, "get", "print the recorded trace of the entry instance that answers")
+	return []choice{{replay, t.traceReplay}, {get, t.traceGet}}
+}
+
+func (t *tool) traceGet() error {
+	c, err := t.client()
+	if err != nil {
+		return err
+	}
+	b, err := c.Trace(t.ctx)
+	if err != nil {
+		return err
+	}
+	_, err = t.stdout.Write(b)
+	return errors.Wrap(err, "print trace")
 }
 
 // traceReplay replays a trace. With expectations it prints only those that are
--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -94,6 +94,7 @@
 		Scope:      d.metrics.Scope,
 		Now:        now,
 		Documents:  documents,
+		Recorder:   newRecorder(cfg.Trace, now),
 	})
 	d.loop.RegisterSync(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
@@ -197,6 +198,7 @@
 		Team:          d.cfg.Team,
 		Status:        d.loop.Status,
 		Known:         d.loop.KnownTargets,
+		Trace:         d.loop.TraceWriter(),
 		Now:           time.Now,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler())
--- a/control/config.go
+++ b/control/config.go
@@ -48,6 +48,9 @@
 			return false
 		}
 	})
+	if l.opts.Recorder != nil {
+		c.shell.OnStep = newConfigTrace(l.opts.Recorder, l.opts.Self.Instance).step
+	}
 	if l.opts.Mux != nil {
 		c.shell.Register(l.opts.Mux)
 	}
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -20,6 +21,7 @@
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -43,7 +45,8 @@
 		},
 		Table: client, Objects: client, Instances: client, Engines: engine.NewControl(),
 		Node: node, Mux: mux, Seeds: seeds, Log: log, Scope: tally.NoopScope,
-		Now: func() time.Duration { return time.Since(start) },
+		Now:      func() time.Duration { return time.Since(start) },
+		Recorder: trace.NewRecorder(1<<20, func() time.Duration { return time.Since(start) }),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
@@ -103,6 +106,7 @@
 	assert.Assert(t, dropped(a.Snapshot()))
 	assert.DeepEqual(t, a.KnownTargets(config.DrainDataCentre), []string{"dc-a", "dc-b"})
 	assert.Equal(t, b.Status().Services[0].Draining, 2)
+	checkTrace(t, a)
 
 	// Only the table is down: the list goes on, so that readiness depends on
 	// the floor alone.
@@ -113,6 +117,23 @@
 	assert.Assert(t, dropped(c.Snapshot()))
 }
 
+// checkTrace guards against edits and drains that the recorder misses.
+func checkTrace(t *testing.T, l *Loop) {
+	t.Helper()
+	var buf bytes.Buffer
+	assert.NilError(t, l.TraceWriter()(&buf))
+	r, err := trace.NewReader(&buf)
+	assert.NilError(t, err)
+	var got []trace.Kind
+	for e, err := r.Next(); err == nil; e, err = r.Next() {
+		// How often the store's state changes depends on the machine's load.
+		if e.Kind != trace.KindStore {
+			got = append(got, e.Kind)
+		}
+	}
+	assert.DeepEqual(t, got, []trace.Kind{trace.KindEdit, trace.KindDrain, trace.KindDrain})
+}
+
 // dropped tells whether dc-a and the partner's backend servers get no new work.
 func dropped(s *view.Snapshot) bool {
 	svc := s.Service("orders")
--- a/control/loop.go
+++ b/control/loop.go
@@ -18,6 +18,7 @@
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -52,6 +53,8 @@
 	Datagrams net.PacketConn
 	// PeerSecret authenticates membership messages.
 	PeerSecret []byte
+	// Recorder takes events for a trace; nil records none.
+	Recorder *trace.Recorder
 	// Seeds are peer addresses that are known at the start.
 	Seeds []string
 	Log   logrus.FieldLogger
--- a/operator/client.go
+++ b/operator/client.go
@@ -101,6 +101,11 @@
 	return call[Status](ctx, c, http.MethodGet, statusPath, nil, nil)
 }
 
+// Trace returns the recorded trace of the entry instance that answers.
+func (c *Client) Trace(ctx context.Context) ([]byte, error) {
+	return call[[]byte](ctx, c, http.MethodGet, tracePath, nil, nil)
+}
+
 func servicePath(name ident.ServiceName) string {
 	return servicesPath + "/" + url.PathEscape(string(name))
 }
@@ -165,6 +170,11 @@
 	body := io.LimitReader(r.Body, maxAnswerBytes)
 	if r.StatusCode == http.StatusOK {
 		var out Out
+		if text, ok := any(&out).(*[]byte); ok {
+			b, err := io.ReadAll(r.Body)
+			*text = b
+			return out, errors.Wrap(err, "read answer")
+		}
 		err := json.NewDecoder(body).Decode(&out)
 		return out, errors.Wrap(err, "decode answer")
 	}
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -34,6 +35,8 @@
 	// Known lists the names that a drain of a kind may name. An empty list
 	// allows all. It may be nil.
 	Known func(kind config.DrainKind) []string
+	// Trace writes the recorded trace. It is nil when none is recorded.
+	Trace func(w io.Writer) error
 	// Now is the wall clock for audit rows.
 	Now func() time.Time
 }
@@ -203,6 +206,17 @@
 	return Accepted{Revision: revision, Attempt: e.Attempt}, nil
 }
 
+// recorded is a trace to be written as the answer.
+type recorded func(w io.Writer) error
+
+func (o Options) trace(context.Context, any) (any, error) {
+	if o.Trace == nil {
+		return nil, newProblem(KindNoTrace, http.StatusNotFound, "No trace is recorded",
+			"set trace.enabled in the settings of this entry instance and restart it")
+	}
+	return recorded(o.Trace), nil
+}
+
 func (o Options) status(context.Context, any) (any, error) {
 	var out Status
 	if o.Status != nil {
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -28,6 +28,7 @@
 	KindUnknownTeam      Kind = "unknown-team"
 	KindUnknownService   Kind = "unknown-service"
 	KindUnknownTarget    Kind = "unknown-target"
+	KindNoTrace          Kind = "no-trace"
 	KindRevisionRequired Kind = "revision-required"
 	KindBadRequest       Kind = "bad-request"
 	KindBodyTooLarge     Kind = "body-too-large"
--- a/operator/transport.go
+++ b/operator/transport.go
@@ -23,6 +23,7 @@
 	servicesPath = "/operator/v1/services"
 	drainsPath   = "/operator/v1/drains"
 	statusPath   = "/operator/v1/status"
+	tracePath    = "/operator/v1/trace"
 )
 
 // maxDocumentBytes bounds a document. A record has to fit into one frame of the
@@ -36,7 +37,7 @@
 func Handler(o Options) http.Handler {
 	mux := http.NewServeMux()
 	serve := func(pattern string, e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) {
-		mux.Handle(pattern, kithttp.NewServer(e, authenticated(decode), kithttp.EncodeJSONResponse,
+		mux.Handle(pattern, kithttp.NewServer(e, authenticated(decode), encode,
 			kithttp.ServerBefore(o.authenticate), kithttp.ServerErrorEncoder(writeProblem)))
 	}
 	serve("GET "+servicesPath, o.listServices, decodeNothing)
@@ -48,9 +49,19 @@
 	serve("PUT "+drainsPath+"/{kind}/{name}", o.setDrain, decodeSetDrain(true))
 	serve("DELETE "+drainsPath+"/{kind}/{name}", o.setDrain, decodeSetDrain(false))
 	serve("GET "+statusPath, o.status, decodeNothing)
+	serve("GET "+tracePath, o.trace, decodeNothing)
 	return mux
 }
 
+// encode writes an answer: a trace as lines of JSON, anything else as JSON.
+func encode(ctx context.Context, w http.ResponseWriter, response any) error {
+	if write, ok := response.(recorded); ok {
+		w.Header().Set("Content-Type", "application/x-ndjson")
+		return write(w)
+	}
+	return kithttp.EncodeJSONResponse(ctx, w, response)
+}
+
 // authenticate puts the team of the bearer token into the context.
 func (o Options) authenticate(ctx context.Context, r *http.Request) context.Context {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
