--- a/control/config.go
+++ b/control/config.go
@@ -48,6 +48,9 @@
 			return false
 		}
 	})
+	if l.opts.Recorder != nil {
+		c.shell.OnStep = newConfigTrace(l.opts.Recorder, l.opts.Self.Instance).step
+	}
 	if l.opts.Mux != nil {
 		c.shell.Register(l.opts.Mux)
 	}
@@ -88,7 +91,7 @@
 }
 
 // serviceDocuments returns the documents in force. Documents given at the start
-// apply to services that the configuration does not have.
+// apply to services that the configuration never had: a deleted one stays so.
 func (l *Loop) serviceDocuments() []service.Document {
 	v := l.config.shell.View()
 	out := make([]service.Document, 0, len(v.Services)+len(l.documents))
@@ -96,7 +99,7 @@
 		out = append(out, s.Document)
 	}
 	for _, d := range l.documents {
-		if _, ok := v.Service(d.Service); !ok {
+		if !l.config.machine.Known(config.ServiceKey(d.Service)) {
 			out = append(out, d)
 		}
 	}
