gateway: keep new work from a target whose last attempt failed

A dead engine refuses connections at once, looks idle and so attracted the requests of every entry instance until its confirmation ended; the retry budget was used up within it.

--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -96,6 +96,8 @@
 	heldLimit int // context tokens that one backend server bears
 	// free is the number of credits left at each target during a dispatch.
 	free []int
+	// failedAt is when an attempt at a target failed last.
+	failedAt map[credit.BackendID]time.Duration
 }
 
 // enter queues a ticket and starts what can start.
@@ -236,6 +238,11 @@
 		have[l.targets[i].backend] = true
 	}
 	l.holder.Retain(func(b credit.BackendID) bool { return have[b] })
+	for b := range l.failedAt {
+		if !have[b] {
+			delete(l.failedAt, b)
+		}
+	}
 }
 
 // row is the routing table's input for a target.
@@ -286,7 +293,7 @@
 	for i := range l.targets {
 		t := &l.targets[i]
 		l.free[i] = 0
-		if t.usable(now) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && !l.paused(now, t) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
 			l.free[i] = l.holder.Free(now, t.backend, true)
 		}
 		found = found || l.free[i] > 0
@@ -346,10 +353,44 @@
 	hold := now - p.started
 	if r.Err != nil {
 		hold = 0
-	}
-	if len(p.ticket.excluded) > 0 && (errors.Is(r.Err, engine.ErrNotSent) || errors.Is(r.Err, ErrBackendNotSent)) {
-		l.retries.Refund()
+		l.fail(now, p.target.backend, r.Err)
 	}
 	l.table.Done(now, ident.GroupID(p.target.backend), p.uncached, r.FirstToken, hold)
 	l.dispatch(now)
 }
+
+// serverPause is how long a backend server of a plain service gets no new work
+// after a failed attempt, unless it is the only one.
+const serverPause = time.Second
+
+// fail keeps new work from a target after a failed attempt: a group until a
+// poll that was sent later confirms it, a backend server for a while. A target
+// that refuses connections would otherwise look idle and attract requests.
+func (l *lane) fail(now time.Duration, b credit.BackendID, err error) {
+	var refused *engine.RefusedError
+	notRun := errors.Is(err, engine.ErrNotSent) || errors.Is(err, ErrBackendNotSent) || errors.Is(err, ErrBackendNotRun) ||
+		errors.As(err, &refused) && refused.NotRun
+	if notRun {
+		// The attempt cost no backend server anything, so its repetition is
+		// not charged to the retry budget.
+		l.retries.Refund()
+	}
+	if notRun || retryable(err) || errors.Is(err, ErrBackendOutcomeUnknown) {
+		l.failedAt[b] = now
+	}
+}
+
+// paused reports whether a failed attempt keeps new work from a target.
+func (l *lane) paused(now time.Duration, t *target) bool {
+	at, failed := l.failedAt[t.backend]
+	switch {
+	case !failed:
+		return false
+	case t.group != nil && t.group.Confirmed <= at:
+		return true
+	case t.group == nil && now-at < serverPause && len(l.targets) > 1:
+		return true
+	}
+	delete(l.failedAt, t.backend)
+	return false
+}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -195,6 +195,7 @@
 		waiting: make(map[*admission.Waiter]*ticket),
 
 		isolating: make(map[credit.BackendID]int),
+		failedAt:  make(map[credit.BackendID]time.Duration),
 	}
 }
 
