--- /dev/null
+++ b/experiment/cold_processes.go
@@ -0,0 +1,180 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// Parameters of the cold start experiment with real processes.
+const (
+	coldCallers     = 40
+	coldTokens      = 20
+	coldEngineStops = 120
+	coldStopGap     = 150 * time.Millisecond
+	coldAfter       = 5 * time.Second
+)
+
+// coldReport is what callers and engines saw.
+type coldReport struct {
+	stops, turned, crashes, overloads, maxCold, coldLimit int
+	outcomes                                              map[load.Outcome]int
+	firstToken                                            []time.Duration
+}
+
+// coldProcesses restarts engines at random moments under load. Engines in a cold
+// start die when they get more requests than their cold limit.
+func coldProcesses(ctx context.Context, binDir string) (coldReport, error) {
+	out := coldReport{outcomes: make(map[load.Outcome]int)}
+	cfg := cluster.DefaultConfig(binDir)
+	cfg.OrderSystems, cfg.EnginesPerDataCentre = 0, 5
+	cfg.Documents = []string{cluster.ModelDocument(12, 6, 1, 10)}
+	c, err := cluster.Start(ctx, cfg)
+	if err != nil {
+		return out, err
+	}
+	defer c.Close()
+	doc, err := service.Parse([]byte(cfg.Documents[0]))
+	if err != nil {
+		return out, err
+	}
+	if err := c.FormGroups(ctx, doc); err != nil {
+		return out, err
+	}
+	if err := waitServing(ctx, c); err != nil {
+		return out, err
+	}
+	stop := coldLoad(ctx, c, &out)
+	err = stopEngines(ctx, c, &out)
+	stop()
+	if err != nil {
+		return out, err
+	}
+	return out, coldRecords(c, &out)
+}
+
+// coldLoad starts callers that ask again as soon as they have an answer.
+func coldLoad(ctx context.Context, c *cluster.Cluster, out *coldReport) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range coldCallers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			caller := load.NewCaller(cluster.AccountKey(i%loadAccounts), seeds(c))
+			defer caller.Close()
+			for n := 0; ctx.Err() == nil; n++ {
+				req := engine.CompletionRequest{
+					Model: cluster.ModelService, Prompt: fmt.Sprintf("caller %d asks %d", i, n), MaxTokens: coldTokens,
+				}
+				r := caller.Stream(context.Background(), req, loadDeadline)
+				mu.Lock()
+				out.outcomes[r.Outcome]++
+				if r.FirstToken > 0 {
+					out.firstToken = append(out.firstToken, r.FirstToken)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// stopEngines crashes engines, and every fourth time turns one cold in place.
+func stopEngines(ctx context.Context, c *cluster.Cluster, out *coldReport) error {
+	instances, err := c.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for _, inst := range instances {
+		if inst.Kind == platform.KindEngine {
+			addresses = append(addresses, inst.Address)
+		}
+	}
+	r := rand.New(rand.NewPCG(1, 5))
+	for n := 0; out.stops < coldEngineStops; n++ {
+		path := "/debug/crash"
+		if n%4 == 3 {
+			path = "/debug/cold"
+			out.turned++
+		} else {
+			out.stops++
+		}
+		// An engine that is down already refuses the connection.
+		if resp, err := http.Post("http://"+addresses[r.IntN(len(addresses))]+path, "", nil); err == nil {
+			_ = resp.Body.Close()
+		} else if path == "/debug/crash" {
+			out.stops--
+		} else {
+			out.turned--
+		}
+		pause := coldStopGap + time.Duration(r.ExpFloat64()*float64(coldStopGap))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+	time.Sleep(coldAfter)
+	return nil
+}
+
+// coldRecords reads what the engines saw.
+func coldRecords(c *cluster.Cluster, out *coldReport) error {
+	records, err := c.EngineRecords()
+	if err != nil {
+		return errors.Wrap(err, "read the engines' records")
+	}
+	for _, r := range records {
+		out.crashes += r.Crashes
+		out.maxCold, out.coldLimit = max(out.maxCold, r.MaxRunningCold), r.ColdLimit
+		for _, e := range r.Events {
+			if strings.Contains(e.Detail, "requests in cold start") {
+				out.overloads++
+			}
+		}
+	}
+	return nil
+}
+
+// print writes the report as lines.
+func (r *coldReport) print(w io.Writer) error {
+	t := table(w, "real processes\tvalue")
+	for _, line := range []struct {
+		name  string
+		value int
+	}{
+		{"engine restarts on command", r.stops},
+		{"engines turned cold in place", r.turned},
+		{"engine deaths, all causes", r.crashes},
+		{"engine deaths by cold overload", r.overloads},
+		{"most requests held in a cold start", r.maxCold},
+		{"cold limit", r.coldLimit},
+	} {
+		_, _ = fmt.Fprintf(t, "%s\t%d\n", line.name, line.value)
+	}
+	for _, o := range []load.Outcome{load.Answered, load.Late, load.NotRun, load.Unknown, load.Cut, load.Wrong, load.Failed} {
+		_, _ = fmt.Fprintf(t, "requests %s\t%d\n", o, r.outcomes[o])
+	}
+	_, _ = fmt.Fprintf(t, "first token p50, p95, p99 ms\t%s, %s, %s\n", millis(percentile(r.firstToken, 50)),
+		millis(percentile(r.firstToken, 95)), millis(percentile(r.firstToken, 99)))
+	return t.Flush()
+}
--- /dev/null
+++ b/experiment/fairness.go
@@ -0,0 +1,243 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/admission"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/service"
+)
+
+// fairLoad is a load on one queue in the fairness model.
+type fairLoad struct {
+	queue admission.Config
+	// fifo replaces the fair queue by one in order of arrival.
+	fifo bool
+	// slots is the capacity at an entry instance; lostAt ends a third of it.
+	slots  int
+	lostAt time.Duration
+	// factor is the first account's offered load as a multiple of its share.
+	factor float64
+	// part is what the other accounts offer of their shares; 0 means fairPart.
+	part     float64
+	duration time.Duration
+	seed     uint64
+}
+
+// Parameters of the fairness model. Each of ten accounts of equal weight offers
+// seven tenths of its share; a request has a prefill time and then holds its
+// slot for an exponential time.
+const (
+	fairAccounts = 10
+	fairPart     = 0.7
+	fairHold     = time.Second
+	fairPrefill  = 100 * time.Millisecond
+	fairDeadline = 5 * time.Second
+)
+
+// fairRequest is one request of the model.
+type fairRequest struct {
+	waiter  *admission.Waiter
+	arrived time.Duration
+	prefill time.Duration
+	hold    time.Duration
+}
+
+// fairResult holds the times to the first token by class and by account, and
+// what was refused.
+type fairResult struct {
+	firstToken map[service.Class][]time.Duration // of all accounts but the first
+	total      []time.Duration
+	large      []time.Duration
+	refused    map[service.Class]int
+	largeRef   int
+	started    map[service.Class]int
+}
+
+// timedCall is an event of a queueing model.
+type timedCall struct {
+	at  time.Duration
+	seq int
+	fn  func()
+}
+
+// callClock runs events in order of time.
+type callClock struct {
+	now    time.Duration
+	seq    int
+	events []timedCall
+}
+
+func (c *callClock) Len() int { return len(c.events) }
+func (c *callClock) Less(i, j int) bool {
+	a, b := c.events[i], c.events[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (c *callClock) Swap(i, j int) { c.events[i], c.events[j] = c.events[j], c.events[i] }
+func (c *callClock) Push(x any)    { c.events = append(c.events, x.(timedCall)) }
+func (c *callClock) Pop() any {
+	e := c.events[len(c.events)-1]
+	c.events = c.events[:len(c.events)-1]
+	return e
+}
+
+func (c *callClock) after(d time.Duration, fn func()) {
+	c.seq++
+	heap.Push(c, timedCall{c.now + d, c.seq, fn})
+}
+
+func (c *callClock) run(until time.Duration) {
+	for len(c.events) > 0 && c.events[0].at <= until {
+		e := heap.Pop(c).(timedCall)
+		c.now = e.at
+		e.fn()
+	}
+}
+
+// fairModel is one entry instance with a number of slots.
+type fairModel struct {
+	callClock
+	load    fairLoad
+	rand    *rand.Rand
+	queue   *admission.Queue
+	fifo    []*fairRequest
+	slots   int
+	running int
+	waiting map[*admission.Waiter]*fairRequest
+	result  fairResult
+}
+
+// runFairness runs the model.
+func runFairness(load fairLoad) fairResult {
+	m := &fairModel{
+		load: load, slots: load.slots, rand: rand.New(rand.NewPCG(load.seed, 1)),
+		queue: admission.NewQueue(load.queue), waiting: make(map[*admission.Waiter]*fairRequest),
+		result: fairResult{
+			firstToken: make(map[service.Class][]time.Duration),
+			refused:    make(map[service.Class]int), started: make(map[service.Class]int),
+		},
+	}
+	m.queue.SetSlots(m.slots)
+	for i := range fairAccounts {
+		m.arrivals(i)
+	}
+	if load.lostAt > 0 {
+		m.after(load.lostAt, func() {
+			m.slots -= m.slots / 3
+			m.queue.SetSlots(m.slots)
+		})
+	}
+	m.tick()
+	m.run(load.duration)
+	return m.result
+}
+
+// tick sheds as the gateway does.
+func (m *fairModel) tick() {
+	m.after(50*time.Millisecond, func() {
+		for _, r := range m.queue.Shed(m.now) {
+			m.refuse(r.Waiter)
+		}
+		m.start()
+		m.tick()
+	})
+}
+
+// arrivals is the Poisson process of one account.
+func (m *fairModel) arrivals(i int) {
+	part := m.load.part
+	if part == 0 {
+		part = fairPart
+	}
+	if i == 0 {
+		part = m.load.factor
+	}
+	rate := float64(m.load.slots) / fairAccounts * part / fairHold.Seconds()
+	m.after(time.Duration(m.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+		m.arrive(i)
+		m.arrivals(i)
+	})
+}
+
+func (m *fairModel) arrive(i int) {
+	classes := [...]service.Class{
+		service.ClassRush, service.ClassInteractive, service.ClassInteractive, service.ClassInteractive, service.ClassBatch,
+	}
+	r := &fairRequest{
+		arrived: m.now,
+		prefill: fairPrefill/2 + time.Duration(m.rand.Float64()*float64(fairPrefill)),
+		hold:    time.Duration(m.rand.ExpFloat64() * float64(fairHold)),
+		waiter: &admission.Waiter{
+			Account: ident.Account(fmt.Sprint("account-", i)), Weight: 1, Class: classes[m.rand.IntN(len(classes))],
+			Bytes: 1000, Deadline: m.now + fairDeadline,
+		},
+	}
+	if m.load.fifo {
+		m.fifo = append(m.fifo, r)
+	} else {
+		m.waiting[r.waiter] = r
+		if refusal, refused := m.queue.Offer(m.now, r.waiter); refused {
+			m.refuse(refusal.Waiter)
+		}
+	}
+	m.start()
+}
+
+func (m *fairModel) refuse(w *admission.Waiter) {
+	delete(m.waiting, w)
+	m.result.refused[w.Class]++
+	if w.Account == "account-0" {
+		m.result.largeRef++
+	}
+}
+
+func (m *fairModel) start() {
+	for m.running < m.slots {
+		var r *fairRequest
+		if m.load.fifo {
+			if len(m.fifo) == 0 {
+				return
+			}
+			r, m.fifo = m.fifo[0], m.fifo[1:]
+		} else {
+			w := m.queue.Next(m.now, func(*admission.Waiter) bool { return true })
+			if w == nil {
+				return
+			}
+			r = m.waiting[w]
+			delete(m.waiting, w)
+		}
+		m.serve(r)
+	}
+}
+
+func (m *fairModel) serve(r *fairRequest) {
+	m.running++
+	m.result.started[r.waiter.Class]++
+	first := m.now - r.arrived + r.prefill
+	if r.waiter.Account == "account-0" {
+		m.result.large = append(m.result.large, first)
+	} else {
+		m.result.firstToken[r.waiter.Class] = append(m.result.firstToken[r.waiter.Class], first)
+		m.result.total = append(m.result.total, m.now-r.arrived+r.prefill+r.hold)
+	}
+	m.after(r.prefill+r.hold, func() {
+		m.running--
+		m.queue.Done(m.now, r.waiter)
+		m.start()
+	})
+}
+
+// percentile returns a percentile of times; 0 when there are none.
+func percentile(times []time.Duration, p float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(times)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(p/100*float64(len(sorted))))]
+}
