--- a/experiment/routing.go
+++ b/experiment/routing.go
@@ -35,7 +35,6 @@
 	prompt   int // tokens
 	prefixes []uint64
 	answer   int // tokens
-	firstAt  time.Duration
 }
 
 // routeTrace generates conversations: each starts with one of its account's
