gateway: read cache events into the prefix index

The credit owner no longer lets reserves that an earlier owner may have given keep a suspect from its exclusive credit: for 33 s after each change of owner no suspect could run. The engine's report shows whether such a reserve is in use.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -155,6 +155,10 @@
 	g.Go(func() error { d.syncer.Run(loopCtx); return nil })
 	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
 	g.Go(func() error { d.orders.Run(loopCtx); return nil })
+	g.Go(func() error {
+		gateway.NewCacheFeed(d.balancer, engine.NewControl(), d.metrics).Run(loopCtx)
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		d.drain(callerServer)
--- a/credit/ledger.go
+++ b/credit/ledger.go
@@ -147,6 +147,7 @@
 	cold        bool
 	rampEnd     time.Duration
 	lastPoll    time.Duration
+	running     int // in the last report
 	// frozen stops grants until a poll sent after frozenAt shows the true state.
 	frozen   bool
 	frozenAt time.Duration
--- a/credit/owner.go
+++ b/credit/owner.go
@@ -128,7 +128,7 @@
 	}
 	l.gone = false
 	l.limits = r.Limits
-	l.lastPoll = r.Sent
+	l.lastPoll, l.running = r.Sent, r.Running
 	if l.frozen && r.Sent > l.frozenAt {
 		l.frozen = false
 	}
@@ -275,8 +275,16 @@
 	return out
 }
 
-func (l *ledger) othersIdle(now time.Duration, key holderKey) bool {
-	return l.othersCharge(now, key).Requests == 0
+// othersIdle reports whether nobody else runs a request or may start one.
+// Reserves of an earlier owner do not count, or no suspect could run for half a
+// minute after each change of owner; the engine's report shows their use.
+func (l *ledger) othersIdle(now time.Duration, self holderKey) bool {
+	for key, a := range l.accounts {
+		if key != self && a.charge(now).Requests > 0 {
+			return false
+		}
+	}
+	return l.unknown == nil && l.running == 0
 }
 
 // forget drops ledgers of backend servers that left, once nothing can run
