admission: share account limits among entry instances

Each entry instance enforced the whole rate and concurrency of an account, so that an account got them seven times. Syncs now carry the offered rate per account, and each entry instance enforces its part.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -100,6 +100,52 @@
 	assert.Equal(t, open(500*time.Millisecond), Reason(""))
 }
 
+// TestSharedLimits guards against an account that gets its whole rate or
+// concurrency at each of three entry instances, or that cannot use its limits.
+// The one with little load keeps an equal part, so that the sum can exceed the
+// limit by up to a third.
+func TestSharedLimits(t *testing.T) {
+	const ticks = 20_000 // of 1 ms; two entry instances are offered 200/s, one 50/s
+	run := func(a service.Account) (opened, atEnd int) {
+		entries, open := []*Limiter{NewLimiter(), NewLimiter(), NewLimiter()}, make([]int, 3)
+		for ms := range ticks {
+			now := time.Duration(ms) * time.Millisecond
+			for i, every := range []int{5, 5, 20} {
+				if ms%every == 0 {
+					if _, refused := entries[i].Open(now, a); !refused {
+						opened++
+						open[i]++
+					}
+				}
+				if ms%50 == 0 && open[i] > 0 { // 20 requests end per second
+					entries[i].Close("a")
+					open[i]--
+				}
+				if ms%500 == 0 {
+					exchange(now, entries, i)
+				}
+			}
+		}
+		return opened, open[0] + open[1] + open[2]
+	}
+	opened, _ := run(service.Account{Name: "a", RequestsPerSecond: 40, Burst: 10})
+	limit := 40 * ticks / 1000
+	assert.Assert(t, opened >= limit && opened <= limit*4/3+30, "opened %d requests, limit %d", opened, limit)
+	_, open := run(service.Account{Name: "a", Concurrency: 30})
+	assert.Assert(t, open >= 30 && open <= 30*4/3, "%d requests open, limit 30", open)
+}
+
+// exchange tells one limiter what the others do.
+func exchange(now time.Duration, entries []*Limiter, self int) {
+	sum := 0.0
+	for i, l := range entries {
+		if i != self {
+			l.Offered(now, func(_ ident.Account, perSecond float64) { sum += perSecond })
+		}
+	}
+	entries[self].SetOthers("a", sum, len(entries))
+}
+
 // TestRetryBudget guards against retries past a tenth of first attempts.
 func TestRetryBudget(t *testing.T) {
 	b, retries := NewRetryBudget(), 0
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -9,13 +9,20 @@
 
 // bucket is the state of one account.
 type bucket struct {
-	tokens float64
-	last   time.Duration
-	open   int
+	tokens  float64
+	last    time.Duration
+	open    int
+	offered rateMeter
+	// othersOffered is the rate that callers offer to the other entry instances,
+	// entries is their number with this one.
+	othersOffered float64
+	entries       int
 }
 
-// Limiter holds the accounts of one service to their rate and concurrency at
-// one entry instance. Zero limits are unlimited.
+// Limiter holds the accounts of one service to their rate and concurrency. It
+// enforces this entry instance's part of the limits, which follows what callers
+// offer here and elsewhere. (To give each entry instance what the others leave
+// makes all of them open and close together.) Zero limits are unlimited.
 type Limiter struct {
 	buckets map[ident.Account]*bucket
 }
@@ -28,17 +35,20 @@
 func (l *Limiter) Open(now time.Duration, a service.Account) (Refusal, bool) {
 	b, ok := l.buckets[a.Name]
 	if !ok {
-		b = &bucket{tokens: burst(a), last: now}
+		b = &bucket{last: now, entries: 1}
+		b.tokens = burst(a)
 		l.buckets[a.Name] = b
 	}
-	if a.Concurrency > 0 && b.open >= a.Concurrency {
+	b.offered.add(now)
+	part := b.part(now)
+	if a.Concurrency > 0 && float64(b.open) >= max(1, float64(a.Concurrency)*part) {
 		return Refusal{Reason: ReasonConcurrency, RetryAfter: minRetryAfter}, true
 	}
 	if a.RequestsPerSecond > 0 {
-		b.tokens = min(burst(a), b.tokens+(now-b.last).Seconds()*a.RequestsPerSecond)
+		b.tokens = min(max(1, burst(a)*part), b.tokens+(now-b.last).Seconds()*a.RequestsPerSecond*part)
 		b.last = now
 		if b.tokens < 1 {
-			wait := time.Duration((1 - b.tokens) / a.RequestsPerSecond * float64(time.Second))
+			wait := time.Duration((1 - b.tokens) / (a.RequestsPerSecond * part) * float64(time.Second))
 			return Refusal{Reason: ReasonRate, RetryAfter: max(wait, minRetryAfter)}, true
 		}
 		b.tokens--
@@ -47,6 +57,32 @@
 	return Refusal{}, false
 }
 
+// part is this entry instance's part of the account's limits: that of the
+// offered requests, and at least an equal part.
+func (b *bucket) part(now time.Duration) float64 {
+	if b.othersOffered <= 0 {
+		return 1
+	}
+	own := b.offered.perSecond(now)
+	return max(own/(own+b.othersOffered), 1/float64(max(1, b.entries)))
+}
+
+// Offered yields the rate of each account in use here, refused requests included.
+func (l *Limiter) Offered(now time.Duration, yield func(account ident.Account, perSecond float64)) {
+	for name, b := range l.buckets {
+		if rate := b.offered.perSecond(now); rate > 0 {
+			yield(name, rate)
+		}
+	}
+}
+
+// SetOthers tells what an account offers to the other entry instances.
+func (l *Limiter) SetOthers(a ident.Account, perSecond float64, entries int) {
+	if b, ok := l.buckets[a]; ok {
+		b.othersOffered, b.entries = perSecond, entries
+	}
+}
+
 // Close ends an opened request.
 func (l *Limiter) Close(a ident.Account) {
 	if b, ok := l.buckets[a]; ok && b.open > 0 {
--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -112,7 +112,7 @@
 		Data:                 d.data,
 		Router:               d.orders.Quarantine.Router(d.balancer),
 		ServerRouter:         d.balancer,
-		Filters:              []gateway.Filter{gateway.NewAccountLimits(now, d.metrics).Filter},
+		Filters:              []gateway.Filter{d.balancer.AccountLimits},
 		Orders:               d.orders.Orders,
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
--- a/credit/message.go
+++ b/credit/message.go
@@ -70,6 +70,8 @@
 	Epoch ident.Epoch `msgpack:"o"`
 	Acked uint64      `msgpack:"k"`
 	Usage []Usage     `msgpack:"u"`
+	// Accounts are the client accounts in use at this entry instance.
+	Accounts []AccountUse `msgpack:"c,omitempty"`
 }
 
 // Allocation is what the owner grants for one backend server.
@@ -95,4 +97,8 @@
 	// waits for what this reply took away.
 	Resync      bool         `msgpack:"y,omitempty"`
 	Allocations []Allocation `msgpack:"a"`
+	// Accounts are what the other entry instances report for the accounts of
+	// the sync, and Entries is the number of live entry instances.
+	Accounts []AccountUse `msgpack:"c,omitempty"`
+	Entries  int          `msgpack:"n"`
 }
--- a/credit/owner.go
+++ b/credit/owner.go
@@ -54,6 +54,7 @@
 type syncState struct {
 	seq      uint64
 	last     time.Duration
+	accounts []AccountUse
 	received map[uint64]time.Duration
 }
 
@@ -178,7 +179,7 @@
 	if s.Seq <= st.seq {
 		return Reply{}, false
 	}
-	st.seq, st.last = s.Seq, now
+	st.seq, st.last, st.accounts = s.Seq, now, s.Accounts
 	st.received[s.Seq] = now
 	delete(st.received, s.Seq-maxRemembered)
 	acked := uint64(0)
@@ -192,6 +193,7 @@
 			reply.Allocations = append(reply.Allocations, a)
 		}
 	}
+	reply.Accounts, reply.Entries = o.others(now, key)
 	o.forget(now)
 	return reply, true
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bulrushfall/bulrushfall/admission"
+	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/telemetry"
@@ -99,3 +100,32 @@
 
 // started reports whether the caller has received a part of the answer.
 func started(r *Request) bool { return r.Sink != nil && r.Sink.Started() }
+
+// use lists the accounts of a service that are in use here.
+func (l *AccountLimits) use(now time.Duration, name ident.ServiceName) []credit.AccountUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim, ok := l.limiters[name]
+	if !ok {
+		return nil
+	}
+	var out []credit.AccountUse
+	lim.Offered(now, func(a ident.Account, perSecond float64) {
+		out = append(out, credit.AccountUse{Account: a, Offered: perSecond})
+	})
+	return out
+}
+
+// setOthers applies what the other entry instances report. It stays in force
+// while the credit owner cannot be reached.
+func (l *AccountLimits) setOthers(name ident.ServiceName, r credit.Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lim, ok := l.limiters[name]
+	if !ok {
+		return
+	}
+	for _, u := range r.Accounts {
+		lim.SetOthers(u.Account, u.Offered, r.Entries)
+	}
+}
--- a/gateway/credit.go
+++ b/gateway/credit.go
@@ -21,12 +21,15 @@
 	defer l.mu.Unlock()
 	l.refresh(now)
 	l.demand()
-	return l.holder.Sync(now)
+	out := l.holder.Sync(now)
+	out.Accounts = b.accounts.use(now, name)
+	return out
 }
 
 // Reply applies the credit owner's answer and starts what waited for it. It
 // reports whether the next sync should be sent at once.
 func (b *Balancer) Reply(now time.Duration, name ident.ServiceName, r credit.Reply) bool {
+	b.accounts.setOthers(name, r)
 	l := b.lane(name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -41,6 +41,7 @@
 	snapshot func() *view.Snapshot
 	now      func() time.Duration
 	self     view.Entry
+	accounts *AccountLimits
 	refused  refusals
 	counters balancerCounters
 	wake     chan ident.ServiceName
@@ -59,7 +60,8 @@
 func NewBalancer(self view.Entry, snapshot func() *view.Snapshot, now func() time.Duration, m *telemetry.Metrics) *Balancer {
 	return &Balancer{
 		snapshot: snapshot, now: now, self: self,
-		refused: newRefusals(m),
+		accounts: NewAccountLimits(now, m),
+		refused:  newRefusals(m),
 		counters: balancerCounters{
 			granted:      m.Scope.Counter("credits_granted_total"),
 			waited:       m.Scope.Counter("credit_waits_total"),
@@ -70,6 +72,10 @@
 	}
 }
 
+// AccountLimits is the filter that holds accounts to their limits. Its part of
+// the limits follows from the exchange with the credit owner.
+func (b *Balancer) AccountLimits(next Endpoint) Endpoint { return b.accounts.Filter(next) }
+
 // Run sheds and restarts waiting requests until the context ends.
 func (b *Balancer) Run(ctx context.Context) {
 	tick := time.NewTicker(balancerTick)
--- a/gateway/route_test.go
+++ b/gateway/route_test.go
@@ -25,7 +25,7 @@
 	return func(o *Options) {
 		b := NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
 		*out, o.Router = b, b
-		o.Filters = []Filter{NewAccountLimits(o.Now, o.Metrics).Filter}
+		o.Filters = []Filter{b.AccountLimits}
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go b.Run(ctx)
