--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -113,7 +113,7 @@
 		Data:                 d.data,
 		Router:               d.orders.Quarantine.Router(d.balancer),
 		ServerRouter:         d.balancer,
-		Filters:              []gateway.Filter{gateway.NewAccountLimits(now, d.metrics).Filter},
+		Filters:              []gateway.Filter{d.balancer.AccountLimits},
 		Orders:               d.orders.Orders,
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
@@ -156,6 +156,10 @@
 	g.Go(func() error { d.syncer.Run(loopCtx); return nil })
 	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
 	g.Go(func() error { d.orders.Run(loopCtx); return nil })
+	g.Go(func() error {
+		gateway.NewCacheFeed(d.balancer, engine.NewControl(), d.metrics).Run(loopCtx)
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		d.drain(callerServer)
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -5,11 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/credit"
-	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -96,6 +93,8 @@
 	heldLimit int // context tokens that one backend server bears
 	// free is the number of credits left at each target during a dispatch.
 	free []int
+	// failedAt is when an attempt at a target failed last.
+	failedAt map[credit.BackendID]time.Duration
 }
 
 // enter queues a ticket and starts what can start.
@@ -236,6 +235,11 @@
 		have[l.targets[i].backend] = true
 	}
 	l.holder.Retain(func(b credit.BackendID) bool { return have[b] })
+	for b := range l.failedAt {
+		if !have[b] {
+			delete(l.failedAt, b)
+		}
+	}
 }
 
 // row is the routing table's input for a target.
@@ -286,7 +290,7 @@
 	for i := range l.targets {
 		t := &l.targets[i]
 		l.free[i] = 0
-		if t.usable(now) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && !l.paused(now, t) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
 			l.free[i] = l.holder.Free(now, t.backend, true)
 		}
 		found = found || l.free[i] > 0
@@ -346,9 +350,7 @@
 	hold := now - p.started
 	if r.Err != nil {
 		hold = 0
-	}
-	if len(p.ticket.excluded) > 0 && (errors.Is(r.Err, engine.ErrNotSent) || errors.Is(r.Err, ErrBackendNotSent)) {
-		l.retries.Refund()
+		l.fail(now, p.target.backend, r.Err)
 	}
 	l.table.Done(now, ident.GroupID(p.target.backend), p.uncached, r.FirstToken, hold)
 	l.dispatch(now)
