--- a/gateway/limitconn.go
+++ b/gateway/limitconn.go
@@ -188,18 +188,23 @@
 
 type limitConnKey struct{}
 
-// limitContext makes the connection of a request available to the limits.
+// limitContext makes the connection of a request available to the limits. It
+// runs before the connection is read.
 func limitContext(ctx context.Context, c net.Conn) context.Context {
-	ctx = connContext(ctx, c)
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		if _, plain := c.(*limitConn); !plain {
-			c = t.NetConn()
-		}
+	lc, plain := c.(*limitConn)
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok && !plain {
+		lc, _ = t.NetConn().(*limitConn)
+	}
+	if lc == nil {
+		return connContext(ctx, c)
 	}
-	if lc, ok := c.(*limitConn); ok {
-		return context.WithValue(ctx, limitConnKey{}, lc)
+	if !plain {
+		// Under TLS the bytes that pass here are not a header.
+		lc.mu.Lock()
+		lc.header = headerScanner{}
+		lc.mu.Unlock()
 	}
-	return ctx
+	return context.WithValue(connContext(ctx, lc), limitConnKey{}, lc)
 }
 
 func limitConnOf(ctx context.Context) *limitConn {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -119,6 +120,21 @@
 	}
 }
 
+// TestLimitContext guards against parking that does not find its connection
+// below the limits, with and without TLS.
+func TestLimitContext(t *testing.T) {
+	stall := &stallConn{}
+	for _, wrap := range []func(net.Conn) net.Conn{
+		func(c net.Conn) net.Conn { return c },
+		func(c net.Conn) net.Conn { return tls.Server(c, nil) },
+	} {
+		c := &limitConn{Conn: stall}
+		ctx := limitContext(context.Background(), wrap(c))
+		assert.Assert(t, ctx.Value(connKey{}).(*stallConn) == stall)
+		assert.Assert(t, limitConnOf(ctx) == c)
+	}
+}
+
 func fuzzGateway() *Gateway {
 	return New(Options{
 		Snapshot: func() *view.Snapshot { return view.New(view.Snapshot{}) }, Now: func() time.Duration { return 0 },
