--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -13,9 +14,13 @@
 // asked with each sync, every 100 to 500 ms.
 const isolatePoll = 20 * time.Millisecond
 
+// targetsPerIsolation is the number of targets of a service for each that is
+// kept for suspects at a time.
+const targetsPerIsolation = 16
+
 // acquireAlone waits for a target that runs nothing else, for a request that is
-// suspected of crashing backend servers. It keeps to one target, the one with
-// the fewest requests, so that the others go on serving.
+// suspected of crashing backend servers. All entry instances choose the same
+// few targets, so that the others go on serving.
 func (l *lane) acquireAlone(ctx context.Context, t *ticket) (*permit, error) {
 	tick := time.NewTicker(isolatePoll)
 	defer tick.Stop()
@@ -45,20 +50,7 @@
 	defer l.mu.Unlock()
 	now := l.b.now()
 	l.refresh(now)
-	best := -1
-	for i := range l.targets {
-		c := &l.targets[i]
-		if !c.usable(now) || slices.Contains(t.excluded, c.backend) {
-			continue
-		}
-		if c.backend == at {
-			best = i
-			break
-		}
-		if best < 0 || l.running(i) < l.running(best) {
-			best = i
-		}
-	}
+	best := l.isolationTarget(now, t, at)
 	if best < 0 {
 		return nil, at
 	}
@@ -79,14 +71,29 @@
 	return l.permitAlone(now, t, target, c, best), at
 }
 
-// running is the number of requests at a target, as far as it is known here.
-func (l *lane) running(i int) int {
-	t := &l.targets[i]
-	n := l.holder.InFlight(t.backend)
-	if t.group != nil {
-		n = max(n, t.group.Status.Running)
+// isolationTarget keeps to the target at while it is in use, or chooses one of
+// the targets with the highest rendezvous scores. It returns -1 if there is none.
+func (l *lane) isolationTarget(now time.Duration, t *ticket, at credit.BackendID) int {
+	var usable []int
+	for i := range l.targets {
+		c := &l.targets[i]
+		if !c.usable(now) || slices.Contains(t.excluded, c.backend) {
+			continue
+		}
+		if c.backend == at {
+			return i
+		}
+		usable = append(usable, i)
+	}
+	if len(usable) == 0 {
+		return -1
+	}
+	score := func(i int) uint64 {
+		return ident.Score(string(l.name), ident.InstanceID(l.targets[i].backend))
 	}
-	return n
+	slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(score(b), score(a)) })
+	n := max(1, len(l.targets)/targetsPerIsolation)
+	return usable[int(uint64(t.request.Fingerprint)%uint64(min(n, len(usable))))]
 }
 
 // permitAlone counts the run like any other one. The target stays isolated
--- a/gateway/orderparts.go
+++ b/gateway/orderparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -67,9 +68,34 @@
 	p.Quarantine.Register(mux)
 }
 
-// Run deletes old claims until the context ends. One live entry instance does
-// it for all: the owner of the table's name.
+// learnInterval separates tries to learn the suspects from peers.
+const learnInterval = 250 * time.Millisecond
+
+// learn takes over the suspects that a live peer knows. An entry instance that
+// has no peers stops when the context ends.
+func (p *OrderParts) learn(ctx context.Context) {
+	t := time.NewTicker(learnInterval)
+	defer t.Stop()
+	for {
+		for _, e := range p.opts.Snapshot().Entries {
+			if e.Alive && e.Instance != p.opts.Self.Instance && p.Quarantine.Learn(ctx, e.PeerAddress) == nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Run learns the suspects from a peer, and deletes old claims until the context
+// ends. One live entry instance deletes for all: the owner of the table's name.
 func (p *OrderParts) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { p.learn(ctx) })
 	p.Runner.Sweep(ctx, claim.DefaultSweepConfig(), func() bool {
 		var owner ident.InstanceID
 		var best uint64
