--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -61,7 +60,7 @@
 			r.Priority = r.CallerPriority
 		}
 		r.Deadline = r.Arrived + limit
-		r.Fingerprint = ident.NewFingerprint(r.Name, r.Body)
+		r.Fingerprint = fingerprint(r)
 		return next(ctx, r)
 	}
 }
--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -1,20 +1,52 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	standin "github.com/bulrushfall/bulrushfall/standin/engine"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/view"
 )
 
+// waitingRouter gives its grant after something happened.
+type waitingRouter struct{ happens func() }
+
+func (w waitingRouter) Acquire(context.Context, *Request, []ident.GroupID) (Grant, error) {
+	w.happens()
+	return Grant{Group: &view.Group{}, Release: func(Result) {}}, nil
+}
+
+// TestConvictedInQueue guards against a request that runs although it was
+// convicted while it waited for a credit, and against one that escapes its
+// conviction by another layout of the same JSON.
+func TestConvictedInQueue(t *testing.T) {
+	q := NewQuarantine(quarantine.DefaultConfig(), OrderOptions{
+		Snapshot: func() *view.Snapshot { return view.New(view.Snapshot{}) },
+		Now:      func() time.Duration { return 0 }, Scope: tally.NoopScope,
+	})
+	r := &Request{Completion: &engine.CompletionRequest{}, Body: []byte(`{"prompt":"x","n":[1, 2],"stream":true}`), Deadline: time.Hour}
+	r.Fingerprint = fingerprint(r)
+	other := *r
+	other.Body = []byte(`{ "n":[1,2], "prompt":"\u0078" }`)
+	assert.Equal(t, fingerprint(&other), r.Fingerprint)
+	router := q.Router(waitingRouter{func() {
+		q.apply(quarantine.Finding{Fingerprint: r.Fingerprint, Standing: quarantine.Convicted})
+	}})
+	_, err := router.Acquire(t.Context(), r, nil)
+	assert.ErrorIs(t, err, errCrashes)
+}
+
 // TestPoisonRunsAlone guards against a completion that crashes more than two
 // engines, against a suspect that takes other requests down with it, and
 // against innocent streams that do not come to their end.
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -238,25 +239,68 @@
 
 // Acquire implements Router.
 func (g guardRouter) Acquire(ctx context.Context, r *Request, excluded []ident.GroupID) (Grant, error) {
-	run, err := g.q.permit(ctx, r)
-	if err != nil {
-		return Grant{}, err
-	}
-	r.Isolated = run.alone
-	grant, err := g.next.Acquire(ctx, r, excluded)
-	if err != nil {
-		run.cancel()
-		return Grant{}, err
+	for {
+		run, err := g.q.permit(ctx, r)
+		if err != nil {
+			return Grant{}, err
+		}
+		r.Isolated = run.alone
+		grant, err := g.next.Acquire(ctx, r, excluded)
+		if err != nil {
+			run.cancel()
+			return Grant{}, err
+		}
+		if run.outdated() {
+			grant.Release(Result{Err: errOutdated})
+			continue
+		}
+		return run.guard(grant), nil
 	}
+}
+
+// guard notes the begin and the end of a run on a group.
+func (s *suspectRun) guard(grant Grant) Grant {
 	leader := &grant.Group.Leader
-	run.begin(quarantine.Server{Instance: leader.Instance, Incarnation: leader.Incarnation, DataCentre: grant.Group.DataCentre})
+	s.begin(quarantine.Server{Instance: leader.Instance, Incarnation: leader.Incarnation, DataCentre: grant.Group.DataCentre})
 	release := grant.Release
 	var once sync.Once
 	grant.Release = func(result Result) {
-		once.Do(func() { run.end(runResult(result.Err)) })
+		once.Do(func() { s.end(runResult(result.Err)) })
 		release(result)
 	}
-	return grant, nil
+	return grant
+}
+
+// errOutdated gives a credit back unused.
+var errOutdated = errors.New("request became a suspect while it waited for a credit")
+
+// outdated reports whether the request became a suspect since it was permitted
+// to run with others.
+func (s *suspectRun) outdated() bool {
+	if s == nil || s.alone {
+		return false
+	}
+	standing, _ := s.q.standing(s.f)
+	return standing != quarantine.Free
+}
+
+// fingerprint identifies a request by what a backend server would run. The
+// order and the spaces of a JSON body do not matter; nor does streaming.
+func fingerprint(r *Request) ident.Fingerprint {
+	if r.Completion == nil {
+		// The body alone does not tell calls of a plain service apart.
+		return ident.NewFingerprint(r.Name, append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return ident.NewFingerprint(r.Name, r.Body)
+	}
+	delete(fields, "stream")
+	canonical, err := json.Marshal(fields)
+	if err != nil {
+		return ident.NewFingerprint(r.Name, r.Body)
+	}
+	return ident.NewFingerprint(r.Name, canonical)
 }
 
 // runResult tells what the end of an attempt says about the request.
@@ -281,14 +325,17 @@
 	if q == nil {
 		return g.callPlain(ctx, r, excluded, nil)
 	}
-	// The body alone does not tell calls of a plain service apart.
-	r.Fingerprint = ident.NewFingerprint(r.Name, append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
-	run, err := q.permit(ctx, r)
-	if err != nil {
-		return nil, nil, err
+	for {
+		run, err := q.permit(ctx, r)
+		if err != nil {
+			return nil, nil, err
+		}
+		r.Isolated = run.alone
+		a, b, err := g.callPlain(ctx, r, excluded, run)
+		if !errors.Is(err, errOutdated) {
+			return a, b, err
+		}
 	}
-	r.Isolated = run.alone
-	return g.callPlain(ctx, r, excluded, run)
 }
 
 // callPlain acquires a backend server and calls it. Run may be nil.
@@ -298,6 +345,10 @@
 		run.cancel()
 		return nil, nil, err
 	}
+	if run.outdated() {
+		release(Result{Err: errOutdated})
+		return nil, nil, errOutdated
+	}
 	run.begin(quarantine.Server{Instance: b.Instance, Incarnation: b.Incarnation, DataCentre: b.DataCentre})
 	a, err := g.backends.call(ctx, r, b, ident.AttemptID(r.AnswerID))
 	run.end(plainRunResult(ctx, err))
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -79,6 +79,10 @@
 func (g *Gateway) mint(ctx context.Context, request any) (any, error) {
 	var answer TicketAnswer
 	minted := func(_ context.Context, r *Request) (*Answer, error) {
+		if g.draining.Load() {
+			// The ticket would be lost with this incarnation.
+			return nil, &ProblemShuttingDown
+		}
 		if r.Service.Document.Kind != service.KindPlain {
 			return nil, ProblemBadRequest.With("service %q is a model service: its calls need no ticket", r.Name)
 		}
