cluster: reserve ports against the clusters of other processes

Cause: two clusters of two processes tried the same port between the check and the start of its process (two of 11 tests failed in one of nine runs while another set of clusters ran).

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -45,6 +45,7 @@
 	Engines     []*Process
 	Orders      []*Process
 	documents   []string
+	ports       ports
 }
 
 // Start runs the whole cluster and waits until every entry instance is ready.
@@ -108,7 +109,7 @@
 }
 
 func (c *Cluster) startPlatform(ctx context.Context) error {
-	addresses, err := freeAddresses(1)
+	addresses, err := c.ports.free(1)
 	if err != nil {
 		return err
 	}
@@ -155,7 +156,7 @@
 }
 
 func (c *Cluster) startEntries() error {
-	addresses, err := freeAddresses(3 * c.cfg.Entries)
+	addresses, err := c.ports.free(3 * c.cfg.Entries)
 	if err != nil {
 		return err
 	}
@@ -299,6 +300,7 @@
 	for _, p := range c.processes() {
 		p.Kill()
 	}
+	c.ports.release()
 	_ = os.RemoveAll(c.dir)
 }
 
--- a/cluster/process.go
+++ b/cluster/process.go
@@ -4,12 +4,9 @@
 package cluster
 
 import (
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -80,35 +77,3 @@
 		p.Kill()
 	}
 }
-
-// Ports of processes come from below the range that the kernel gives to outgoing
-// connections and to port 0, so that no other socket takes a port between the
-// check and the start of the process.
-const (
-	firstPort = 16_000
-	lastPort  = 32_000
-)
-
-// nextPort is the last port tried. Clusters of one process share it, so that
-// they try different ports; the start differs between processes.
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(uint32(os.Getpid()) * 97) }
-
-// freeAddresses returns loopback addresses whose ports are free now.
-func freeAddresses(n int) ([]string, error) {
-	out := make([]string, 0, n)
-	for range lastPort - firstPort {
-		if len(out) == n {
-			return out, nil
-		}
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		out = append(out, l.Addr().String())
-		_ = l.Close()
-	}
-	return nil, errors.Errorf("no %d free ports between %d and %d", n, firstPort, lastPort)
-}
