--- a/claim/batch.go
+++ b/claim/batch.go
@@ -24,8 +24,11 @@
 	MaxInFlight int
 	// MaxQueue bounds the waiting rows.
 	MaxQueue int
-	// Pause follows a throttled transaction.
-	Pause time.Duration
+	// MinGap and MaxGap bound the time between transactions while the store
+	// throttles. The gap doubles with each throttled transaction and shrinks with
+	// each other one, so that leases and configuration, which share the store's
+	// write rate, are not throttled for long.
+	MinGap, MaxGap time.Duration
 }
 
 // DefaultBatchConfig returns the defaults.
@@ -37,10 +40,14 @@
 		Idle:        50 * time.Millisecond,
 		MaxInFlight: 4,
 		MaxQueue:    8192,
-		Pause:       10 * time.Millisecond,
+		MinGap:      10 * time.Millisecond,
+		MaxGap:      200 * time.Millisecond,
 	}
 }
 
+// gapDecay is the part of the gap that an applied transaction takes away.
+const gapDecay = 32
+
 // RowWrite is a conditional write of one row; version 0 requires its absence.
 type RowWrite struct {
 	ID      uint64
@@ -116,8 +123,7 @@
 	busy     map[platform.RowKey]bool
 	lastID   uint64
 	last     time.Duration // of the last commit
-	paused   time.Duration
-	pause    time.Duration
+	gap      time.Duration // between commits, 0 unless the store throttles
 }
 
 // NewBatcher returns an empty batcher.
@@ -126,7 +132,6 @@
 		cfg:      cfg,
 		inFlight: make(map[uint64][]RowWrite),
 		busy:     make(map[platform.RowKey]bool),
-		pause:    cfg.Pause,
 	}
 }
 
@@ -152,9 +157,6 @@
 // flush commits what is due and asks to be woken for the rest.
 func (b *Batcher) flush(now time.Duration) []BatchAction {
 	out := b.dropLate(now)
-	if now < b.paused {
-		return append(out, WakeAt{b.paused})
-	}
 	for len(b.inFlight) < b.cfg.MaxInFlight && b.due(now) {
 		commit, ok := b.take()
 		if !ok {
@@ -164,13 +166,13 @@
 		out = append(out, commit)
 	}
 	if len(b.queue) > 0 && len(b.inFlight) < b.cfg.MaxInFlight {
-		out = append(out, WakeAt{max(b.queue[0].ready, now)})
+		out = append(out, WakeAt{max(b.queue[0].ready, b.last+b.gap, now)})
 	}
 	return out
 }
 
 func (b *Batcher) due(now time.Duration) bool {
-	if len(b.queue) == 0 {
+	if len(b.queue) == 0 || (b.gap > 0 && now < b.last+b.gap) {
 		return false
 	}
 	return now >= b.queue[0].ready || len(b.queue) >= b.cfg.MaxRows
@@ -232,13 +234,15 @@
 	var conflict *platform.ConflictError
 	switch {
 	case e.Err == nil:
-		b.pause = b.cfg.Pause
+		if b.gap -= b.gap / gapDecay; b.gap < b.cfg.MinGap/2 {
+			b.gap = 0
+		}
 		return complete(batch, RowResult{Status: StoreApplied, Version: e.Version})
 	case errors.As(e.Err, &conflict):
 		return b.conflicted(now, batch, conflict.Rows)
 	case errors.Is(e.Err, platform.ErrThrottled):
-		b.paused = now + b.pause
-		b.pause = min(2*b.pause, 16*b.cfg.Pause)
+		b.gap = min(max(2*b.gap, b.cfg.MinGap), b.cfg.MaxGap)
+		b.last = now
 		b.requeue(now, batch)
 		return nil
 	case errors.Is(e.Err, platform.ErrUnavailable):
