--- a/experiment/model.go
+++ b/experiment/model.go
@@ -19,8 +19,11 @@
 // ModelConfig sets up a model of engines, table and entries for one service.
 type ModelConfig struct {
 	Document service.Document
-	Planner  group.Config
-	Entries  int
+	// Others are services that compete for the same instances. Each has
+	// entries of its own.
+	Others  []service.Document
+	Planner group.Config
+	Entries int
 	// Domains and PerDomain lay out the engine instances. Domains are spread
 	// over three data centres.
 	Domains, PerDomain int
@@ -99,8 +102,10 @@
 			m.addEngine(d, n)
 		}
 	}
-	for n := range cfg.Entries {
-		m.Entries = append(m.Entries, newModelEntry(m, n))
+	for _, doc := range append([]service.Document{cfg.Document}, cfg.Others...) {
+		for n := range cfg.Entries {
+			m.Entries = append(m.Entries, newModelEntry(m, doc, n))
+		}
 	}
 	return m
 }
@@ -252,10 +257,13 @@
 // Engine returns an engine by instance.
 func (m *Model) Engine(id ident.InstanceID) *ModelEngine { return m.byID[id] }
 
-// SetDocument puts a document into force at all entries.
+// SetDocument puts the document of the first service into force.
 func (m *Model) SetDocument(doc service.Document) {
 	m.Config.Document = doc
 	for _, e := range m.Entries {
+		if e.service != doc.Service {
+			continue
+		}
 		e.reply(modelRTT, func() { e.step(group.DocumentChanged{Document: doc}) })
 	}
 }
--- a/experiment/model_entry.go
+++ b/experiment/model_entry.go
@@ -8,6 +8,7 @@
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
 )
 
 // Intervals of a modelled entry, as in the daemon.
@@ -26,22 +27,24 @@
 	Planner *group.Planner
 	Lease   *lease.Machine
 
-	m      *Model
-	paused time.Duration
-	inbox  []func()
+	m       *Model
+	service ident.ServiceName
+	paused  time.Duration
+	inbox   []func()
 }
 
-func newModelEntry(m *Model, n int) *ModelEntry {
+func newModelEntry(m *Model, doc service.Document, n int) *ModelEntry {
 	id := ident.InstanceID(fmt.Sprintf("entry%d", n))
 	e := &ModelEntry{
 		ID:      id,
 		m:       m,
-		Planner: group.New(m.Config.Planner, m.Config.Document.Service),
-		Lease:   lease.New(lease.DefaultConfig(), lease.Identity{Instance: id, Incarnation: "1"}, m.Config.Document.Service),
+		service: doc.Service,
+		Planner: group.New(m.Config.Planner, doc.Service),
+		Lease:   lease.New(lease.DefaultConfig(), lease.Identity{Instance: id, Incarnation: "1"}, doc.Service),
 	}
 	m.At(0, func() {
 		e.stepLease(lease.Ranked{Rank: n})
-		e.step(group.DocumentChanged{Document: m.Config.Document})
+		e.step(group.DocumentChanged{Document: doc})
 	})
 	offset := time.Duration(n) * 7 * time.Millisecond
 	e.every(offset, modelList, e.list)
@@ -134,7 +137,7 @@
 }
 
 func (e *ModelEntry) readLease() {
-	name := e.m.Config.Document.Service
+	name := e.service
 	if e.m.Now < e.m.StoreDown {
 		e.reply(modelRTT, func() { e.stepLease(lease.ReadFailed{}) })
 		return
@@ -188,8 +191,8 @@
 
 func (e *ModelEntry) readAll() {
 	all := group.AllRead{OK: e.m.Now >= e.m.StoreDown}
-	all.Head = e.m.get(group.HeadKey(e.m.Config.Document.Service))
-	all.Groups = e.m.scan(group.Table, string(e.m.Config.Document.Service)+"/")
+	all.Head = e.m.get(group.HeadKey(e.service))
+	all.Groups = e.m.scan(group.Table, string(e.service)+"/")
 	all.Assignments = e.m.scan(group.AssignmentTable, "")
 	e.reply(modelRTT, func() { e.step(all) })
 }
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -82,13 +82,20 @@
 // Guards against an instance in two groups, in the table or at the engines,
 // against routing to a group whose leader was given away, and against a planner
 // that gets stuck, under losses, pauses, outages, lost and late answers,
-// changes of the lease holder and racing operators.
+// changes of the lease holder, racing operators and a second service that takes
+// instances.
 func TestSingleMembershipAndConvergence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		rng := rand.New(rand.NewPCG(seed, 2))
 		cfg := modelConfig(seed)
 		cfg.LostAnswers, cfg.LateCommands = 0.1, 0.1
+		want := 0
+		if rapid.Bool().Draw(t, "second service") {
+			other := document(2, 4)
+			other.Service = "drafts"
+			cfg.Others, want = append(cfg.Others, other), 2
+		}
 		m := experiment.NewModel(cfg)
 		for m.Now < 60*time.Second {
 			m.Run(m.Now + time.Duration(100+rng.IntN(3000))*time.Millisecond)
@@ -98,7 +105,7 @@
 		m.Config.LostAnswers, m.Config.LateCommands = 0, 0
 		m.Run(m.Now + 90*time.Second)
 		noViolations(t, m)
-		want := m.Config.Document.Replicas.Wanted
+		want += m.Config.Document.Replicas.Wanted
 		assert.Equal(t, m.Serving(), want, "serving groups 90 s after the last fault: %+v", status(m))
 		assert.Equal(t, m.Stranded(), 0, "stranded accelerators: %+v", status(m))
 		for _, g := range holder(m).Groups(m.Now) {
