--- /dev/null
+++ b/test/integration/orders_test.go
@@ -0,0 +1,184 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/standin/orders"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+const ordersPath = "/services/" + cluster.OrderService + "/orders"
+
+// order places an order through an entry, under its id as the idempotency key.
+func (r *rig) order(e *cluster.Entry, id string, killed bool) load.Result {
+	c := load.NewCaller(cluster.AccountKey(0), []string{e.Callers})
+	defer c.Close()
+	body, err := json.Marshal(orders.Order{ID: id, Item: "cup", Quantity: 1})
+	assert.NilError(r.t, err)
+	res := c.Order(r.ctx, e.Callers, ordersPath, id, body)
+	r.record(e, id, res, killed)
+	return res
+}
+
+// orderRecord returns the record of the order system.
+func (r *rig) orderRecord() orders.Record {
+	r.t.Helper()
+	var rec orders.Record
+	assert.Assert(r.t, r.get("http://"+r.plain[0].Address+"/debug/counts", &rec))
+	return rec
+}
+
+func (r *rig) orderFaults(f orders.Faults) {
+	r.t.Helper()
+	r.post("http://"+r.plain[0].Address+"/debug/faults", f)
+}
+
+// waitOrders waits until an order through each entry is answered.
+func (r *rig) waitOrders() {
+	r.t.Helper()
+	for _, e := range r.c.Entries {
+		n := 0
+		r.wait("an order through "+string(e.Instance), func() bool {
+			n++
+			return r.order(e, fmt.Sprintf("warm-up-%s-%d", e.Instance, n), false).Outcome == load.Answered
+		})
+	}
+}
+
+// TestOrderThroughTwoEntries guards against an order that runs twice because
+// its caller sends it to two entries at once.
+func TestOrderThroughTwoEntries(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.waitOrders()
+	r.orderFaults(orders.Faults{DelayMillis: 100})
+	const n = 20
+	var wg sync.WaitGroup
+	answered := make([]bool, 2*n)
+	for i := range 2 * n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			res := r.order(r.c.Entries[i%2], fmt.Sprintf("order-%d", i/2), false)
+			answered[i] = res.Outcome == load.Answered
+		}()
+	}
+	wg.Wait()
+	rec := r.orderRecord()
+	for i := range n {
+		assert.Assert(t, answered[2*i] || answered[2*i+1], "order %d has no answer", i)
+		assert.Equal(t, rec.Counts[fmt.Sprintf("order-%d", i)], 1)
+	}
+	r.judge()
+}
+
+// TestEntryKilledBetweenClaimAndAnswer guards against a retry that runs an
+// order again, or that says not-run, after the entry that dispatched it died.
+func TestEntryKilledBetweenClaimAndAnswer(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.waitOrders()
+	r.orderFaults(orders.Faults{DelayMillis: 60_000})
+	first := make(chan load.Result, 1)
+	go func() { first <- r.order(r.c.Entries[0], "order", true) }()
+	r.wait("the order runs", func() bool { return r.orderRecord().Counts["order"] == 1 })
+	r.c.Entries[0].Kill()
+	assert.Assert(t, (<-first).Outcome != load.Answered, "the entry answered before it was killed")
+	r.orderFaults(orders.Faults{})
+	for range 3 {
+		for _, e := range r.c.Entries[1:] {
+			res := r.order(e, "order", false)
+			assert.Equal(t, res.Outcome, load.Unknown, "%s", res.Detail)
+		}
+	}
+	assert.Equal(t, r.orderRecord().Counts["order"], 1)
+	r.judge()
+}
+
+// TestLostOrderAnswer guards against a second run when the connection to the
+// order system breaks after the order ran.
+func TestLostOrderAnswer(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.waitOrders()
+	r.orderFaults(orders.Faults{LoseAnswers: 1})
+	assert.Equal(t, r.order(r.c.Entries[0], "order", false).Outcome, load.Unknown)
+	assert.Equal(t, r.orderRecord().LostAnswers, 1)
+	for _, e := range r.c.Entries {
+		assert.Equal(t, r.order(e, "order", false).Outcome, load.Unknown)
+	}
+	assert.Equal(t, r.orderRecord().Counts["order"], 1)
+	r.judge()
+}
+
+// TestRefusedOrder guards against a refusal that is passed on as another
+// outcome, and against a retry of the caller that can then not run.
+func TestRefusedOrder(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.waitOrders()
+	r.orderFaults(orders.Faults{RefuseNotRun: -1})
+	assert.Equal(t, r.order(r.c.Entries[0], "order", false).Outcome, load.NotRun)
+	assert.Assert(t, len(r.orderRecord().Refused) > 0)
+	r.orderFaults(orders.Faults{})
+	assert.Equal(t, r.order(r.c.Entries[1], "order", false).Outcome, load.Answered)
+	assert.Equal(t, r.orderRecord().Counts["order"], 1)
+	r.judge()
+}
+
+// TestStoreOutage guards against streams that need the store, and against
+// orders that run without a claim while it is down or loses its answers.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	r.waitOrders()
+	for i, f := range []standin.Faults{{Outage: true}, {Hang: true}} {
+		assert.NilError(t, r.c.SetFaults(f))
+		p := []string{fmt.Sprintf("%s %d a", t.Name(), i), fmt.Sprintf("%s %d b", t.Name(), i)}
+		results := r.streams(r.c.Entries, p)
+		id := fmt.Sprintf("outage-%d", i)
+		res := r.order(r.c.Entries[0], id, false)
+		assert.Equal(t, res.Outcome, load.NotRun, "%s", res.Detail)
+		assert.Equal(t, r.orderRecord().Counts[id], 0)
+		allAnswered(t, results())
+		assert.NilError(t, r.c.SetFaults(standin.Faults{}))
+		r.wait("the order runs after the outage", func() bool {
+			return r.order(r.c.Entries[1], id, false).Outcome == load.Answered
+		})
+	}
+	assert.NilError(t, r.c.SetFaults(standin.Faults{LoseAnswers: 1, LoseTable: "claim"}))
+	assert.Equal(t, r.order(r.c.Entries[0], "lossy", false).Outcome, load.Answered)
+	var counts standin.Counts
+	assert.Assert(t, r.get(r.c.PlatformURL+"/debug/counts", &counts))
+	assert.Assert(t, counts.Refused > 0 && counts.Hung > 0 && counts.LostAnswers == 1, "%+v", counts)
+	assert.Equal(t, r.orderRecord().Counts["lossy"], 1)
+	r.judge()
+}
+
+// TestIdempotentLookups guards against look-ups that are treated as orders.
+func TestIdempotentLookups(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.waitOrders()
+	assert.NilError(t, r.c.SetFaults(standin.Faults{Outage: true}))
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.c.Entries[0].Callers+"/services/"+cluster.OrderService+"/stock/cup", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+cluster.AccountKey(0))
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var stock orders.Stock
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&stock))
+	assert.Equal(t, stock.Item, "cup")
+}
--- a/trace/machines/machines.go
+++ b/trace/machines/machines.go
@@ -19,12 +19,14 @@
 
 // constructors of the adapters by name.
 var constructors = map[string]func() trace.Machine{
-	"lease":     func() trace.Machine { return &Lease{} },
-	"group":     func() trace.Machine { return &Group{} },
-	"admission": func() trace.Machine { return &Admission{} },
-	"credit":    func() trace.Machine { return &Credit{} },
-	"config":    func() trace.Machine { return &Config{} },
-	"routing":   func() trace.Machine { return &Routing{} },
+	"claim":      func() trace.Machine { return &Claim{} },
+	"quarantine": func() trace.Machine { return &Quarantine{} },
+	"lease":      func() trace.Machine { return &Lease{} },
+	"group":      func() trace.Machine { return &Group{} },
+	"admission":  func() trace.Machine { return &Admission{} },
+	"credit":     func() trace.Machine { return &Credit{} },
+	"config":     func() trace.Machine { return &Config{} },
+	"routing":    func() trace.Machine { return &Routing{} },
 }
 
 // Names lists the machines that New knows.
--- a/trace/machines/replay_test.go
+++ b/trace/machines/replay_test.go
@@ -65,6 +65,7 @@
 	for name, trace := range map[string]string{
 		"lease": "lease-holder-killed", "group": "group-domain-dark", "config": "config-operators-race",
 		"credit": "credit-backend-restarts", "admission": "admission-account-over-share", "routing": "routing-straggler",
+		"claim": "claim-two-entries", "quarantine": "quarantine-request-resent",
 	} {
 		b.Run(name, func(b *testing.B) {
 			text, err := os.ReadFile("../testdata/" + trace + ".jsonl")
