Base credit ownership on a majority of followers; measure store outages

Cause: with the store down for long, leases could not be renewed, the owner of credits ended, and after 30 s of reserves nothing could be served. A new entry instance did not become ready either. Change: an owner acts only while a majority of the listed entry instances follow it; a sync is a promise to follow its target for 1.8 s; the lease holder is preferred, the rendezvous-first live entry instance stands in for it. No store and no shared clock is involved. bulrush-bench outage drives load through a store outage in which all entry instances are replaced.

--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -50,3 +50,11 @@
 		return experiment.Idle(ctx, os.Stdout, binDir)
 	}}
 }
+
+func outageRunner() runner {
+	sub := flaggy.NewSubcommand("outage")
+	sub.Description = "service while the store is down and all entry instances are replaced"
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
+		return experiment.Outage(ctx, os.Stdout, binDir)
+	}}
+}
--- /dev/null
+++ b/control/follow.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/credit"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/view"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// following is whom this entry instance follows for one service.
+type following struct {
+	follower *credit.Follower
+	owner    ident.InstanceID
+	// heard is the sequence of the last sync that the owner answered.
+	heard uint64
+}
+
+// target is the owner that a sync goes to.
+type target struct {
+	owner ident.InstanceID
+	addr  string
+	heard uint64
+	sync  credit.Sync
+	sent  time.Duration
+}
+
+// next chooses the owner and makes the sync. A sync binds this entry instance to
+// its target, so both happen under one lock.
+func (s *Syncer) next(name ident.ServiceName) (target, bool) {
+	snap := s.loop.Snapshot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.follow[name]
+	if !ok {
+		f = &following{follower: credit.NewFollower(s.started)}
+		s.follow[name] = f
+	}
+	now := s.loop.opts.Now()
+	preferred, candidates := ownerCandidates(snap, name)
+	owner, ok := f.follower.Choose(now, preferred, candidates)
+	if !ok {
+		return target{}, false
+	}
+	if owner != f.owner {
+		f.owner, f.heard = owner, 0
+	}
+	f.follower.Sent(now)
+	return target{
+		owner: owner, addr: peerAddress(snap, owner), heard: f.heard,
+		sync: s.holders.Sync(now, name), sent: now,
+	}, true
+}
+
+// ownerCandidates returns the lease holder, if it can be reached as far as
+// membership knows, and the live entry instances in rendezvous order.
+func ownerCandidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
+	var preferred ident.InstanceID
+	var candidates []ident.InstanceID
+	svc := s.Service(name)
+	for _, e := range s.Entries {
+		if !e.Alive || e.Draining {
+			continue
+		}
+		candidates = append(candidates, e.Instance)
+		if svc != nil && e.Instance == svc.Lease.Holder {
+			preferred = e.Instance
+		}
+	}
+	slices.SortFunc(candidates, func(a, b ident.InstanceID) int {
+		if ident.Score(string(name), a) > ident.Score(string(name), b) {
+			return -1
+		}
+		return 1
+	})
+	return preferred, candidates
+}
+
+func peerAddress(s *view.Snapshot, id ident.InstanceID) string {
+	for _, e := range s.Entries {
+		if e.Instance == id {
+			return e.PeerAddress
+		}
+	}
+	return ""
+}
+
+// exchange sends one sync and applies the reply. It reports whether the next
+// sync should be sent at once.
+func (s *Syncer) exchange(ctx context.Context, name ident.ServiceName) bool {
+	to, ok := s.next(name)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	req := GroupSync{Service: name, Sync: to.sync, Known: s.learner.known(name), Heard: to.heard}
+	s.sent.Inc(1)
+	var resp GroupSyncReply
+	var err error
+	self := to.owner == s.loop.opts.Self.Instance
+	if self {
+		resp, err = s.loop.ownSync(ctx, req)
+	} else {
+		err = s.loop.opts.Node.Call(ctx, to.addr, KindGroupSync, req, &resp)
+	}
+	first := s.answered(name, to, err)
+	switch {
+	case err != nil:
+		s.failed.Inc(1)
+		return false
+	case resp.Pending:
+		return first
+	case !self:
+		groups := s.learner.learn(name, resp.Confirmations, to.sent)
+		s.loop.post(ctx, groupsLearned{service: name, sent: to.sent, groups: groups})
+	}
+	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, resp.Reply)
+}
+
+// answered notes the answer of an owner and reports whether it was the first
+// one: the owner counts this entry instance from the next sync on.
+func (s *Syncer) answered(name ident.ServiceName, to target, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, now := s.follow[name], s.loop.opts.Now()
+	switch {
+	case isNotOwner(err):
+		f.follower.Refused(now, to.owner)
+		return false
+	case err != nil:
+		f.follower.Failed(now, to.owner)
+		return false
+	}
+	f.follower.Answered(to.owner)
+	if f.owner != to.owner {
+		return false
+	}
+	first := f.heard == 0
+	f.heard = max(f.heard, to.sync.Seq)
+	return first
+}
+
+// isNotOwner recognises ErrNotOwner from this process and from a peer.
+func isNotOwner(err error) bool {
+	var remote *wire.RemoteError
+	return errors.Is(err, ErrNotOwner) || (errors.As(err, &remote) && remote.Message == ErrNotOwner.Error())
+}
--- a/control/owners.go
+++ b/control/owners.go
@@ -19,22 +19,3 @@
 	holder, _ := c.lease.Holder()
 	return view.Lease{Holder: holder.Instance}
 }
-
-// ownerOf returns the holder of a service's lease, which owns its credits.
-func (l *Loop) ownerOf(s *view.Snapshot, name ident.ServiceName) (Owner, bool) {
-	svc := s.Service(name)
-	if svc == nil || svc.Lease.Holder == "" {
-		return Owner{}, false
-	}
-	for _, e := range s.Entries {
-		if e.Instance == svc.Lease.Holder {
-			return Owner{
-				Instance:    e.Instance,
-				PeerAddress: e.PeerAddress,
-				Epoch:       svc.Lease.Epoch,
-				Acting:      e.Instance == l.opts.Self.Instance && l.opts.Now() < svc.Lease.ActsUntil,
-			}, true
-		}
-	}
-	return Owner{}, false
-}
--- a/control/sync.go
+++ b/control/sync.go
@@ -31,19 +31,9 @@
 	plainHold = 30 * time.Second
 )
 
-// ErrNotOwner is the answer of an entry instance that does not own the credits
-// of a service.
-var ErrNotOwner = errors.New("this entry instance does not hold the lease of the service: retry with the current holder")
-
-// Owner names the holder of a service's lease.
-type Owner struct {
-	Instance    ident.InstanceID
-	PeerAddress string
-	// Epoch is the lease's fencing token.
-	Epoch ident.Epoch
-	// Acting tells, on the holder itself, that the lease has not lapsed.
-	Acting bool
-}
+// ErrNotOwner is the answer of an entry instance that shuts down or does not
+// know the service.
+var ErrNotOwner = errors.New("this entry instance does not own the credits of the service: follow another one")
 
 // CreditHolders are the traffic side of the exchange.
 type CreditHolders interface {
@@ -59,21 +49,27 @@
 	Service ident.ServiceName `msgpack:"v"`
 	Sync    credit.Sync       `msgpack:"s"`
 	Known   Known             `msgpack:"k"`
+	// Heard is the sequence of the last sync that this owner answered.
+	Heard uint64 `msgpack:"h"`
 }
 
 // GroupSyncReply is its response. Granted is false when the sync was overtaken
 // by a later one.
 type GroupSyncReply struct {
-	Granted bool         `msgpack:"g"`
+	Granted bool `msgpack:"g"`
+	// Pending means that the owner has no majority yet: follow it on.
+	Pending bool         `msgpack:"p,omitempty"`
 	Reply   credit.Reply `msgpack:"r"`
 	// Confirmations are sent with each reply, also when the sync was overtaken.
 	Confirmations Confirmations `msgpack:"c"`
 }
 
-// ownerState is the credit owner of one service.
+// ownerState is this entry instance as the credit owner of one service.
 type ownerState struct {
-	epoch ident.Epoch
+	followers *credit.Followers
+	// owner is nil while less than a majority follows.
 	owner *credit.Owner
+	epoch ident.Epoch
 	// known is when the last report of each backend server was sent.
 	known map[credit.BackendID]time.Duration
 	facts factTable
@@ -97,11 +93,21 @@
 }
 
 func (e syncReceived) apply(l *Loop, now time.Duration) {
-	o := l.creditOwner(now, e.request.Service)
-	if o == nil {
+	name := e.request.Service
+	svc := l.snapshot.Load().Service(name)
+	if l.groups.leaving || svc == nil {
+		if o, ok := l.credits.owners[name]; ok {
+			o.followers.Drop(e.request.Sync.Entry)
+		}
 		e.reply <- syncAnswer{err: ErrNotOwner}
 		return
 	}
+	o := l.ownerState(name)
+	o.followers.Heard(now, e.request.Sync, e.request.Heard)
+	if !l.acts(now, o) {
+		e.reply <- syncAnswer{reply: GroupSyncReply{Pending: true}}
+		return
+	}
 	var out GroupSyncReply
 	for _, a := range o.owner.Step(now, e.request.Sync) {
 		if r, ok := a.(credit.Reply); ok {
@@ -109,7 +115,6 @@
 		}
 	}
 	if e.request.Sync.Entry != l.opts.Self.Instance {
-		svc := l.snapshot.Load().Service(e.request.Service)
 		out.Confirmations = o.facts.since(now, o.epoch, e.request.Known, svc.Groups)
 	}
 	e.reply <- syncAnswer{reply: out}
@@ -139,26 +144,39 @@
 	}
 }
 
-// creditOwner returns the acting owner of a service, or nil.
-func (l *Loop) creditOwner(now time.Duration, name ident.ServiceName) *ownerState {
-	snap := l.snapshot.Load()
-	who, ok := l.ownerOf(snap, name)
-	if !ok || who.Instance != l.opts.Self.Instance || !who.Acting || snap.Service(name) == nil {
-		delete(l.credits.owners, name)
-		return nil
-	}
+func (l *Loop) ownerState(name ident.ServiceName) *ownerState {
 	o, ok := l.credits.owners[name]
-	if !ok || o.epoch != who.Epoch {
-		o = &ownerState{epoch: who.Epoch, owner: credit.NewOwner(who.Epoch, now), known: make(map[credit.BackendID]time.Duration)}
+	if !ok {
+		o = &ownerState{followers: credit.NewFollowers()}
 		l.credits.owners[name] = o
 	}
 	return o
 }
 
+// acts reports whether a majority of the listed entry instances follows. An
+// owner that lost its majority starts anew: another one may have acted since.
+func (l *Loop) acts(now time.Duration, o *ownerState) bool {
+	entries := l.snapshot.Load().Entries
+	listed := make([]ident.InstanceID, 0, len(entries))
+	for _, e := range entries {
+		listed = append(listed, e.Instance)
+	}
+	switch {
+	case !o.followers.Majority(now, listed):
+		o.owner = nil
+	case o.owner == nil:
+		o.epoch = o.followers.NextEpoch(o.epoch + 1)
+		o.owner = credit.NewOwner(o.epoch, now)
+		o.known = make(map[credit.BackendID]time.Duration)
+		o.facts = factTable{}
+	}
+	return o.owner != nil
+}
+
 // reportLoad gives each owner here the latest polls.
 func (l *Loop) reportLoad(now time.Duration) {
 	for _, svc := range l.snapshot.Load().Services {
-		if o := l.creditOwner(now, svc.Document.Service); o != nil {
+		if o, ok := l.credits.owners[svc.Document.Service]; ok && l.acts(now, o) {
 			o.report(now, l.loadReports(now, svc))
 			o.facts.update(svc.Groups)
 		}
@@ -226,6 +244,11 @@
 	sent    tally.Counter
 	failed  tally.Counter
 	learner *learner
+	// follow holds whom this entry instance follows, by service.
+	follow map[ident.ServiceName]*following
+
+	// started is when this process started to follow.
+	started time.Duration
 
 	mu   sync.Mutex
 	open map[ident.ServiceName]int
@@ -238,7 +261,7 @@
 	return &Syncer{
 		loop: loop, holders: holders, open: make(map[ident.ServiceName]int),
 		sent: s.Counter("group_syncs_total"), failed: s.Counter("group_sync_errors_total"),
-		learner: newLearner(),
+		learner: newLearner(), follow: make(map[ident.ServiceName]*following), started: loop.opts.Now(),
 	}
 }
 
@@ -293,32 +316,3 @@
 		}
 	}()
 }
-
-// exchange sends one sync and applies the reply.
-func (s *Syncer) exchange(ctx context.Context, name ident.ServiceName) bool {
-	owner, ok := s.loop.ownerOf(s.loop.Snapshot(), name)
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	sent := s.loop.opts.Now()
-	req := GroupSync{Service: name, Sync: s.holders.Sync(sent, name), Known: s.learner.known(name)}
-	s.sent.Inc(1)
-	var resp GroupSyncReply
-	var err error
-	if owner.Instance == s.loop.opts.Self.Instance {
-		resp, err = s.loop.ownSync(ctx, req)
-	} else {
-		err = s.loop.opts.Node.Call(ctx, owner.PeerAddress, KindGroupSync, req, &resp)
-	}
-	if err != nil {
-		s.failed.Inc(1)
-		return false
-	}
-	if owner.Instance != s.loop.opts.Self.Instance {
-		groups := s.learner.learn(name, resp.Confirmations, sent)
-		s.loop.post(ctx, groupsLearned{service: name, sent: sent, groups: groups})
-	}
-	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, resp.Reply)
-}
--- /dev/null
+++ b/credit/follow.go
@@ -0,0 +1,175 @@
+package credit
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Ownership of credits does not rest on the store: an owner acts only while a
+// majority of the listed entry instances follow it. An entry instance follows
+// one owner at a time; each sync that it sends is a promise to follow its
+// target until the allocation time is over. Two majorities share an entry
+// instance, so two owners never act at the same time. The holder of the
+// service's lease is preferred; without the store the entry instances agree on
+// another one as soon as most of them choose it.
+const (
+	// followTime is how long a sync binds its sender. It exceeds the time for
+	// which an owner counts a follower by the allowed clock drift.
+	followTime = AllocationTTL + 2*AllocationTTL*driftPercent/100
+	// failTime is how long a target may fail before another one is chosen.
+	failTime = 2 * time.Second
+	// avoidTime is how long a target that failed or refused is avoided.
+	avoidTime = 10 * time.Second
+)
+
+// Follower decides which owner an entry instance follows. The caller
+// serialises its methods.
+type Follower struct {
+	current  ident.InstanceID
+	lastSent time.Duration
+	failing  map[ident.InstanceID]time.Duration
+	avoided  map[ident.InstanceID]time.Duration
+}
+
+// NewFollower returns the follower of a process that started at an instant. The
+// process does not know whom its predecessor followed, so it waits first.
+func NewFollower(now time.Duration) *Follower {
+	return &Follower{
+		lastSent: now,
+		failing:  make(map[ident.InstanceID]time.Duration),
+		avoided:  make(map[ident.InstanceID]time.Duration),
+	}
+}
+
+// Choose returns the owner to sync with, or none while an earlier promise
+// binds. Preferred is the lease holder, or empty; candidates are ranked, best
+// first. The caller sends the sync at once and then calls Sent.
+func (f *Follower) Choose(now time.Duration, preferred ident.InstanceID, candidates []ident.InstanceID) (ident.InstanceID, bool) {
+	target := f.target(now, preferred, candidates)
+	if target == "" {
+		return "", false
+	}
+	if target != f.current && now-f.lastSent < followTime {
+		// The earlier owner may count on this entry instance. Syncs that go on
+		// to it would renew the promise, so none is sent.
+		return "", false
+	}
+	f.current = target
+	return target, true
+}
+
+func (f *Follower) target(now time.Duration, preferred ident.InstanceID, candidates []ident.InstanceID) ident.InstanceID {
+	if preferred != "" && now >= f.avoided[preferred] {
+		return preferred
+	}
+	for _, c := range candidates {
+		if now >= f.avoided[c] {
+			return c
+		}
+	}
+	return ""
+}
+
+// Sent notes the promise of a sync.
+func (f *Follower) Sent(now time.Duration) { f.lastSent = now }
+
+// Answered notes that an owner answered.
+func (f *Follower) Answered(owner ident.InstanceID) { delete(f.failing, owner) }
+
+// Failed notes that an owner did not answer.
+func (f *Follower) Failed(now time.Duration, owner ident.InstanceID) {
+	since, ok := f.failing[owner]
+	switch {
+	case !ok:
+		f.failing[owner] = now
+	case now-since >= failTime:
+		f.avoid(now, owner)
+	}
+}
+
+// Refused notes that an owner stops acting and has dropped this follower, which
+// ends the promise.
+func (f *Follower) Refused(now time.Duration, owner ident.InstanceID) {
+	f.avoid(now, owner)
+	if owner == f.current {
+		f.current, f.lastSent = "", now-followTime
+	}
+}
+
+func (f *Follower) avoid(now time.Duration, owner ident.InstanceID) {
+	delete(f.failing, owner)
+	for id, until := range f.avoided {
+		if now >= until {
+			delete(f.avoided, id)
+		}
+	}
+	f.avoided[owner] = now + avoidTime
+}
+
+// followed is what an owner knows about one follower.
+type followed struct {
+	incarnation ident.Incarnation
+	// replies holds when recent replies were sent, by sequence.
+	replies map[uint64]time.Duration
+	// provenAt is when the reply was sent that the last sync acknowledges, and so
+	// an instant before that sync was sent.
+	provenAt time.Duration
+	epoch    ident.Epoch
+}
+
+// Followers counts the entry instances that follow an owner. A follower counts
+// from its second sync on: only an acknowledged reply proves that the sync is
+// not a delayed one.
+type Followers struct {
+	followers map[ident.InstanceID]*followed
+}
+
+// NewFollowers returns an empty count.
+func NewFollowers() *Followers {
+	return &Followers{followers: make(map[ident.InstanceID]*followed)}
+}
+
+// Heard notes a sync and the reply that is sent to it at the same instant. heard
+// is the sequence of the last sync whose reply from this owner the follower had
+// received when it sent s.
+func (f *Followers) Heard(now time.Duration, s Sync, heard uint64) {
+	e, ok := f.followers[s.Entry]
+	if !ok || e.incarnation != s.Incarnation {
+		e = &followed{incarnation: s.Incarnation, replies: make(map[uint64]time.Duration), provenAt: -followTime}
+		f.followers[s.Entry] = e
+	}
+	if at, ok := e.replies[heard]; ok && at > e.provenAt {
+		e.provenAt = at
+	}
+	e.epoch = max(e.epoch, s.Epoch)
+	e.replies[s.Seq] = now
+	for seq, at := range e.replies {
+		if now-at > followTime {
+			delete(e.replies, seq)
+		}
+	}
+}
+
+// Drop forgets a follower that was refused.
+func (f *Followers) Drop(entry ident.InstanceID) { delete(f.followers, entry) }
+
+// Majority reports whether more than half of the listed entry instances follow.
+func (f *Followers) Majority(now time.Duration, listed []ident.InstanceID) bool {
+	n := 0
+	for _, id := range listed {
+		if e, ok := f.followers[id]; ok && now-e.provenAt < AllocationTTL {
+			n++
+		}
+	}
+	return 2*n > len(listed)
+}
+
+// NextEpoch returns an epoch above every one that a follower has seen.
+func (f *Followers) NextEpoch(least ident.Epoch) ident.Epoch {
+	next := least
+	for _, e := range f.followers {
+		next = max(next, e.epoch+1)
+	}
+	return next
+}
--- /dev/null
+++ b/credit/follow_test.go
@@ -0,0 +1,184 @@
+package credit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// followNode is an entry instance of the test: a follower that is also a
+// possible owner. Its clock starts anywhere and drifts by up to 5% either way.
+type followNode struct {
+	id          ident.InstanceID
+	incarnation int
+	offset      time.Duration
+	rate        float64
+	follower    *Follower
+	followers   *Followers
+	seq, heard  uint64
+	owner       ident.InstanceID
+	paused      time.Duration
+	// preferred is the owner that the node would follow. Nodes change their
+	// minds one after another, as when a lease moves.
+	preferred int
+}
+
+func (n *followNode) clock(now time.Duration) time.Duration {
+	return n.offset + time.Duration(float64(now)*n.rate)
+}
+
+func (n *followNode) restart(now time.Duration) {
+	n.incarnation++
+	n.follower, n.followers = NewFollower(n.clock(now)), NewFollowers()
+	n.seq, n.heard, n.owner = 0, 0, ""
+}
+
+// followMessage is a sync or its reply on the way.
+type followMessage struct {
+	at       time.Duration
+	from, to int
+	reply    bool
+	refused  bool
+	inc      ident.Incarnation
+	seq      uint64
+	heard    uint64
+}
+
+// TestOneOwner guards against two owners that have a majority at the same time,
+// under delays, losses, pauses, restarts, drifting clocks and views that differ.
+func TestOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 100 * time.Millisecond
+		n := rapid.IntRange(3, 7).Draw(t, "nodes")
+		var nodes []*followNode
+		var listed []ident.InstanceID
+		for i := range n {
+			node := &followNode{
+				id:     ident.InstanceID(fmt.Sprint("e", i)),
+				offset: time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second,
+				rate:   1 + float64(rapid.IntRange(-5, 5).Draw(t, "drift"))/100,
+			}
+			node.restart(0)
+			nodes = append(nodes, node)
+			listed = append(listed, node.id)
+		}
+		var wire []followMessage
+		for now := time.Duration(0); now < 15*time.Second; now += step {
+			wire = stepFollow(t, nodes, wire, now)
+			acting := 0
+			for _, node := range nodes {
+				if node.followers.Majority(node.clock(now), listed) {
+					acting++
+				}
+			}
+			if acting > 1 {
+				t.Fatalf("%d owners act at %s", acting, now)
+			}
+		}
+	})
+}
+
+// stepFollow plays one step: faults, syncs and deliveries.
+func stepFollow(t *rapid.T, nodes []*followNode, wire []followMessage, now time.Duration) []followMessage {
+	for i, node := range nodes {
+		switch rapid.IntRange(0, 200).Draw(t, "fault") {
+		case 0:
+			node.restart(now)
+		case 1:
+			node.paused = now + time.Duration(rapid.IntRange(1, 40).Draw(t, "pause"))*100*time.Millisecond
+		}
+		if now < node.paused || now%(500*time.Millisecond) != 0 {
+			continue
+		}
+		if rapid.IntRange(0, 5).Draw(t, "mind") == 0 {
+			node.preferred = rapid.IntRange(0, 1).Draw(t, "preferred")
+		}
+		preferred := nodes[node.preferred].id
+		owner, ok := node.follower.Choose(node.clock(now), preferred, nil)
+		if !ok {
+			continue
+		}
+		if owner != node.owner {
+			node.owner, node.heard = owner, 0
+		}
+		node.follower.Sent(node.clock(now))
+		node.seq++
+		wire = append(wire, followMessage{
+			at: now + delay(t), from: i, to: index(nodes, owner), seq: node.seq, heard: node.heard,
+			inc: ident.Incarnation(fmt.Sprint(node.incarnation)),
+		})
+	}
+	var left []followMessage
+	for _, m := range wire {
+		switch {
+		case m.at > now || now < nodes[m.to].paused:
+			left = append(left, m)
+		default:
+			left = append(left, deliver(t, nodes, m, now)...)
+		}
+	}
+	return left
+}
+
+func deliver(t *rapid.T, nodes []*followNode, m followMessage, now time.Duration) []followMessage {
+	node := nodes[m.to]
+	if rapid.IntRange(0, 19).Draw(t, "lost") == 1 {
+		return nil
+	}
+	if m.reply {
+		switch sender := nodes[m.from].id; {
+		case ident.Incarnation(fmt.Sprint(node.incarnation)) != m.inc:
+		case m.refused:
+			node.follower.Refused(node.clock(now), sender)
+		case node.owner == sender:
+			node.follower.Answered(sender)
+			node.heard = max(node.heard, m.seq)
+		}
+		return nil
+	}
+	reply := followMessage{at: now + delay(t), from: m.to, to: m.from, reply: true, inc: m.inc, seq: m.seq}
+	if rapid.IntRange(0, 30).Draw(t, "refuse") == 0 {
+		node.followers.Drop(nodes[m.from].id)
+		reply.refused = true
+	} else {
+		s := Sync{Entry: nodes[m.from].id, Incarnation: m.inc, Seq: m.seq}
+		node.followers.Heard(node.clock(now), s, m.heard)
+	}
+	return []followMessage{reply}
+}
+
+func delay(t *rapid.T) time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 0, 1, 10, 30}).Draw(t, "delay")) * 100 * time.Millisecond
+}
+
+func index(nodes []*followNode, id ident.InstanceID) int {
+	for i, n := range nodes {
+		if n.id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestMajorityForms guards against entry instances that never agree on an owner.
+func TestMajorityForms(t *testing.T) {
+	listed := []ident.InstanceID{"a", "b", "c"}
+	owner := NewFollowers()
+	now := time.Duration(0)
+	for seq := uint64(1); seq <= 3; seq++ {
+		for _, id := range listed[:2] {
+			owner.Heard(now, Sync{Entry: id, Incarnation: "1", Seq: seq}, seq-1)
+		}
+		now += SyncInterval
+	}
+	if !owner.Majority(now, listed) {
+		t.Fatal("two of three followers are not counted as a majority")
+	}
+	if owner.Majority(now+AllocationTTL, listed) {
+		t.Fatal("silent followers are still counted")
+	}
+}
--- a/experiment/open_load.go
+++ b/experiment/open_load.go
@@ -36,6 +36,9 @@
 	orderPause = 250 * time.Millisecond
 )
 
+// ordersPath is where orders are placed.
+const ordersPath = "/services/" + cluster.OrderService + "/orders"
+
 // kind tells requests of the load apart.
 type kind string
 
@@ -43,8 +46,13 @@
 	kindStream kind = "streams"
 	kindOrder  kind = "orders"
 	kindRepeat kind = "repeated orders"
+	// kindTicket orders are placed with a ticket as their key.
+	kindTicket kind = "ticketed orders"
 )
 
+// kinds are the rows of a summary.
+var kinds = []kind{kindStream, kindOrder, kindRepeat, kindTicket}
+
 // sample is one finished request of the load.
 type sample struct {
 	kind   kind
@@ -59,6 +67,8 @@
 	callers []check.Caller
 	streams float64
 	rate    float64
+	// tickets is the rate of orders with tickets.
+	tickets float64
 	begin   time.Time
 
 	mu      sync.Mutex
@@ -81,6 +91,13 @@
 	t.begin = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, length)
 	var feeders sync.WaitGroup
+	if t.tickets > 0 {
+		feeders.Add(1)
+		go func() {
+			defer feeders.Done()
+			t.arrive(ctx, t.tickets, t.ticketed)
+		}()
+	}
 	feeders.Add(2)
 	go func() {
 		defer feeders.Done()
@@ -141,10 +158,33 @@
 	t.place(kindRepeat, n, id, body)
 }
 
+// ticketed places an order with a ticket, until it is answered.
+func (t *openLoad) ticketed(n int) {
+	c := t.clients[n%loadAccounts]
+	key, addr, err := c.Ticket(context.Background(), cluster.OrderService)
+	if err != nil {
+		t.add(kindTicket, "", load.Result{Outcome: load.NotRun, Detail: err.Error(), Start: time.Now()})
+		return
+	}
+	id := fmt.Sprintf("ticketed-%d", n)
+	body, err := json.Marshal(orders.Order{ID: id, Item: "cup", Quantity: 1})
+	if err != nil {
+		return
+	}
+	for try := range orderTries {
+		r := c.Order(context.Background(), addr, ordersPath, key, body)
+		t.add(kindTicket, id, r)
+		if r.Outcome == load.Answered || try == orderTries-1 {
+			return
+		}
+		time.Sleep(orderPause)
+	}
+}
+
 func (t *openLoad) place(k kind, n int, id string, body []byte) {
 	c := t.clients[n%loadAccounts]
 	for try := range orderTries {
-		r := c.Order(context.Background(), "", "/services/"+cluster.OrderService+"/orders", id, body)
+		r := c.Order(context.Background(), "", ordersPath, id, body)
 		t.add(k, id, r)
 		if r.Outcome == load.Answered || try == orderTries-1 {
 			return
@@ -222,12 +262,15 @@
 	lost, doubled int
 }
 
-func (t *openLoad) summary() *moveSummary {
+func (t *openLoad) summary() *moveSummary { return summarise(t.samples) }
+
+// summarise counts outcomes by kind.
+func summarise(samples []sample) *moveSummary {
 	s := &moveSummary{counts: make(map[kind]map[load.Outcome]int), details: make(map[string]int)}
-	for _, k := range []kind{kindStream, kindOrder, kindRepeat} {
+	for _, k := range kinds {
 		s.counts[k] = make(map[load.Outcome]int)
 	}
-	for _, x := range t.samples {
+	for _, x := range samples {
 		s.counts[x.kind][x.result.Outcome]++
 		if x.result.Outcome != load.Answered && x.result.Outcome != load.Late {
 			problem, _, _ := strings.Cut(x.result.Detail, " ")
@@ -270,7 +313,10 @@
 		_, _ = fmt.Fprintf(t, "%s\t", o)
 	}
 	_, _ = fmt.Fprintln(t)
-	for _, k := range []kind{kindStream, kindOrder, kindRepeat} {
+	for _, k := range kinds {
+		if len(s.counts[k]) == 0 {
+			continue
+		}
 		_, _ = fmt.Fprintf(t, "%s\t", k)
 		for _, o := range columns {
 			_, _ = fmt.Fprintf(t, "%d\t", s.counts[k][o])
--- a/load/caller.go
+++ b/load/caller.go
@@ -18,6 +18,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
+	"github.com/bulrushfall/bulrushfall/ident"
 	standin "github.com/bulrushfall/bulrushfall/standin/engine"
 )
 
@@ -273,3 +274,26 @@
 	}
 	return r.end(Answered, "")
 }
+
+// Ticket asks an entry instance for an idempotency key that works while the
+// store is down. It returns the key and the entry instance that may run it.
+func (c *Caller) Ticket(ctx context.Context, service string) (key, addr string, err error) {
+	body, err := json.Marshal(gateway.TicketRequest{Service: ident.ServiceName(service)})
+	if err != nil {
+		return "", "", errors.Wrap(err, "encode request for a ticket")
+	}
+	resp, err := c.post(ctx, c.address(ctx), "/v1/tickets", body)
+	if err != nil {
+		c.forget()
+		return "", "", errors.Wrap(err, "ask for a ticket")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer gateway.TicketAnswer
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return "", "", errors.Errorf("ask for a ticket: %s", resp.Status)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", "", errors.Wrap(err, "decode ticket")
+	}
+	return answer.Ticket, answer.Address, nil
+}
