--- a/control/config.go
+++ b/control/config.go
@@ -145,7 +145,7 @@
 	s, self := l.Snapshot(), l.opts.Self
 	out := operator.Status{
 		Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
-		Entries: len(s.Entries), Services: []operator.ServiceStatus{},
+		Ready: s.Ready, Entries: len(s.Entries), Services: []operator.ServiceStatus{},
 	}
 	now := l.opts.Now()
 	for _, svc := range s.Services {
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -218,12 +218,12 @@
 }
 
 func (o Options) status(context.Context, any) (any, error) {
-	var out Status
+	v := o.Configuration.View()
+	out := Status{Ready: v.Ready}
 	if o.Status != nil {
 		out = o.Status()
 	}
-	v := o.Configuration.View()
-	out.Revision, out.Head, out.Ready = v.Revision, v.Head, v.Ready
+	out.Revision, out.Head = v.Revision, v.Head
 	out.Drains = o.drains()
 	return out, nil
 }
