gateway: ask live peers for a key before a refusal as not run without the store

A retry through another entry instance during an outage was refused as not run although the first call had run: true for the call, but its caller could have placed the order again under a new key.

--- a/claim/register.go
+++ b/claim/register.go
@@ -141,6 +141,15 @@
 	return a.report()
 }
 
+// AskKey reports the attempt that holds a key here, StateGone if there is none.
+func (r *Register) AskKey(key Key) Report {
+	a, ok := r.byKey[key]
+	if !ok {
+		return Report{State: StateGone}
+	}
+	return a.report()
+}
+
 // MayDispatch reports whether an attempt is still running. It guards against a
 // dispatch after the attempt was reported as abandoned.
 func (r *Register) MayDispatch(id ident.AttemptID) bool {
--- a/claim/runner/runner.go
+++ b/claim/runner/runner.go
@@ -143,6 +143,13 @@
 	return r.register.Ask(o.Attempt)
 }
 
+// AskKey reports the own attempt that holds a key to a peer.
+func (r *Runner) AskKey(key claim.Key) claim.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.register.AskKey(key)
+}
+
 // Recorded returns what the store says about a key whose owner cannot be
 // asked: a replay, or an unknown outcome.
 func (r *Runner) Recorded(ctx context.Context, key claim.Key, digest claim.Digest) claim.Verdict {
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -72,6 +72,7 @@
 // Register adds the peer handlers.
 func (o *Orders) Register(mux *wire.Mux) {
 	wire.Register(mux, kindClaimAsk, o.answerAsk)
+	wire.Register(mux, kindClaimKey, o.answerKey)
 	wire.Register(mux, kindTicketForward, o.answerForward)
 }
 
@@ -135,6 +136,9 @@
 			return dispatchDone(next(ctx, &q))
 		},
 	})
+	if v.Kind == claim.VerdictNotRun && v.EarlierUnknown && ticketExpires == 0 {
+		v = o.askPeers(ctx, r, v)
+	}
 	return verdictAnswer(v, ticketExpires > 0)
 }
 
--- a/gateway/order_test.go
+++ b/gateway/order_test.go
@@ -223,7 +223,15 @@
 	slow := f.call(0, http.MethodPost, "/services/orders/orders", "k4", `{"id":"o4"}`, 100*time.Millisecond)
 	wantProblem(t, slow, ProblemOutcomeUnknown, OutcomeUnknown)
 	assert.Assert(t, f.order(1, "k4", "o4").replayed, "the late answer can be fetched")
-	for i, id := range []string{"o1", "o2", "o3", "o4"} {
+	f.orders.SetFaults(orders.Faults{})
+	assert.Equal(t, f.order(0, "k5", "o5").status, http.StatusCreated)
+	f.store.SetFaults(storesim.Faults{Outage: true})
+	retry := func(id string) reply {
+		return f.call(1, http.MethodPost, "/services/orders/orders", "k5", `{"id":"`+id+`"}`, 100*time.Millisecond)
+	}
+	assert.Assert(t, retry("o5").replayed, "a retry without the store must not be refused as not run")
+	wantProblem(t, retry("o6"), ProblemKeyConflict, OutcomeNotRun)
+	for i, id := range []string{"o1", "o2", "o3", "o4", "o5"} {
 		assert.Check(t, f.orders.Record().Counts[id] == 1, "order %d", i)
 	}
 }
