--- a/cmd/bulrush-bench/main.go
+++ b/cmd/bulrush-bench/main.go
@@ -34,6 +34,10 @@
 		plainRunner("groups", "group downtime and stranded accelerators against a baseline planner", experiment.Groups),
 		plainRunner("membership", "cost and false suspicions of membership by number of nodes", experiment.Membership),
 		plainRunner("config", "spread of configuration changes and its cost", experiment.Config),
+		plainRunner("routing", "routing policies on one trace in a queueing model", experiment.Routing),
+		plainRunner("fairness", "one account at ten times its share, and a loss of capacity, in a model", experiment.Fairness),
+		plainRunner("cold", "engines that restart at random moments, in a model and as processes", experiment.Cold),
+		plainRunner("path", "speed of the path: direct, bare relay and daemon", experiment.Path),
 	}
 	for _, r := range runners {
 		flaggy.AttachSubcommand(r.sub, 1)
