routing: look fewer prefixes up and pass free credits as a slice

A ticket no longer builds a closure. The cold start experiment also counts suspects, cleared and convicted.

--- a/experiment/cold_processes.go
+++ b/experiment/cold_processes.go
@@ -31,8 +31,11 @@
 // coldReport is what callers and engines saw.
 type coldReport struct {
 	stops, turned, crashes, overloads, maxCold, coldLimit int
-	outcomes                                              map[load.Outcome]int
-	firstToken                                            []time.Duration
+	// Requests on a restarted engine become suspects; a restart during their run
+	// alone convicts them, because its cause cannot be told from a crash.
+	cleared, convicted, refused int
+	outcomes                    map[load.Outcome]int
+	firstToken                  []time.Duration
 }
 
 // coldProcesses restarts engines at random moments under load. Engines in a cold
@@ -63,6 +66,15 @@
 	if err != nil {
 		return out, err
 	}
+	for _, e := range c.Entries {
+		m, err := scrape(e.Operators)
+		if err != nil {
+			return out, err
+		}
+		out.cleared += int(m["bulrushfall_quarantine_cleared_total"])
+		out.convicted += int(m["bulrushfall_quarantine_convictions_total"])
+		out.refused += int(m["bulrushfall_quarantine_refused_total"])
+	}
 	return out, coldRecords(c, &out)
 }
 
@@ -168,6 +180,9 @@
 		{"engine deaths by cold overload", r.overloads},
 		{"most requests held in a cold start", r.maxCold},
 		{"cold limit", r.coldLimit},
+		{"suspects cleared by a run alone", r.cleared},
+		{"suspects convicted by a second restart", r.convicted},
+		{"attempts refused by a conviction", r.refused},
 	} {
 		_, _ = fmt.Fprintf(t, "%s\t%d\n", line.name, line.value)
 	}
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -301,12 +301,15 @@
 // try takes a credit for a ticket at the best target that has one. A target
 // that has credits but too few tokens is passed over for this ticket.
 func (l *lane) try(now time.Duration, t *ticket) bool {
-	var failed [maxPicks]int
-	picks := 0
-	t.route.Skip = func(i int) bool {
-		return l.free[i] <= 0 || slices.Contains(failed[:picks], i) || slices.Contains(t.excluded, l.targets[i].backend)
+	var hidden hiddenTargets
+	defer hidden.restore(l.free)
+	for i := range l.targets {
+		if len(t.excluded) > 0 && slices.Contains(t.excluded, l.targets[i].backend) {
+			hidden.hide(l.free, i)
+		}
 	}
-	for picks < maxPicks {
+	t.route.Free = l.free
+	for range maxPicks {
 		i := l.policy.Pick(now, l.table, &t.route)
 		if i < 0 {
 			return false
@@ -317,12 +320,32 @@
 			l.grant(now, t, i, c)
 			return true
 		}
-		failed[picks] = i
-		picks++
+		hidden.hide(l.free, i)
 	}
 	return false
 }
 
+// hiddenTargets are passed over for one ticket.
+type hiddenTargets struct {
+	count   int
+	indices [maxPicks + maxAttempts]int
+	free    [maxPicks + maxAttempts]int
+}
+
+func (h *hiddenTargets) hide(free []int, i int) {
+	if h.count < len(h.indices) {
+		h.indices[h.count], h.free[h.count] = i, free[i]
+		h.count++
+		free[i] = 0
+	}
+}
+
+func (h *hiddenTargets) restore(free []int) {
+	for n := h.count - 1; n >= 0; n-- {
+		free[h.indices[n]] = h.free[n]
+	}
+}
+
 func (l *lane) grant(now time.Duration, t *ticket, i int, c credit.Credit) {
 	p := &permit{
 		lane: l, ticket: t, target: l.targets[i], credit: c, started: now,
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -11,8 +11,10 @@
 	PromptTokens int
 	// Prefixes are the hashes of its block-aligned prefixes, shortest first.
 	Prefixes []uint64
-	// Skip tells which groups of the table cannot take the request. nil means
-	// that all can.
+	// Free is the number of free credits by index of the table's groups. Groups
+	// without one are passed over. nil means that all can take the request.
+	Free []int
+	// Skip tells which other groups cannot take the request, or is nil.
 	Skip func(index int) bool
 }
 
@@ -85,7 +87,7 @@
 func (p ExpectedDelay) Pick(now time.Duration, t *Table, r *Request) int {
 	t.match(now, r.Prefixes)
 	best := noScore
-	for i := range t.groups {
+	for i := range t.terms {
 		s := noScore
 		if !t.skipped(i, r) {
 			s = t.score(i, r)
@@ -96,35 +98,20 @@
 	if best == noScore {
 		return -1
 	}
-	bound := best + time.Duration(float64(best)*choiceSpread) + choiceSlack
-	return p.draw(t, bound)
+	return p.draw(t, best+time.Duration(float64(best)*choiceSpread)+choiceSlack)
 }
 
 // draw returns the better of two random groups that score within the bound.
 func (p ExpectedDelay) draw(t *Table, bound time.Duration) int {
-	near := 0
-	for _, s := range t.scores {
-		if s <= bound {
-			near++
-		}
-	}
-	first := p.Rand.IntN(near)
-	second := p.Rand.IntN(near)
-	a, b, seen := -1, -1, 0
+	near := t.near[:0]
 	for i, s := range t.scores {
-		if s > bound {
-			continue
-		}
-		if seen == first {
-			a = i
-		}
-		if seen == second {
-			b = i
+		if s <= bound {
+			near = append(near, int32(i))
 		}
-		seen++
 	}
+	a, b := near[p.Rand.IntN(len(near))], near[p.Rand.IntN(len(near))]
 	if t.scores[b] < t.scores[a] {
-		return b
+		return int(b)
 	}
-	return a
+	return int(a)
 }
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// matchSteps is the number of lookups after which the step doubles, up to
+// maxStep blocks.
+const (
+	matchSteps = 8
+	maxStep    = 8
+)
+
 // Event applies one cache event. Events come late and with gaps.
 func (t *Table) Event(now time.Duration, id ident.GroupID, seq, prefix uint64, tokens int, evicted bool) {
 	s, ok := t.byID[id]
@@ -96,11 +103,17 @@
 	t.prefix.put(prefix, s.index, int32(tokens/engine.PrefixBlockTokens), now)
 }
 
-// match finds the longest cached prefix of a prompt at each group.
+// match finds the longest cached prefix of a prompt at each group. It looks at
+// the longest prefixes one by one and at shorter ones in growing steps, which
+// underestimates a cached part by a few blocks at most.
 func (t *Table) match(now time.Duration, prefixes []uint64) {
 	t.mark++
 	at := seconds(now)
-	for i := len(prefixes) - 1; i >= 0; i-- {
+	step := 1
+	for i, n := len(prefixes)-1, 0; i >= 0; i -= step {
+		if n++; n%matchSteps == 0 {
+			step = min(2*step, maxStep)
+		}
 		b := &t.prefix.buckets[prefixes[i]&t.prefix.mask]
 		for j := range b {
 			h := &b[j]
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -108,7 +108,8 @@
 	chosen := make(map[int]int)
 	for seed := range uint64(200) {
 		p := ExpectedDelay{Rand: rand.New(rand.NewPCG(seed, 1))}
-		chosen[p.Pick(0, newTable(10), &Request{PromptTokens: 100, Skip: func(i int) bool { return i == 4 }})]++
+		free := []int{1, 1, 1, 1, 0, 1, 1, 1, 1, 1}
+		chosen[p.Pick(0, newTable(10), &Request{PromptTokens: 100, Free: free})]++
 	}
 	assert.Equal(t, len(chosen), 9)
 	assert.Equal(t, chosen[4], 0)
@@ -121,7 +122,10 @@
 func loaded() (*Table, *Request) {
 	tab := newTable(300)
 	tab.Update(0, groups(300, 0, func(i int) int { return i % 16 }))
-	r := &Request{PromptTokens: 1024, Skip: func(i int) bool { return i%10 == 0 }}
+	r := &Request{PromptTokens: 1024, Free: make([]int, 300)}
+	for i := range r.Free {
+		r.Free[i] = i % 10
+	}
 	for i := range uint64(64) {
 		r.Prefixes = append(r.Prefixes, i*7919)
 		for g := range 8 {
--- a/routing/table.go
+++ b/routing/table.go
@@ -66,6 +66,7 @@
 	mark      uint32
 	scores    []time.Duration
 	terms     []terms
+	near      []int32 // scratch of a choice
 	median    time.Duration
 	scratch   []time.Duration
 }
@@ -108,6 +109,7 @@
 	if cap(t.scores) < len(groups) {
 		t.scores = make([]time.Duration, len(groups))
 		t.terms = make([]terms, len(groups))
+		t.near = make([]int32, len(groups))
 	}
 	t.scores, t.terms = t.scores[:len(groups)], t.terms[:len(groups)]
 	t.markStragglers(now)
@@ -225,7 +227,9 @@
 	t.settle(s)
 }
 
-func (t *Table) skipped(i int, r *Request) bool { return r.Skip != nil && r.Skip(i) }
+func (t *Table) skipped(i int, r *Request) bool {
+	return r.Free != nil && r.Free[i] <= 0 || r.Skip != nil && r.Skip(i)
+}
 
 // Uncached is the number of prompt tokens that the group is not expected to
 // hold. It refers to the last Pick.
