gateway: ask for syncs while a suspect waits to run alone

A suspect's turn came with the next regular sync, and the owner waited for a load report that showed the last one's end.

--- a/credit/owner.go
+++ b/credit/owner.go
@@ -286,7 +286,7 @@
 			return false
 		}
 	}
-	return l.unknown == nil && l.running == 0
+	return l.unknown == nil && (now >= l.strayEnd || l.running == 0)
 }
 
 // forget drops ledgers of backend servers that left, once nothing can run
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -184,19 +184,17 @@
 	l.forget(r.Waiter).result <- outcome{err: l.b.refused.problem(r)}
 }
 
-// tick sheds what cannot start in time any more and tries the rest again.
+// tick sheds what cannot start in time any more, tries the rest again and asks
+// for syncs while requests or suspects wait.
 func (l *lane) tick(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	if l.queue.Len() == 0 {
-		return
-	}
 	for _, r := range l.queue.Shed(now) {
 		l.refuse(r)
 	}
 	l.dispatch(now)
-	if l.queue.Len() > 0 && now-l.woken >= starvedSync {
+	if waits := l.queue.Len() > 0 || len(l.isolating) > 0; waits && now-l.woken >= starvedSync {
 		l.woken = now
 		l.wakeSync()
 	}
