Learn the instance list from peers in an outage

Cause: a new entry instance did not become ready while the platform was down. Change: it asks the peers of its settings for the list that they read last.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -97,6 +97,7 @@
 		Recorder:   newRecorder(cfg.Trace, now),
 	})
 	d.loop.RegisterSync(mux)
+	d.loop.RegisterInstances(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
 	d.syncer = control.NewSyncer(d.loop, d.balancer)
 	d.orders, err = gateway.NewOrderParts(gateway.OrderOptions{
--- a/control/loop.go
+++ b/control/loop.go
@@ -103,10 +103,12 @@
 }
 
 type loopCounters struct {
-	pollErrors    tally.Counter
-	listErrors    tally.Counter
-	droppedEvents tally.Counter
-	groups        tally.Gauge
+	pollErrors tally.Counter
+	listErrors tally.Counter
+	// listsFromPeers counts instance lists taken from peers in an outage.
+	listsFromPeers tally.Counter
+	droppedEvents  tally.Counter
+	groups         tally.Gauge
 }
 
 // New returns a control loop. Run starts it.
@@ -121,10 +123,11 @@
 		polling:   make(map[ident.InstanceID]bool),
 		credits:   credits{owners: make(map[ident.ServiceName]*ownerState)},
 		counters: loopCounters{
-			pollErrors:    opts.Scope.Counter("status_poll_errors_total"),
-			listErrors:    opts.Scope.Counter("instance_list_errors_total"),
-			droppedEvents: opts.Scope.Counter("control_events_dropped_total"),
-			groups:        opts.Scope.Gauge("groups_confirmed"),
+			pollErrors:     opts.Scope.Counter("status_poll_errors_total"),
+			listErrors:     opts.Scope.Counter("instance_list_errors_total"),
+			listsFromPeers: opts.Scope.Counter("instance_lists_from_peers_total"),
+			droppedEvents:  opts.Scope.Counter("control_events_dropped_total"),
+			groups:         opts.Scope.Gauge("groups_confirmed"),
 		},
 	}
 	l.snapshot.Store(view.New(view.Snapshot{}))
--- a/control/poll.go
+++ b/control/poll.go
@@ -49,8 +49,7 @@
 	l.listing = true
 	l.nextInstances = now + instancesInterval
 	l.spawn(ctx, func() event {
-		instances, err := l.opts.Instances.Instances(ctx)
-		return instancesListed{instances: instances, err: err}
+		return l.readInstances(ctx)
 	})
 }
 
