Honour a refusal only for the last sync

Cause: an owner that refused one sync may have accepted a later one; when the refusal was the slower of the two, the follower took a second owner at once while the first still counted it. Two owners could act for up to 1.5 s. Change: the promise ends only if the refused sync was the last one sent. Conclusion: TestStaleRefusal keeps the case.

--- a/control/follow.go
+++ b/control/follow.go
@@ -50,11 +50,9 @@
 	if owner != f.owner {
 		f.owner, f.heard = owner, 0
 	}
-	f.follower.Sent(now)
-	return target{
-		owner: owner, addr: peerAddress(snap, owner), heard: f.heard,
-		sync: s.holders.Sync(now, name), sent: now,
-	}, true
+	sync := s.holders.Sync(now, name)
+	f.follower.Sent(now, sync.Seq)
+	return target{owner: owner, addr: peerAddress(snap, owner), heard: f.heard, sync: sync, sent: now}, true
 }
 
 // ownerCandidates returns the lease holder, if it can be reached as far as
@@ -131,7 +129,7 @@
 	f, now := s.follow[name], s.loop.opts.Now()
 	switch {
 	case isNotOwner(err):
-		f.follower.Refused(now, to.owner)
+		f.follower.Refused(now, to.owner, to.sync.Seq)
 		return false
 	case err != nil:
 		f.follower.Failed(now, to.owner)
--- a/credit/follow.go
+++ b/credit/follow.go
@@ -28,6 +28,8 @@
 type Follower struct {
 	current  ident.InstanceID
 	lastSent time.Duration
+	// lastSeq is the sequence of the last sync.
+	lastSeq uint64
 	failing  map[ident.InstanceID]time.Duration
 	avoided  map[ident.InstanceID]time.Duration
 }
@@ -72,7 +74,7 @@
 }
 
 // Sent notes the promise of a sync.
-func (f *Follower) Sent(now time.Duration) { f.lastSent = now }
+func (f *Follower) Sent(now time.Duration, seq uint64) { f.lastSent, f.lastSeq = now, seq }
 
 // Answered notes that an owner answered.
 func (f *Follower) Answered(owner ident.InstanceID) { delete(f.failing, owner) }
@@ -88,11 +90,11 @@
 	}
 }
 
-// Refused notes that an owner stops acting and has dropped this follower, which
-// ends the promise.
-func (f *Follower) Refused(now time.Duration, owner ident.InstanceID) {
+// Refused notes that an owner dropped this follower when it got a sync. That ends
+// the promise if the sync was the last one: the owner may count a later one.
+func (f *Follower) Refused(now time.Duration, owner ident.InstanceID, seq uint64) {
 	f.avoid(now, owner)
-	if owner == f.current {
+	if owner == f.current && seq == f.lastSeq {
 		f.current, f.lastSent = "", now-followTime
 	}
 }
--- a/credit/follow_test.go
+++ b/credit/follow_test.go
@@ -117,8 +117,8 @@
 		if owner != node.owner {
 			node.owner, node.heard = owner, 0
 		}
-		node.follower.Sent(node.clock(now))
 		node.seq++
+		node.follower.Sent(node.clock(now), node.seq)
 		wire = append(wire, followMessage{
 			at: now + delay(rng), from: i, to: index(nodes, owner), seq: node.seq, heard: node.heard,
 			inc: ident.Incarnation(fmt.Sprint(node.incarnation)),
@@ -145,7 +145,7 @@
 		switch sender := nodes[m.from].id; {
 		case ident.Incarnation(fmt.Sprint(node.incarnation)) != m.inc:
 		case m.refused:
-			node.follower.Refused(node.clock(now), sender)
+			node.follower.Refused(node.clock(now), sender, m.seq)
 		case node.owner == sender:
 			node.follower.Answered(sender)
 			node.heard = max(node.heard, m.seq)
@@ -176,6 +176,19 @@
 	return -1
 }
 
+// TestStaleRefusal guards against a refusal that arrives after a later sync was
+// accepted: the follower would follow two owners. Found by TestOneOwner.
+func TestStaleRefusal(t *testing.T) {
+	f := NewFollower(0)
+	owner, ok := f.Choose(followTime, "a", nil)
+	assert.Assert(t, ok && owner == "a")
+	f.Sent(followTime, 1)
+	f.Sent(followTime+SyncInterval, 2)
+	f.Refused(followTime+SyncInterval, "a", 1)
+	_, ok = f.Choose(followTime+SyncInterval, "", []ident.InstanceID{"b"})
+	assert.Assert(t, !ok, "the promise of the second sync still binds")
+}
+
 // TestMajorityForms guards against entry instances that never agree on an owner.
 func TestMajorityForms(t *testing.T) {
 	listed := []ident.InstanceID{"a", "b", "c"}
