claim, gateway: make a refusal as not run true for the key

Cause: while the store was down, a retry through another entry instance was answered not-run although an earlier call with the same key had run through an entry instance that had died since. A caller who believed it placed the order again under a new key.

Change: a call whose row could not be read is answered unknown, with Retry-After. It is answered not-run only if its own attempt held the row, if the key is a ticket of this incarnation that no attempt holds, or if the caller sent Bulrush-First-Call: true and no row of another attempt was seen. A ticket that could not be forwarded follows the same rule. A row that was read as abandoned is not enough: another call can take it over and run before the reply.

The property test compares not-run with all runs of the key by this call or an earlier one, with entries killed and the store down.

The tests that expected not-run without the store now state a first call and expect the same; a call without the statement has to get unknown.

--- a/claim/events.go
+++ b/claim/events.go
@@ -155,7 +155,8 @@
 	VerdictAnswer VerdictKind = iota + 1
 	// VerdictReplay carries the answer of an earlier attempt with the same key.
 	VerdictReplay
-	// VerdictNotRun is a refusal: this attempt was not run and never will be.
+	// VerdictNotRun is a refusal: this attempt was not run and never will be,
+	// and no earlier call with the key ran.
 	VerdictNotRun
 	// VerdictUnknown means that an attempt with this key may have run.
 	VerdictUnknown
@@ -171,8 +172,10 @@
 	Reason Reason
 	// Cause is the error of a refused dispatch, if one is known.
 	Cause error
-	// EarlierUnknown is set on VerdictNotRun when the record could not be read,
-	// so that an earlier call with the same key may have run.
+	// EarlierUnknown is set when this call did not run, but the claims cannot
+	// tell whether an earlier call with the same key did. The kind is then
+	// VerdictUnknown, or VerdictNotRun if the caller stated that there is no
+	// earlier call.
 	EarlierUnknown bool
 }
 
@@ -200,6 +203,8 @@
 	// Ticket is set when the key is a ticket of this incarnation. Such a request
 	// runs without a row: nobody else may run it.
 	Ticket bool
+	// First is set when the caller states that it never sent the key before.
+	First bool
 	// Expires is the wall clock time, in Unix seconds, of the end of retention.
 	Expires int64
 }
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -53,6 +53,7 @@
 	// next runs after a Wait; nil when no Wait is outstanding.
 	next func() []Action
 
+	asked      bool // the register was asked for the key
 	reserved   bool // the register holds this attempt as running
 	dispatches int
 	replied    bool
@@ -111,6 +112,7 @@
 }
 
 func (m *Machine) onReserved(e Reserved) []Action {
+	m.asked = true
 	if m.replied {
 		if e.Existing == nil {
 			return m.finish([]Action{Remember{State: StateAbandoned}})
@@ -134,7 +136,7 @@
 		return m.finish(m.reply(Verdict{Kind: VerdictUnknown, Reason: ReasonAnswerLost}))
 	case e.Report.State == StateGone:
 		// The register is full of unfinished attempts, so nothing was started.
-		return m.finish(m.reply(Verdict{Kind: VerdictNotRun, Reason: ReasonRegisterFull, EarlierUnknown: true}))
+		return m.finish(m.reply(m.refusal(ReasonRegisterFull)))
 	default:
 		return m.wait(m.reserve)
 	}
@@ -317,7 +319,7 @@
 	case m.follows:
 		return m.finish(m.reply(Verdict{Kind: VerdictUnknown, Reason: ReasonStillRunning}))
 	}
-	verdict := Verdict{Kind: VerdictNotRun, Reason: ReasonStore, EarlierUnknown: true}
+	verdict := m.refusal(ReasonStore)
 	if m.other != nil && m.phase != phaseTakeover {
 		verdict = Verdict{Kind: VerdictUnknown, Reason: ReasonStillRunning}
 	}
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -23,6 +23,7 @@
 	req     Request
 	machine *Machine
 	entry   *simEntry
+	number  int // of the call, in the order in which calls start
 	pending Action
 	reply   *Verdict
 }
@@ -43,8 +44,10 @@
 	delayed  []simWrite
 	version  uint64
 	healthy  bool
+	down     bool // the store refuses all calls
 	attempts int
 	ran      map[Key]ident.AttemptID // what a backend server really ran
+	runner   map[Key]int             // the number of the call that ran
 	refused  map[ident.AttemptID]bool
 	digests  map[Key]map[Digest]bool
 }
@@ -59,8 +62,10 @@
 	owner := e.owner
 	owner.Attempt = ident.AttemptID(fmt.Sprintf("a%d", w.attempts))
 	ticket := key == Key("ticket/"+e.owner.Incarnation)
-	req := Request{Key: key, Digest: digest, Owner: owner, Ticket: ticket}
-	r := &simRequest{req: req, machine: NewMachine(DefaultConfig(), req), entry: e}
+	// The caller may state that a call is the first one with its key.
+	first := w.digests[key] == nil && w.attempts%2 == 0
+	req := Request{Key: key, Digest: digest, Owner: owner, Ticket: ticket, First: first}
+	r := &simRequest{req: req, machine: NewMachine(DefaultConfig(), req), entry: e, number: w.attempts}
 	w.requests = append(w.requests, r)
 	if w.digests[key] == nil {
 		w.digests[key] = map[Digest]bool{}
@@ -95,7 +100,10 @@
 		want := string(w.ran[r.req.Key]) + string(r.req.Digest)
 		assert.Equal(w.t, string(v.Answer.Body), want, "answer of another request")
 	case VerdictNotRun:
-		assert.Assert(w.t, w.ran[r.req.Key] != r.req.Owner.Attempt, "not-run is false")
+		// A call that started later than the refused one is another matter: its
+		// caller knows of it.
+		by := w.runner[r.req.Key]
+		assert.Assert(w.t, by == 0 || by > r.number, "not-run is false: call %d of the key ran before the reply to call %d", by, r.number)
 		w.refused[r.req.Owner.Attempt] = true
 	case VerdictConflict:
 		assert.Assert(w.t, len(w.digests[r.req.Key]) > 1, "conflict without another body")
@@ -119,7 +127,11 @@
 	if w.healthy {
 		return w.write(key, rec, version)
 	}
-	switch rapid.IntRange(0, 5).Draw(w.t, "write") {
+	choice := 0
+	if !w.down {
+		choice = rapid.IntRange(0, 5).Draw(w.t, "write")
+	}
+	switch choice {
 	case 0:
 		return StoreResult{Status: StoreNotApplied}
 	case 1:
@@ -149,7 +161,7 @@
 	case WriteOutcome:
 		w.step(r, Written{w.storeWrite(r.req.Key, a.Record, a.Version)})
 	case Read:
-		failed := !w.healthy && rapid.Bool().Draw(w.t, "read fails")
+		failed := w.down || !w.healthy && rapid.Bool().Draw(w.t, "read fails")
 		w.step(r, ReadDone{Row: w.rows[r.req.Key], Failed: failed})
 	case Ask:
 		w.step(r, AskDone{w.ask(a.Owner)})
@@ -180,7 +192,7 @@
 	if choice <= 1 {
 		assert.Equal(w.t, w.ran[r.req.Key], ident.AttemptID(""), "order runs twice")
 		assert.Assert(w.t, !w.refused[id], "order runs after not-run")
-		w.ran[r.req.Key] = id
+		w.ran[r.req.Key], w.runner[r.req.Key] = id, r.number
 	}
 	answer := &Answer{Status: 200, Body: []byte(string(id) + string(r.req.Digest))}
 	w.step(r, [...]DispatchDone{
@@ -216,7 +228,7 @@
 
 // settle lets everything that is outstanding finish in a healthy world.
 func (w *world) settle() {
-	w.healthy = true
+	w.healthy, w.down = true, false
 	for _, d := range w.delayed {
 		w.write(d.key, d.record, d.version)
 	}
@@ -242,7 +254,7 @@
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			t: t, rows: map[Key]*Stored{}, ran: map[Key]ident.AttemptID{},
+			t: t, rows: map[Key]*Stored{}, ran: map[Key]ident.AttemptID{}, runner: map[Key]int{},
 			refused: map[ident.AttemptID]bool{}, digests: map[Key]map[Digest]bool{},
 		}
 		for _, name := range []string{"e1", "e2", "e3"} {
@@ -269,8 +281,9 @@
 					}
 				})
 			},
+			"store": func(*rapid.T) { w.down = !w.down },
 			"late write": func(t *rapid.T) {
-				if len(w.delayed) == 0 {
+				if len(w.delayed) == 0 || w.down {
 					t.Skip("no delayed write")
 				}
 				d := w.delayed[0]
@@ -340,3 +353,25 @@
 	}
 	return false
 }
+
+// TestAbandonedRowProvesNothing guards against a refusal as not run after the
+// row was read as abandoned: an earlier call that also read it may have taken
+// it over and run since.
+func TestAbandonedRowProvesNothing(t *testing.T) {
+	for _, first := range []bool{false, true} {
+		req := Request{Key: "k", Digest: "x", Owner: Owner{Attempt: "a3"}, First: first}
+		m := NewMachine(DefaultConfig(), req)
+		m.Step(Started{})
+		m.Step(Reserved{})
+		row := Stored{Record: Record{Owner: Owner{Attempt: "a1"}, Digest: "x", State: StateAbandoned}, Version: 1}
+		out := m.Step(Written{StoreResult{Status: StoreConflict, Row: &row}})
+		assert.DeepEqual(t, out, []Action{Takeover{Record: m.record(StateRunning, nil), Version: 1}})
+		m.Step(Written{StoreResult{Status: StoreNotApplied}})
+		for _, a := range m.Step(DeadlinePassed{}) {
+			if r, ok := a.(Reply); ok {
+				assert.Equal(t, r.Reply.Kind, VerdictUnknown)
+			}
+		}
+		assert.Assert(t, m.replied)
+	}
+}
--- a/claim/outcome.go
+++ b/claim/outcome.go
@@ -16,6 +16,22 @@
 	return []Action{Reply{Verdict{Kind: kind, Reason: reason}}}
 }
 
+// refusal is the reply to a call that ends before it owns the row of its key.
+// A row that was read as abandoned proves nothing: another call may have taken
+// it over and run since. A ticket of this incarnation runs nowhere else, so the
+// register's answer that no attempt holds it is certain. The row of another
+// attempt outweighs the caller's statement that there was none.
+func (m *Machine) refusal(reason Reason) Verdict {
+	switch {
+	case m.req.Ticket && m.asked:
+		return Verdict{Kind: VerdictNotRun, Reason: reason}
+	case m.req.First && m.other == nil:
+		return Verdict{Kind: VerdictNotRun, Reason: reason, EarlierUnknown: true}
+	default:
+		return Verdict{Kind: VerdictUnknown, Reason: reason, EarlierUnknown: true}
+	}
+}
+
 // abandon makes sure that the attempt never dispatches, records that in the
 // register, and only then replies.
 func (m *Machine) abandon(reply []Action) []Action {
--- a/claim/runner/runner.go
+++ b/claim/runner/runner.go
@@ -55,6 +55,7 @@
 
 type metrics struct {
 	requests, answers, replays, notRun, unknown, conflicts tally.Counter
+	earlierUnknown                                         tally.Counter
 	transactions, transactionErrors, rows, swept, tickets  tally.Counter
 	remembered, rememberedBytes                            tally.Gauge
 }
@@ -67,6 +68,7 @@
 		notRun:            s.Counter("claim_not_run_total"),
 		unknown:           s.Counter("claim_unknown_total"),
 		conflicts:         s.Counter("claim_conflicts_total"),
+		earlierUnknown:    s.Counter("claim_earlier_unknown_total"),
 		transactions:      s.Counter("claim_transactions_total"),
 		transactionErrors: s.Counter("claim_transaction_errors_total"),
 		rows:              s.Counter("claim_rows_written_total"),
@@ -114,7 +116,9 @@
 	Retention time.Duration
 	// TicketExpires is set when the key is a verified ticket of this incarnation.
 	TicketExpires time.Duration
-	Dispatch      Dispatch
+	// First is set when the caller states that it never sent the key before.
+	First    bool
+	Dispatch Dispatch
 }
 
 // Mint returns a new ticket of this incarnation.
@@ -185,6 +189,7 @@
 				Incarnation: r.opts.Incarnation,
 			},
 			Ticket:  req.TicketExpires > 0,
+			First:   req.First,
 			Expires: r.opts.Wall().Add(retention).Unix(),
 		},
 		verdict: make(chan claim.Verdict, 1),
@@ -208,6 +213,9 @@
 		r.m.notRun.Inc(1)
 	case claim.VerdictUnknown:
 		r.m.unknown.Inc(1)
+		if v.EarlierUnknown {
+			r.m.earlierUnknown.Inc(1)
+		}
 	case claim.VerdictConflict:
 		r.m.conflicts.Inc(1)
 	}
--- a/claim/runner/runner_test.go
+++ b/claim/runner/runner_test.go
@@ -162,9 +162,11 @@
 			s.set(platform.ErrThrottled, hang)
 			begin := r.Now()
 			v := order(r, "k", answer(nil))
-			assert.Equal(t, v.Kind, claim.VerdictNotRun)
+			assert.Equal(t, v.Kind, claim.VerdictUnknown)
 			assert.Assert(t, v.EarlierUnknown)
 			assert.Equal(t, r.Now()-begin, 2*time.Second)
+			first := Request{Key: "first", Digest: "d", Deadline: r.Now() + time.Second, First: true, Dispatch: answer(nil)}
+			assert.Equal(t, r.Run(t.Context(), first).Kind, claim.VerdictNotRun)
 		}
 		s.set(nil, false)
 		v := order(r, "k", func(context.Context, ident.AttemptID) claim.DispatchDone {
--- a/experiment/orders.go
+++ b/experiment/orders.go
@@ -171,6 +171,7 @@
 		Key:      claim.NewKey("bench", "orders", uuid.NewString()),
 		Digest:   "digest",
 		Deadline: r.Now() + orderDeadline,
+		First:    true,
 		Dispatch: func(context.Context, ident.AttemptID) claim.DispatchDone {
 			s.ran.Add(1)
 			return claim.DispatchDone{Status: claim.DispatchAnswered, Answer: &claim.Answer{Status: 201, Body: make([]byte, 200)}}
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -107,6 +107,13 @@
 		}
 		r.CallerDeadline = time.Duration(ms) * time.Millisecond
 	}
+	switch v := h.Get(HeaderFirstCall); v {
+	case "true":
+		r.FirstCall = true
+	case "", "false":
+	default:
+		return ProblemBadRequest.With("%s: %q is neither true nor false", HeaderFirstCall, v)
+	}
 	if v := h.Get(HeaderPriority); v != "" {
 		p, err := strconv.Atoi(v)
 		if err != nil {
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -25,6 +25,9 @@
 	// claimChunkBytes bounds the part of an answer in one peer message. It
 	// leaves room for headers below the frame limit of 1 MiB.
 	claimChunkBytes = 512 << 10
+	// earlierUnknown is the detail of a refusal that cannot tell whether an
+	// earlier call with the same key ran.
+	earlierUnknown = "this call did not run, but an earlier call with the same key may have; retry with the same key after Retry-After"
 	// HeaderReplayed marks an answer that an earlier call with the same key got.
 	HeaderReplayed = "Idempotent-Replayed"
 )
@@ -128,6 +131,7 @@
 		Deadline:      r.Deadline,
 		Retention:     r.Service.Document.OutcomeRetention,
 		TicketExpires: ticketExpires,
+		First:         r.FirstCall,
 		Dispatch: func(ctx context.Context, attempt ident.AttemptID) claim.DispatchDone {
 			// The caller's goroutine may answer before this one is done.
 			q := *r
@@ -136,10 +140,10 @@
 			return dispatchDone(next(ctx, &q))
 		},
 	})
-	if v.Kind == claim.VerdictNotRun && v.EarlierUnknown && ticketExpires == 0 {
+	if v.EarlierUnknown && ticketExpires == 0 {
 		v = o.askPeers(ctx, r, v)
 	}
-	return verdictAnswer(v, ticketExpires > 0)
+	return verdictAnswer(v)
 }
 
 // dispatchDone tells what the result of the inner filters says about the run.
@@ -155,7 +159,7 @@
 }
 
 // verdictAnswer turns a verdict into the caller's answer or problem.
-func verdictAnswer(v claim.Verdict, ticket bool) (*Answer, error) {
+func verdictAnswer(v claim.Verdict) (*Answer, error) {
 	switch v.Kind {
 	case claim.VerdictAnswer:
 		return &Answer{Status: v.Answer.Status, Header: v.Answer.Header, Body: v.Answer.Body}, nil
@@ -172,29 +176,26 @@
 	case claim.VerdictConflict:
 		return nil, &ProblemKeyConflict
 	case claim.VerdictNotRun:
-		return nil, notRunProblem(v, ticket)
+		return nil, notRunProblem(v)
 	default:
 		p := ProblemOutcomeUnknown.With("%s", v.Reason)
-		if v.Cause != nil {
+		switch {
+		case v.EarlierUnknown:
+			p = ProblemOutcomeUnknown.With("%s: %s", v.Reason, earlierUnknown)
+		case v.Cause != nil:
 			p = ProblemOutcomeUnknown.With("%s: %v", v.Reason, v.Cause)
 		}
 		return nil, p.After(orderRetryAfter)
 	}
 }
 
-// notRunProblem keeps the problem of an inner filter that refused the call. A
-// refusal before the record could be read says so, because it cannot tell
-// whether an earlier call with the same key ran.
-func notRunProblem(v claim.Verdict, ticket bool) error {
+// notRunProblem keeps the problem of an inner filter that refused the call.
+func notRunProblem(v claim.Verdict) error {
 	var p *Problem
 	if errors.As(v.Cause, &p) && p.Outcome == OutcomeNotRun {
 		return p
 	}
-	detail := string(v.Reason)
-	if v.EarlierUnknown && !ticket {
-		detail += "; whether an earlier call with this key ran is not known"
-	}
-	return ProblemNotRecorded.With("%s", detail).After(orderRetryAfter)
+	return ProblemNotRecorded.With("%s", v.Reason).After(orderRetryAfter)
 }
 
 // AskPeer asks another incarnation for the state of an attempt.
--- a/gateway/order_test.go
+++ b/gateway/order_test.go
@@ -138,7 +138,7 @@
 	retry    string
 }
 
-func (f *orderFleet) call(entry int, method, path, key, body string, deadline time.Duration) reply {
+func (f *orderFleet) call(entry int, method, path, key, body string, deadline time.Duration, first ...string) reply {
 	f.t.Helper()
 	req, err := http.NewRequest(method, f.entries[entry].url+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
@@ -146,6 +146,9 @@
 	if key != "" {
 		req.Header.Set(HeaderIdempotencyKey, key)
 	}
+	for _, v := range first {
+		req.Header.Set(HeaderFirstCall, v)
+	}
 	if deadline > 0 {
 		req.Header.Set(HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
 	}
@@ -236,6 +239,32 @@
 	}
 }
 
+// TestEarlierCallUnknown guards against a refusal as not run, while the store
+// is down, of an order that ran through an entry instance that has died since.
+func TestEarlierCallUnknown(t *testing.T) {
+	f := newOrderFleet(t, 2)
+	assert.Equal(t, f.order(0, "k1", "o1").status, http.StatusCreated)
+	assert.NilError(t, f.entries[0].runner.Wait(t.Context()))
+	f.entries[0].stop()
+	f.store.SetFaults(storesim.Faults{Outage: true})
+	call := func(key, id string, first ...string) reply {
+		return f.call(1, http.MethodPost, "/services/orders/orders", key, `{"id":"`+id+`"}`, 100*time.Millisecond, first...)
+	}
+	for _, r := range []reply{call("k1", "o1"), call("k1", "o1", "false"), call("k2", "o2")} {
+		wantProblem(t, r, ProblemOutcomeUnknown, OutcomeUnknown)
+		assert.Assert(t, strings.Contains(r.problem.Detail, earlierUnknown), r.body)
+		assert.Assert(t, r.retry != "")
+	}
+	wantProblem(t, call("k3", "o3", "true"), ProblemNotRecorded, OutcomeNotRun)
+	wantProblem(t, call("k4", "o4", "yes"), ProblemBadRequest, OutcomeNotRun)
+	f.store.SetFaults(storesim.Faults{})
+	assert.Assert(t, f.order(1, "k1", "o1").replayed)
+	assert.Equal(t, f.order(1, "k2", "o2").status, http.StatusCreated)
+	f.ran("o1", 1)
+	f.ran("o2", 1)
+	f.ran("o3", 0)
+}
+
 // TestTickets guards against orders that stop with the store, and against a
 // ticket that runs at two entry instances.
 func TestTickets(t *testing.T) {
@@ -247,7 +276,7 @@
 		return a.Ticket
 	}
 	f.store.SetFaults(storesim.Faults{Outage: true})
-	refused := f.call(0, http.MethodPost, "/services/orders/orders", "k1", `{"id":"o1"}`, 200*time.Millisecond)
+	refused := f.call(0, http.MethodPost, "/services/orders/orders", "k1", `{"id":"o1"}`, 200*time.Millisecond, "true")
 	wantProblem(t, refused, ProblemNotRecorded, OutcomeNotRun)
 	f.ran("o1", 0)
 	ticket := mint(0)
--- a/gateway/orderpeers.go
+++ b/gateway/orderpeers.go
@@ -34,9 +34,10 @@
 	return r, nil
 }
 
-// askPeers asks the live entry instances about a key that is about to be
-// refused as not run, because the store could not be read. An earlier call with
-// the key may have run at one of them.
+// askPeers asks the live entry instances about a key whose call is about to be
+// refused, because its row could not be read. An earlier call with the key may
+// have run at one of them; also when the caller stated that there is none, since
+// a client library may have resent the call.
 func (o *Orders) askPeers(ctx context.Context, r *Request, refusal claim.Verdict) claim.Verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keyTimeout)
 	defer cancel()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -17,7 +17,9 @@
 	HeaderDeadline       = "Bulrush-Deadline-Ms"
 	HeaderPriority       = "Bulrush-Priority"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderLastEventID    = "Last-Event-ID"
+	// HeaderFirstCall states that no earlier call carried the idempotency key.
+	HeaderFirstCall   = "Bulrush-First-Call"
+	HeaderLastEventID = "Last-Event-ID"
 )
 
 // Request is a caller's request on its way through the filters. It belongs to
@@ -45,7 +47,9 @@
 	ContentType    string
 	Body           []byte
 	IdempotencyKey string
-	Fingerprint    ident.Fingerprint
+	// FirstCall is the caller's statement that it never sent the key before.
+	FirstCall   bool
+	Fingerprint ident.Fingerprint
 	// CallerDeadline and CallerPriority are what the caller's headers ask for.
 	CallerDeadline time.Duration
 	CallerPriority int
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -114,11 +114,11 @@
 		return o.forwardTicket(ctx, r, t)
 	}
 	if t.Incarnation != o.opts.Self.Incarnation {
-		return verdictAnswer(o.recorded(ctx, r), true)
+		return verdictAnswer(o.recorded(ctx, r))
 	}
 	switch err := o.runner.Verify(t, r.Account.Name, r.Name); {
 	case errors.Is(err, claim.ErrTicketExpired):
-		return verdictAnswer(o.recorded(ctx, r), true)
+		return verdictAnswer(o.recorded(ctx, r))
 	case err != nil:
 		return nil, &ProblemBadTicket
 	}
@@ -142,6 +142,7 @@
 	Query          string            `msgpack:"q"`
 	ContentType    string            `msgpack:"c"`
 	IdempotencyKey string            `msgpack:"i"`
+	FirstCall      bool              `msgpack:"f"`
 	Body           []byte            `msgpack:"b"`
 	Remaining      time.Duration     `msgpack:"r"`
 }
@@ -159,11 +160,11 @@
 // minter did, the recorded outcome or "unknown" is the answer.
 func (o *Orders) forwardTicket(ctx context.Context, r *Request, t claim.Ticket) (*Answer, error) {
 	if len(r.Body) > maxForwardBytes {
-		return nil, &ProblemForwardTooLarge
+		return nil, notForwarded(&ProblemForwardTooLarge, r.FirstCall)
 	}
 	addr := o.peerAddress(t.Instance)
 	if addr == "" {
-		return verdictAnswer(o.recorded(ctx, r), true)
+		return verdictAnswer(o.recorded(ctx, r))
 	}
 	remaining := r.Deadline - o.opts.Now()
 	ctx, cancel := context.WithTimeout(ctx, remaining+orderRetryAfter)
@@ -172,11 +173,11 @@
 	err := o.opts.Node.Call(ctx, addr, kindTicketForward, forwardRequest{
 		Incarnation: t.Incarnation, KeySHA256: r.KeySHA256, Service: r.Name,
 		Method: r.Method, Path: r.Path, Query: r.Query, ContentType: r.ContentType,
-		IdempotencyKey: r.IdempotencyKey, Body: r.Body, Remaining: remaining,
+		IdempotencyKey: r.IdempotencyKey, FirstCall: r.FirstCall, Body: r.Body, Remaining: remaining,
 	}, &reply)
 	switch {
 	case err != nil || reply.Gone:
-		return verdictAnswer(o.recorded(context.WithoutCancel(ctx), r), true)
+		return verdictAnswer(o.recorded(context.WithoutCancel(ctx), r))
 	case reply.Problem != nil:
 		return nil, reply.Problem.After(reply.RetryAfter)
 	case reply.Answer == nil:
@@ -185,20 +186,30 @@
 	return &Answer{Status: reply.Answer.Status, Header: reply.Answer.Header, Body: reply.Answer.Body}, nil
 }
 
+// notForwarded is the refusal of a call that did not reach the register of its
+// ticket: an earlier call with the ticket may have run.
+func notForwarded(p *Problem, first bool) *Problem {
+	if first {
+		return p
+	}
+	q := p.With("%s", earlierUnknown).After(orderRetryAfter)
+	q.Outcome = OutcomeUnknown
+	return q
+}
+
 // answerForward runs a forwarded call through the own filters.
 func (o *Orders) answerForward(ctx context.Context, from wire.Peer, req forwardRequest) (forwardReply, error) {
 	if req.Incarnation != o.opts.Self.Incarnation {
 		return forwardReply{Gone: true}, nil
 	}
 	if !o.forward.enter(from.Instance) {
-		p := ProblemForwardBusy
-		return forwardReply{Problem: &p, RetryAfter: orderRetryAfter}, nil
+		return forwardReply{Problem: notForwarded(&ProblemForwardBusy, req.FirstCall), RetryAfter: orderRetryAfter}, nil
 	}
 	defer o.forward.leave(from.Instance)
 	r := &Request{
 		Arrived: o.opts.Now(), KeySHA256: req.KeySHA256, Name: req.Service,
 		Method: req.Method, Path: req.Path, Query: req.Query, ContentType: req.ContentType,
-		IdempotencyKey: req.IdempotencyKey, Body: req.Body, CallerDeadline: req.Remaining,
+		IdempotencyKey: req.IdempotencyKey, FirstCall: req.FirstCall, Body: req.Body, CallerDeadline: req.Remaining,
 		AnswerID: req.IdempotencyKey,
 	}
 	a, err := o.serve(ctx, r)
--- a/load/caller.go
+++ b/load/caller.go
@@ -250,13 +250,13 @@
 }
 
 // Order places one order under an idempotency key through a given entry
-// instance, or the next one when addr is empty.
-func (c *Caller) Order(ctx context.Context, addr, path, key string, body []byte) Result {
+// instance, or the next one when addr is empty. Headers are added to the call.
+func (c *Caller) Order(ctx context.Context, addr, path, key string, body []byte, headers ...Header) Result {
 	if addr == "" {
 		addr = c.address(ctx)
 	}
 	r := Result{Start: time.Now(), Entry: addr}
-	resp, err := c.post(ctx, addr, path, body, Header{gateway.HeaderIdempotencyKey, key})
+	resp, err := c.post(ctx, addr, path, body, append(headers, Header{gateway.HeaderIdempotencyKey, key})...)
 	if err != nil {
 		c.forget()
 		return r.end(Failed, err.Error())
--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/load"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
@@ -19,12 +20,12 @@
 const ordersPath = "/services/" + cluster.OrderService + "/orders"
 
 // order places an order through an entry, under its id as the idempotency key.
-func (r *rig) order(e *cluster.Entry, id string, killed bool) load.Result {
+func (r *rig) order(e *cluster.Entry, id string, killed bool, headers ...load.Header) load.Result {
 	c := load.NewCaller(cluster.AccountKey(0), []string{e.Callers})
 	defer c.Close()
 	body, err := json.Marshal(orders.Order{ID: id, Item: "cup", Quantity: 1})
 	assert.NilError(r.t, err)
-	res := c.Order(r.ctx, e.Callers, ordersPath, id, body)
+	res := c.Order(r.ctx, e.Callers, ordersPath, id, body, headers...)
 	r.record(e, id, res, killed)
 	return res
 }
@@ -147,8 +148,10 @@
 		p := []string{fmt.Sprintf("%s %d a", t.Name(), i), fmt.Sprintf("%s %d b", t.Name(), i)}
 		results := r.streams(r.c.Entries, p)
 		id := fmt.Sprintf("outage-%d", i)
-		res := r.order(r.c.Entries[0], id, false)
+		res := r.order(r.c.Entries[0], id, false, load.Header{Name: gateway.HeaderFirstCall, Value: "true"})
 		assert.Equal(t, res.Outcome, load.NotRun, "%s", res.Detail)
+		res = r.order(r.c.Entries[1], id, false)
+		assert.Equal(t, res.Outcome, load.Unknown, "an earlier call may have run: %s", res.Detail)
 		assert.Equal(t, r.orderRecord().Counts[id], 0)
 		allAnswered(t, results())
 		assert.NilError(t, r.c.SetFaults(standin.Faults{}))
--- a/trace/event.go
+++ b/trace/event.go
@@ -92,6 +92,8 @@
 	// Prefixes are hashes of the prompt's block-aligned prefixes.
 	Prefixes       []uint64 `json:"prefixes,omitempty"`
 	DeadlineMillis int64    `json:"deadline_ms,omitempty"`
+	// FirstCall is the caller's statement that it never sent the key before.
+	FirstCall bool `json:"first_call,omitempty"`
 }
 
 // Answer is the end of a request.
--- a/trace/machines/claim.go
+++ b/trace/machines/claim.go
@@ -152,6 +152,7 @@
 			Attempt: ident.AttemptID(r.ID), Instance: e.id,
 			Incarnation: ident.Incarnation(string(e.id) + "-" + string(rune('0'+e.run))),
 		},
+		First: r.FirstCall,
 	}}
 	call.m = claim.NewMachine(claim.DefaultConfig(), call.req)
 	deadline := time.Duration(r.DeadlineMillis) * time.Millisecond
@@ -208,7 +209,7 @@
 	case claim.Recorded:
 		e.register.Recorded(now, id)
 	case claim.Reply:
-		return c.reply(id, a.Reply)
+		return c.reply(call.req.Key, id, a.Reply)
 	}
 	return nil
 }
@@ -308,13 +309,18 @@
 	return out
 }
 
-func (c *Claim) reply(id ident.AttemptID, v claim.Verdict) []trace.Decision {
+// reply reports a verdict, and a refusal as not run of a key that ran.
+func (c *Claim) reply(key claim.Key, id ident.AttemptID, v claim.Verdict) []trace.Decision {
 	names := map[claim.VerdictKind]string{
 		claim.VerdictAnswer: "answer", claim.VerdictReplay: "replay", claim.VerdictNotRun: "not-run",
 		claim.VerdictUnknown: "unknown", claim.VerdictConflict: "conflict",
 	}
+	out := []trace.Decision{decide("reply", string(id), "%s %s", names[v.Kind], v.Reason)}
 	if v.Kind == claim.VerdictNotRun {
 		c.refused[id] = true
+		if n := c.runs[key]; n > 0 {
+			out = append(out, decide(ActionViolation, string(id), "true-not-run: its key ran %d times before the refusal", n))
+		}
 	}
-	return []trace.Decision{decide("reply", string(id), "%s %s", names[v.Kind], v.Reason)}
+	return out
 }
