Let suspects run beside other requests, one on each group

Cause: a lost member makes every request in flight on its group a suspect, and a suspect ran only on a group that ran nothing else, of which there was one. Ruled out: a longer wait, because every stream of a busy service is in the way; clearing streams that had sent a token, because a request may crash its engine later. Change: the exclusive claim of a group is a slot for one suspect; others run beside it. Suspects spread over all groups. If the group crashes, only one request that ran there was at the first crash as well.

--- a/credit/follow.go
+++ b/credit/follow.go
@@ -30,8 +30,8 @@
 	lastSent time.Duration
 	// lastSeq is the sequence of the last sync.
 	lastSeq uint64
-	failing  map[ident.InstanceID]time.Duration
-	avoided  map[ident.InstanceID]time.Duration
+	failing map[ident.InstanceID]time.Duration
+	avoided map[ident.InstanceID]time.Duration
 }
 
 // NewFollower returns the follower of a process that started at an instant. The
--- a/credit/holder.go
+++ b/credit/holder.go
@@ -53,9 +53,11 @@
 	end         time.Duration
 	cold        bool
 	exclusive   bool
-	reserve     Amount
-	reserveAt   time.Duration // end of the reserve
-	rampEnd     time.Duration
+	// suspect is the credit of the suspect that runs, or 0.
+	suspect   uint64
+	reserve   Amount
+	reserveAt time.Duration // end of the reserve
+	rampEnd   time.Duration
 
 	inFlight      Amount
 	waiting       Amount
@@ -114,7 +116,7 @@
 }
 
 // SetWaiting tells what waits for credits of a backend server, and whether a
-// suspect request waits to run alone there.
+// suspect waits or runs there.
 func (h *Holder) SetWaiting(b BackendID, waiting Amount, exclusive bool) {
 	s := h.holding(b)
 	s.waiting, s.wantExclusive = waiting, exclusive
@@ -129,19 +131,27 @@
 	}
 	limit := s.usable(now, confirmed)
 	after := s.inFlight.add(Amount{1, tokens})
-	if after.Requests > limit.Requests || after.Tokens > limit.Tokens || (s.exclusive && now < s.end) {
+	if after.Requests > limit.Requests || after.Tokens > limit.Tokens {
 		return Credit{}, ErrNoCredit
 	}
 	return h.take(b, s, tokens), nil
 }
 
-// AcquireExclusive takes the one credit of an exclusive allocation.
+// AcquireExclusive takes a credit for a suspect. At most one suspect runs on a
+// backend server at a time, over all entry instances; other requests run beside
+// it.
 func (h *Holder) AcquireExclusive(now time.Duration, b BackendID, tokens int) (Credit, error) {
 	s, ok := h.backends[b]
-	if !ok || now >= s.end || !s.exclusive || s.inFlight.Requests > 0 || s.amount.Requests < 1 {
+	if !ok || now >= s.end || !s.exclusive || s.suspect != 0 {
 		return Credit{}, ErrNoCredit
 	}
-	return h.take(b, s, tokens), nil
+	after := s.inFlight.add(Amount{1, tokens})
+	if after.Requests > s.amount.Requests || after.Tokens > s.amount.Tokens {
+		return Credit{}, ErrNoCredit
+	}
+	c := h.take(b, s, tokens)
+	s.suspect = c.id
+	return c, nil
 }
 
 func (h *Holder) take(b BackendID, s *holding, tokens int) Credit {
@@ -171,7 +181,13 @@
 	}
 	delete(h.acquired, c.id)
 	s, ok := h.backends[a.backend]
-	if !ok || s.incarnation != a.incarnation {
+	if !ok {
+		return
+	}
+	if s.suspect == c.id {
+		s.suspect = 0
+	}
+	if s.incarnation != a.incarnation {
 		return
 	}
 	s.inFlight = s.inFlight.sub(Amount{1, a.tokens})
--- a/credit/ledger.go
+++ b/credit/ledger.go
@@ -292,7 +292,7 @@
 	return a
 }
 
-// claimExclusive lets one holder at a time ask to run alone.
+// claimExclusive lets one holder at a time run a suspect.
 func (l *ledger) claimExclusive(now time.Duration, key holderKey, want bool) {
 	mine := l.exclusive == key && now < l.exclusiveUntil
 	switch {
--- a/credit/message.go
+++ b/credit/message.go
@@ -45,7 +45,7 @@
 	Floor int `msgpack:"l"`
 	// Demand is what is in flight and waiting.
 	Demand Amount `msgpack:"d"`
-	// Exclusive asks to run alone on the backend server.
+	// Exclusive asks to run a suspect, one at a time on the backend server.
 	Exclusive bool `msgpack:"x,omitempty"`
 	// Changed reports that the holder itself saw another incarnation or a cold
 	// start, ChangedAge before the sync was sent.
--- a/credit/owner.go
+++ b/credit/owner.go
@@ -241,12 +241,10 @@
 	l.divide(now)
 	free := l.limit(now).sub(l.othersCharge(now, key))
 	want := a.target
-	if now < l.exclusiveUntil {
-		want = Amount{}
-		if l.exclusive == key && l.othersIdle(now, key) && a.inFlight.zero() {
-			want = Amount{1, l.limits.HeldTokens}
-			out.Exclusive = true
-		}
+	if now < l.exclusiveUntil && l.exclusive == key {
+		// The suspect needs a place beside what runs already.
+		want = want.most(Amount{a.inFlight.Requests + 1, a.inFlight.Tokens + free.Tokens/2})
+		out.Exclusive = true
 	}
 	if l.frozen || l.gone {
 		want = Amount{}
@@ -255,13 +253,13 @@
 	if out.Amount.Requests > 0 {
 		a.granted = now
 	}
-	out.Exclusive = out.Exclusive && out.Amount.Requests == 1
+	out.Exclusive = out.Exclusive && out.Amount.Requests > 0
 	g := grant{
 		seq: s.Seq, amount: out.Amount,
 		holderEnd: s.Sent + AllocationTTL, end: now + withDrift(AllocationTTL),
 	}
 	if now < l.strayEnd {
-		out.KeepReserve = l.warm(now) && !l.frozen && now >= l.exclusiveUntil
+		out.KeepReserve = l.warm(now) && !l.frozen
 		if out.KeepReserve {
 			g.reserve = a.reserved
 		}
@@ -277,18 +275,6 @@
 	return out
 }
 
-// othersIdle reports whether nobody else runs a request or may start one.
-// Reserves of an earlier owner do not count, or no suspect could run for half a
-// minute after each change of owner; the engine's report shows their use.
-func (l *ledger) othersIdle(now time.Duration, self holderKey) bool {
-	for key, a := range l.accounts {
-		if key != self && a.charge(now).Requests > 0 {
-			return false
-		}
-	}
-	return l.unknown == nil && (now >= l.strayEnd || l.running == 0)
-}
-
 // forget drops ledgers of backend servers that left, once nothing can run
 // there, and the order of holders that fell silent. Their sequence restarts
 // with their next incarnation only, so the wait covers any delayed message.
--- a/credit/split.go
+++ b/credit/split.go
@@ -83,7 +83,7 @@
 			n++
 		}
 	}
-	if n == 0 || !l.warm(now) || l.exclusiveUntil > now {
+	if n == 0 || !l.warm(now) {
 		return Amount{}
 	}
 	return Amount{l.limits.Requests / 2 / n, l.limits.HeldTokens / 2 / n}
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -14,13 +13,11 @@
 // asked with each sync, every 100 to 500 ms.
 const isolatePoll = 20 * time.Millisecond
 
-// targetsPerIsolation is the number of targets of a service for each that is
-// kept for suspects at a time.
-const targetsPerIsolation = 16
-
-// acquireAlone waits for a target that runs nothing else, for a request that is
-// suspected of crashing backend servers. All entry instances choose the same
-// few targets, so that the others go on serving.
+// acquireAlone waits for a target that runs no other suspect, for a request that
+// is suspected of crashing backend servers. Requests without a suspicion run
+// beside it: if the backend server crashes again, only one of those that ran
+// there was at the first crash. Suspects spread over the targets, so that many
+// innocent ones come to their end at the same time.
 func (l *lane) acquireAlone(ctx context.Context, t *ticket) (*permit, error) {
 	tick := time.NewTicker(isolatePoll)
 	defer tick.Stop()
@@ -39,7 +36,7 @@
 			}
 		}
 		l.stopIsolating(at)
-		return nil, ProblemNoCapacity.With("no backend server of service %q became idle for a suspect", l.name).After(time.Second)
+		return nil, ProblemNoCapacity.With("no backend server of service %q was free for a suspect", l.name).After(time.Second)
 	}
 }
 
@@ -71,10 +68,11 @@
 	return l.permitAlone(now, t, target, c, best), at
 }
 
-// isolationTarget keeps to the target at while it is in use, or chooses one of
-// the targets with the highest rendezvous scores. It returns -1 if there is none.
+// isolationTarget keeps to the target at while it is in use, or chooses the
+// one with the highest rendezvous score for the request among those that have
+// no suspect of this entry instance. It returns -1 if there is none.
 func (l *lane) isolationTarget(now time.Duration, t *ticket, at credit.BackendID) int {
-	var usable []int
+	best, bestKey := -1, uint64(0)
 	for i := range l.targets {
 		c := &l.targets[i]
 		if !c.usable(now) || slices.Contains(t.excluded, c.backend) {
@@ -83,17 +81,14 @@
 		if c.backend == at {
 			return i
 		}
-		usable = append(usable, i)
-	}
-	if len(usable) == 0 {
-		return -1
-	}
-	score := func(i int) uint64 {
-		return ident.Score(string(l.name), ident.InstanceID(l.targets[i].backend))
+		if l.isolating[c.backend] > 0 {
+			continue
+		}
+		if key := ident.Score(t.request.Fingerprint.String(), ident.InstanceID(c.backend)); best < 0 || key > bestKey {
+			best, bestKey = i, key
+		}
 	}
-	slices.SortFunc(usable, func(a, b int) int { return cmp.Compare(score(b), score(a)) })
-	n := max(1, len(l.targets)/targetsPerIsolation)
-	return usable[int(uint64(t.request.Fingerprint)%uint64(min(n, len(usable))))]
+	return best
 }
 
 // permitAlone counts the run like any other one. The target stays isolated
--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -56,7 +56,6 @@
 	var b *Balancer
 	h := newHarness(t, 4, cfg, func(o *Options) {
 		b = NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
-		// A new owner grants no run alone, because unknown holders may use reserves.
 		go serveCredits(t.Context(), b, o.Snapshot, o.Now, 20*time.Millisecond, time.Hour)
 		o.Quarantine = NewQuarantine(quarantine.DefaultConfig(), OrderOptions{
 			Snapshot: o.Snapshot, Now: o.Now, Self: o.Self, Scope: o.Metrics.Scope,
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -81,7 +81,7 @@
 	table   *routing.Table
 	policy  routing.Policy
 	waiting map[*admission.Waiter]*ticket
-	// isolating counts the suspects that wait to run alone at a target.
+	// isolating counts the suspects that wait or run at a target.
 	isolating     map[credit.BackendID]int
 	waitingTokens int
 	largestTokens int
@@ -288,7 +288,7 @@
 	for i := range l.targets {
 		t := &l.targets[i]
 		l.free[i] = 0
-		if t.usable(now) && !l.paused(now, t) && l.isolating[t.backend] == 0 && l.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && !l.paused(now, t) && l.holder.Incarnation(t.backend) == t.incarnation() {
 			l.free[i] = l.holder.Free(now, t.backend, true)
 		}
 		found = found || l.free[i] > 0
