--- a/experiment/readers.go
+++ b/experiment/readers.go
@@ -37,6 +37,9 @@
 	readerBuffered = 256 << 10
 	// readerSample is the number of readers that return at the end.
 	readerSample = 50
+	// readerPace separates arrivals: 250 readers a second, of which some 600 are
+	// active at a time, is what the engine stand-ins can feed.
+	readerPace = 4 * time.Millisecond
 	// readerDials bounds concurrent connection attempts.
 	readerDials = 256
 	// readerWait bounds each phase.
@@ -159,7 +162,14 @@
 func (r *readersRun) connect(ctx context.Context) error {
 	var g errgroup.Group
 	g.SetLimit(readerDials)
+	pace := time.NewTicker(readerPace)
+	defer pace.Stop()
 	for i := range r.count {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "interrupted")
+		case <-pace.C:
+		}
 		g.Go(func() error { return r.connectOne(ctx, i) })
 	}
 	return g.Wait()
