--- a/cmd/bulrush-bench/demo.go
+++ b/cmd/bulrush-bench/demo.go
@@ -53,8 +53,8 @@
 		cluster.AccountKey(0), cluster.ModelService, callers)
 	fmt.Printf("curl -s -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -d '{\"id\":\"order-1\"}' http://%s/services/%s/orders\n",
 		cluster.AccountKey(0), callers, cluster.OrderService)
-	fmt.Printf("bin/bulrushctl --address %s --token %s status\n", operators, cluster.TeamToken)
-	fmt.Printf("bin/bulrushctl --address %s --token %s datacentre drain %s\n", operators, cluster.TeamToken, c.Entries[0].DataCentre)
+	fmt.Printf("BULRUSH_TOKEN=%s bin/bulrushctl --address %s status\n", cluster.TeamToken, operators)
+	fmt.Printf("BULRUSH_TOKEN=%s bin/bulrushctl --address %s datacentre drain %s\n", cluster.TeamToken, operators, c.Entries[0].DataCentre)
 	fmt.Printf("curl -s http://%s/metrics\n", operators)
 	fmt.Println("press Ctrl-C to end")
 }
--- /dev/null
+++ b/test/integration/outage_test.go
@@ -0,0 +1,33 @@
+package integration
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/load"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// TestHolderKilledInStoreOutage guards against credits that end with the store:
+// the holder of the leases is killed while the store is down, and a new process
+// in its place, which has neither reserves nor a lease to look up, must serve.
+func TestHolderKilledInStoreOutage(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	holder := r.leaseHolder()
+	assert.NilError(t, r.c.SetFaults(standin.Faults{Outage: true}))
+	_, err := r.c.Instances(r.ctx)
+	assert.Assert(t, err != nil, "the platform still answers")
+	holder.Kill()
+	assert.NilError(t, r.c.StartEntry(holder))
+	assert.NilError(t, r.c.WaitReady(r.ctx))
+	for _, e := range r.c.Entries {
+		r.wait("a stream through "+string(e.Instance), func() bool {
+			return r.stream(e, t.Name()+" "+string(e.Instance), 5).Outcome == load.Answered
+		})
+	}
+	assert.NilError(t, r.c.SetFaults(standin.Faults{}))
+	r.judge()
+}
