--- a/cmd/bulrushctl/flags.go
+++ b/cmd/bulrushctl/flags.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
@@ -32,6 +33,7 @@
 	addresses []string
 	tokenFile string
 	output    string
+	timeout   time.Duration
 
 	name     string
 	file     string
@@ -53,7 +55,7 @@
 
 // parse reads the command line and returns the chosen command.
 func (t *tool) parse(args []string) (command, error) {
-	t.output, t.revision = formatTable, noRevision
+	t.output, t.revision, t.timeout = formatTable, noRevision, operator.DefaultTimeout
 	p := flaggy.NewParser("bulrushctl")
 	p.Description = "operators' tool of bulrushfall"
 	p.Version = version
@@ -61,6 +63,7 @@
 	p.StringSlice(&t.addresses, "a", "address", "operators' address (ip:port) of an entry instance; repeat it for more ("+envAddresses+", separated by commas)")
 	p.String(&t.tokenFile, "t", "token-file", "file with the team's bearer token ("+envToken+" holds the token itself)")
 	p.String(&t.output, "o", "output", "output format: table, json or yaml")
+	p.Duration(&t.timeout, "", "timeout", "time to wait for an answer")
 	choices := t.serviceCommands(p)
 	choices = append(choices, t.drainCommands(p, "datacentre", "drain", config.DrainDataCentre)...)
 	choices = append(choices, t.drainCommands(p, "instance", "drain", config.DrainInstance)...)
@@ -169,7 +172,12 @@
 	if token == "" {
 		return nil, &usageError{"no token given: use --token-file or " + envToken}
 	}
-	return operator.NewClient(addresses, token), nil
+	if t.timeout <= 0 {
+		return nil, &usageError{"--timeout has to be positive, such as 10s"}
+	}
+	client := operator.NewClient(addresses, token)
+	client.SetTimeout(t.timeout)
+	return client, nil
 }
 
 // edit returns the options of an edit of a record at a revision, unless the
--- a/cmd/bulrushctl/main_test.go
+++ b/cmd/bulrushctl/main_test.go
@@ -72,10 +72,16 @@
 
 func example(name string) string { return filepath.Join("..", "..", "examples", name) }
 
+// longTimeout is not reached by any test.
+const longTimeout = time.Hour
+
 // ctl runs the tool as a team and returns its exit code and output.
 func (p *part) ctl(team string, args ...string) (int, string) {
 	var out bytes.Buffer
 	env := map[string]string{envAddresses: "127.0.0.1:1," + p.addr, envToken: "example-token-" + team}
+	// The limits are far above any load of the machine, so that only the faults
+	// that a test sets decide.
+	args = append([]string{"--timeout", longTimeout.String()}, args...)
 	code := run(context.Background(), args, &out, &out, func(k string) string { return env[k] })
 	return code, out.String()
 }
@@ -83,7 +89,7 @@
 // TestEdits walks an operator through the life of a document and a drain. It
 // guards against wrong exit codes, and against refusals without their remedy.
 func TestEdits(t *testing.T) {
-	p := startPart(t, time.Minute)
+	p := startPart(t, longTimeout)
 	mine := filepath.Join(t.TempDir(), "mine.yaml")
 	write := func(s string) { assert.NilError(t, os.WriteFile(mine, []byte(s), 0o600)) }
 	expect := func(code int, want, team string, args ...string) string {
@@ -126,14 +132,15 @@
 // TestStoreFaults guards against an edit reported as refused that applied, and
 // against an outage without its own exit code.
 func TestStoreFaults(t *testing.T) {
-	p := startPart(t, time.Minute)
+	p := startPart(t, longTimeout)
 	p.store.SetFaults(standin.Faults{LoseAnswers: 1})
 	code, out := p.ctl("quotes", "service", "apply", example("quotes.yaml"))
 	assert.Equal(t, code, exitOK, out)
 	assert.Equal(t, p.store.Counts().LostAnswers, uint64(1))
 	assert.Equal(t, p.View().Revision, ident.Revision(1))
 
-	// No edit can apply during the outage, so a short limit is enough.
+	// The store refuses the reads before a commit too, so that the limit ends the
+	// edit before its commit, however late.
 	p = startPart(t, 300*time.Millisecond)
 	p.store.SetFaults(standin.Faults{Outage: true})
 	code, out = p.ctl("quotes", "service", "apply", example("quotes.yaml"))
@@ -189,4 +196,6 @@
 	assert.Assert(t, strings.Contains(out, "bad.yaml:3: kind: \"plan\" is not allowed: use one of model, plain"), out)
 	code, _ = p.ctl("", "service", "list", "-o", "xml")
 	assert.Equal(t, code, exitUsage)
+	code, _ = p.ctl("quotes", "--timeout", "0s", "status")
+	assert.Equal(t, code, exitUsage)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -27,9 +27,9 @@
 	ErrConnectionLost = errors.New("the connection failed before the answer and the outcome is unknown: read the record and compare its revision before repeating an edit")
 )
 
-// clientTimeout bounds a request. It exceeds the time that an entry instance
+// DefaultTimeout bounds a request. It exceeds the time that an entry instance
 // spends on an edit, so that its answer is not lost.
-const clientTimeout = 10 * time.Second
+const DefaultTimeout = 10 * time.Second
 
 // maxAnswerBytes bounds what the client reads of an answer.
 const maxAnswerBytes = 16 << 20
@@ -45,9 +45,12 @@
 // NewClient returns a client for the operators' addresses (ip:port) of entry
 // instances, with a team's bearer token.
 func NewClient(addresses []string, token string) *Client {
-	return &Client{addresses: addresses, token: token, http: &http.Client{Timeout: clientTimeout}}
+	return &Client{addresses: addresses, token: token, http: &http.Client{Timeout: DefaultTimeout}}
 }
 
+// SetTimeout replaces DefaultTimeout. Call it before the first request.
+func (c *Client) SetTimeout(d time.Duration) { c.http.Timeout = d }
+
 // Edit is what an operator adds to an edit.
 type Edit struct {
 	// Expected is the revision that the operator saw, 0 for none.
