Share the start and the judging of experiments; make early refusals true for the key

Cause: five experiments started a cluster with the same lines, and two judged it with the same lines. A refusal before the at-most-once record said not-run to a retry whose earlier call may have run. Change: StartServing and judge in package experiment; the accounting filter turns not-run into unknown for a call with an idempotency key that never reached the record, unless it is the first call; the load sends Bulrush-First-Call. Conclusion: not-run is true for the key on every path.

--- a/cmd/bulrush-bench/demo.go
+++ b/cmd/bulrush-bench/demo.go
@@ -9,7 +9,6 @@
 
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/experiment"
-	"github.com/bulrushfall/bulrushfall/service"
 )
 
 func demoRunner() runner {
@@ -27,19 +26,11 @@
 
 // keepRunning starts the demo's processes and waits for a signal.
 func keepRunning(ctx context.Context, binDir string) error {
-	cfg := cluster.DefaultConfig(binDir)
-	c, err := cluster.Start(ctx, cfg)
+	c, err := experiment.StartServing(ctx, cluster.DefaultConfig(binDir))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	doc, err := service.Parse([]byte(cfg.Documents[0]))
-	if err != nil {
-		return err
-	}
-	if err := c.FormGroups(ctx, doc); err != nil {
-		return err
-	}
 	printLines(c)
 	<-ctx.Done()
 	return nil
--- a/experiment/idle.go
+++ b/experiment/idle.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/cluster"
-	"github.com/bulrushfall/bulrushfall/service"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -43,18 +42,11 @@
 	cfg.Entries, cfg.EnginesPerDataCentre = size.entries, size.enginesPerDataCentre
 	wanted := size.enginesPerDataCentre * len(cfg.DataCentres) / 4
 	cfg.Documents[0] = cluster.ModelDocument(wanted, 1, 4, 10)
-	c, err := cluster.Start(ctx, cfg)
+	c, err := StartServing(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	doc, err := service.Parse([]byte(cfg.Documents[0]))
-	if err != nil {
-		return err
-	}
-	if err := c.FormGroups(ctx, doc); err != nil {
-		return err
-	}
 	before, err := idleSampleOf(c)
 	if err != nil {
 		return err
--- a/experiment/move.go
+++ b/experiment/move.go
@@ -12,7 +12,6 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/standin/history"
 )
 
@@ -43,22 +42,11 @@
 // answered, late and refused requests, and lost and doubled orders. It fails
 // when an outcome is wrong.
 func Move(ctx context.Context, w io.Writer, binDir string, cfg MoveConfig) error {
-	clusterConfig := cluster.DefaultConfig(binDir)
-	c, err := cluster.Start(ctx, clusterConfig)
+	c, err := StartServing(ctx, cluster.DefaultConfig(binDir))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	doc, err := service.Parse([]byte(clusterConfig.Documents[0]))
-	if err != nil {
-		return err
-	}
-	if err := c.FormGroups(ctx, doc); err != nil {
-		return err
-	}
-	if err := waitServing(ctx, c); err != nil {
-		return err
-	}
 	traffic := newOpenLoad(c, cfg.Streams, cfg.Orders)
 	done := traffic.start(ctx, cfg.End)
 	drain, err := moveDataCentre(ctx, c, cfg)
@@ -105,6 +93,26 @@
 	}
 }
 
+// judge applies the checker to what callers, backend servers and the store
+// recorded, and returns the number of violations.
+func judge(ctx context.Context, w io.Writer, c *cluster.Cluster, traffic *openLoad, drains ...check.Drain) (int, error) {
+	instances, err := c.Instances(ctx)
+	if err != nil {
+		return 0, err
+	}
+	h, _, err := history.Collect(ctx, c.PlatformURL, backendsOf(instances))
+	if err != nil {
+		return 0, err
+	}
+	h.Callers = append(h.Callers, traffic.callers...)
+	h.Drains = append(h.Drains, drains...)
+	violations := check.Check(&h, check.DefaultLimits())
+	printViolations(w, violations)
+	_, _ = fmt.Fprintf(w, "violated promises: %d (checked over %d requests of callers and %d at backend servers)\n",
+		len(violations), len(h.Callers), len(h.Served))
+	return len(violations), nil
+}
+
 // maxViolations bounds the violations that are written out for each promise.
 const maxViolations = 5
 
@@ -127,24 +135,14 @@
 	if err := summary.print(w); err != nil {
 		return err
 	}
-	instances, err := c.Instances(ctx)
+	violations, err := judge(ctx, w, c, traffic, drain)
 	if err != nil {
 		return err
 	}
-	h, _, err := history.Collect(ctx, c.PlatformURL, backendsOf(instances))
-	if err != nil {
-		return err
-	}
-	h.Callers = append(h.Callers, traffic.callers...)
-	h.Drains = append(h.Drains, drain)
-	violations := check.Check(&h, check.DefaultLimits())
-	printViolations(w, violations)
-	_, _ = fmt.Fprintf(w, "violated promises: %d (checked over %d requests of callers and %d at backend servers)\n",
-		len(violations), len(h.Callers), len(h.Served))
 	if err := writeSeconds(cfg, traffic.seconds(cfg)); err != nil {
 		return err
 	}
-	if len(violations) > 0 || summary.wrong() {
+	if violations > 0 || summary.wrong() {
 		return errors.New("an outcome is wrong")
 	}
 	return nil
--- a/experiment/open_load.go
+++ b/experiment/open_load.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushfall/bulrushfall/check"
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/load"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/standin/history"
@@ -184,7 +185,11 @@
 func (t *openLoad) place(k kind, n int, id string, body []byte) {
 	c := t.clients[n%loadAccounts]
 	for try := range orderTries {
-		r := c.Order(context.Background(), "", ordersPath, id, body)
+		var headers []load.Header
+		if k == kindOrder && try == 0 {
+			headers = append(headers, load.Header{Name: gateway.HeaderFirstCall, Value: "true"})
+		}
+		r := c.Order(context.Background(), "", ordersPath, id, body, headers...)
 		t.add(k, id, r)
 		if r.Outcome == load.Answered || try == orderTries-1 {
 			return
--- a/experiment/outage.go
+++ b/experiment/outage.go
@@ -8,11 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bulrushfall/bulrushfall/check"
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/load"
-	"github.com/bulrushfall/bulrushfall/service"
-	"github.com/bulrushfall/bulrushfall/standin/history"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -37,22 +34,11 @@
 // Outage measures service while the store is down, and while all entry
 // instances are replaced one after another during that time.
 func Outage(ctx context.Context, w io.Writer, binDir string) error {
-	cfg := cluster.DefaultConfig(binDir)
-	c, err := cluster.Start(ctx, cfg)
+	c, err := StartServing(ctx, cluster.DefaultConfig(binDir))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	doc, err := service.Parse([]byte(cfg.Documents[0]))
-	if err != nil {
-		return err
-	}
-	if err := c.FormGroups(ctx, doc); err != nil {
-		return err
-	}
-	if err := waitServing(ctx, c); err != nil {
-		return err
-	}
 	traffic := newOpenLoad(c, 60, 10)
 	traffic.tickets = 10
 	done := traffic.start(ctx, 2*outageCalm+outageLength)
@@ -128,20 +114,12 @@
 		return err
 	}
 	summary.countOrders(traffic.answeredOrders(), runs)
-	instances, err := c.Instances(ctx)
-	if err != nil {
-		return err
-	}
-	h, _, err := history.Collect(ctx, c.PlatformURL, backendsOf(instances))
+	violations, err := judge(ctx, w, c, traffic)
 	if err != nil {
 		return err
 	}
-	h.Callers = append(h.Callers, traffic.callers...)
-	violations := check.Check(&h, check.DefaultLimits())
-	printViolations(w, violations)
-	_, _ = fmt.Fprintf(w, "answered orders %d, lost %d, doubled %d; violated promises: %d\n",
-		summary.orders, summary.lost, summary.doubled, len(violations))
-	if len(violations) > 0 || summary.wrong() {
+	_, _ = fmt.Fprintf(w, "answered orders %d, lost %d, doubled %d\n", summary.orders, summary.lost, summary.doubled)
+	if violations > 0 || summary.wrong() {
 		return errors.New("an outcome is wrong")
 	}
 	return nil
--- a/experiment/readers.go
+++ b/experiment/readers.go
@@ -22,7 +22,6 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/service"
 )
 
 // Parameters of the stopped-readers experiment.
@@ -69,28 +68,16 @@
 		"--token-interval", "1ms", "--cold-time", "0s", "--load-time", "0s",
 	}
 	cfg.Settings = "limits:\n  stream_memory_bytes: 1073741824\n  account_stream_bytes: 1073741824\n"
-	c, err := cluster.Start(ctx, cfg)
+	c, err := StartServing(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := formIfIdle(ctx, c, doc); err != nil {
-		return err
-	}
 	r := &readersRun{cluster: c, entry: c.Entries[0], count: readers}
 	defer r.close()
 	return r.run(ctx, w)
 }
 
-// formIfIdle waits until the entry instances have formed groups.
-func formIfIdle(ctx context.Context, c *cluster.Cluster, doc string) error {
-	parsed, err := service.Parse([]byte(doc))
-	if err != nil {
-		return err
-	}
-	return c.FormGroups(ctx, parsed)
-}
-
 type readersRun struct {
 	cluster *cluster.Cluster
 	entry   *cluster.Entry
@@ -110,9 +97,6 @@
 }
 
 func (r *readersRun) run(ctx context.Context, w io.Writer) error {
-	if err := waitServing(ctx, r.cluster); err != nil {
-		return err
-	}
 	before, err := r.sample()
 	if err != nil {
 		return err
--- a/experiment/serving.go
+++ b/experiment/serving.go
@@ -7,6 +7,7 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/service"
 )
 
 // servingWait bounds the wait for the first answer.
@@ -21,6 +22,27 @@
 	return out
 }
 
+// StartServing starts a cluster and waits until its first service, a model
+// service, has its groups and answers. The caller closes the cluster.
+func StartServing(ctx context.Context, cfg cluster.Config) (*cluster.Cluster, error) {
+	doc, err := service.Parse([]byte(cfg.Documents[0]))
+	if err != nil {
+		return nil, err
+	}
+	c, err := cluster.Start(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err = c.FormGroups(ctx, doc); err == nil {
+		err = waitServing(ctx, c)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // waitServing waits until a completion is answered.
 func waitServing(ctx context.Context, c *cluster.Cluster) error {
 	caller := load.NewCaller(cluster.AccountKey(0), seeds(c))
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -80,11 +80,28 @@
 	return service.Method{}
 }
 
+// withEarlierCalls makes a refusal true for the idempotency key. A refusal before
+// the at-most-once record was asked says nothing about earlier calls with the
+// key, so its outcome is unknown unless the caller states that there were none.
+func withEarlierCalls(r *Request, err error) error {
+	var p *Problem
+	if r.IdempotencyKey == "" || r.Idempotent || r.Completion != nil || r.FirstCall || r.reachedRecord {
+		return err
+	}
+	if !errors.As(err, &p) || p.Outcome != OutcomeNotRun {
+		return err
+	}
+	unsure := *p
+	unsure.Outcome, unsure.Detail = OutcomeUnknown, strings.TrimPrefix(p.Detail+"; "+earlierUnknown, "; ")
+	return &unsure
+}
+
 // account counts the outcome of each request in the metrics of its client
 // account and class.
 func (g *Gateway) account(next Endpoint) Endpoint {
 	return func(ctx context.Context, r *Request) (*Answer, error) {
 		a, err := next(ctx, r)
+		err = withEarlierCalls(r, err)
 		switch {
 		case r.Account.Name == "":
 			g.counters.unauthenticated.Inc(1)
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -86,6 +86,7 @@
 		if r.Idempotent || r.Completion != nil {
 			return next(ctx, r)
 		}
+		r.reachedRecord = true
 		switch key := r.IdempotencyKey; {
 		case key == "":
 			return nil, &ProblemKeyRequired
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,8 @@
 	// Sink receives the answer of a model service.
 	Sink Sink
 
+	// reachedRecord is set when the at-most-once record decides about outcomes.
+	reachedRecord bool
 	// startTimer enforces the deadline until the answer starts.
 	startTimer *time.Timer
 }
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -22,7 +22,7 @@
 		return r
 	}
 	if len(parsed.Docs) != 1 || parsed.Docs[0].Body == nil {
-		r.AddAt(1, "", "the file must hold exactly one YAML document", "remove --- separators and leave one mapping")
+		r.AddAt(1, "", "the file has none or several YAML documents", "remove --- separators and leave one mapping")
 		return r
 	}
 	r.walk(parsed.Docs[0].Body, reflect.TypeOf(out).Elem(), "")
