Leave the own lookup answers while draining, and close connections

Change: a draining gateway leaves itself out and closes connections after their next answer. Conclusion: TestDrainingLeavesLookup guards it.

--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	standin "github.com/bulrushfall/bulrushfall/standin/engine"
 	"github.com/bulrushfall/bulrushfall/telemetry"
 )
 
@@ -30,3 +33,24 @@
 	}
 	g.cancel()
 }
+
+// TestDrainingLeavesLookup guards against callers that are sent back to an entry
+// instance that shuts down, and against connections that they keep to it.
+func TestDrainingLeavesLookup(t *testing.T) {
+	cfg := standin.DefaultConfig()
+	cfg.ColdTime, cfg.LoadTime = 0, 0
+	h := newHarness(t, 1, cfg, nil)
+	look := func() (LookupAnswer, bool) {
+		resp, err := http.Get(h.url + lookupPath)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		var a LookupAnswer
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&a))
+		return a, resp.Close
+	}
+	a, closed := look()
+	assert.Assert(t, len(a.Addresses) == 1 && !closed)
+	h.gateway.SetDraining()
+	a, closed = look()
+	assert.Assert(t, len(a.Addresses) == 0 && closed)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,8 @@
 
 func (g *Gateway) now() time.Duration { return g.opts.Now() }
 
-// SetDraining makes the gateway tell callers to go elsewhere. Requests are
+// SetDraining makes the gateway tell callers to go elsewhere: it leaves its own
+// lookup answers, and connections close after their next answer. Requests are
 // still served.
 func (g *Gateway) SetDraining() { g.draining.Store(true) }
 
@@ -150,7 +151,18 @@
 	if g.opts.Orders != nil {
 		mux.Handle("POST "+ticketsPath, kithttp.NewServer(g.mint, g.decodeTicket, kithttp.EncodeJSONResponse, options...))
 	}
-	return g.limits(mux)
+	return g.closeWhileDraining(g.limits(mux))
+}
+
+// closeWhileDraining closes each connection after its answer once the gateway
+// drains, so that callers do not keep to an entry instance that leaves.
+func (g *Gateway) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // passRequest hands the decoded request to the encoder: the answer of a model
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -57,7 +57,8 @@
 func (g *Gateway) lookupOrder(entries []view.Entry, seed string) []LookupAddress {
 	usable := make([]view.Entry, 0, len(entries))
 	for _, e := range entries {
-		if e.Alive && !e.Draining {
+		leaving := e.Draining || (e.Instance == g.opts.Self.Instance && g.draining.Load())
+		if e.Alive && !leaving {
 			usable = append(usable, e)
 		}
 	}
