Show what remains of each service without a partner

Cause: all servers of a partner can leave at short notice, and the status did not say what that would cost. Change: status lists the usable groups or backend servers without each partner. Figures: TestStatusWithoutPartner. Conclusion: bulrushctl status answers the question before a withdrawal.

--- a/cmd/bulrushctl/commands.go
+++ b/cmd/bulrushctl/commands.go
@@ -182,6 +182,13 @@
 		w.row(x.Name, x.Kind, x.Wanted, x.Usable, x.Draining, x.Cold)
 	}
 	w.row()
+	w.row("SERVICE", "WITHOUT PARTNER", "USABLE")
+	for _, x := range s.Services {
+		for _, p := range x.WithoutPartner {
+			w.row(x.Name, p.Partner, p.Usable)
+		}
+	}
+	w.row()
 	w.row("DRAIN", "NAME", "OUT", "REVISION", "TEAM", "REASON")
 	for _, d := range s.Drains {
 		w.row(d.Kind, d.Name, d.Out, d.Revision, d.Team, d.Reason)
--- a/control/config.go
+++ b/control/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
+	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
@@ -156,12 +157,13 @@
 
 func serviceStatus(svc *view.Service, now time.Duration) operator.ServiceStatus {
 	st := operator.ServiceStatus{Name: svc.Document.Service, Kind: svc.Document.Kind, Wanted: svc.Document.Replicas.Wanted}
+	usable := make(map[ident.Partner]int)
 	for _, g := range svc.Groups {
 		switch {
 		case g.Draining:
 			st.Draining++
 		case g.Usable(now):
-			st.Usable++
+			usable[g.Partner]++
 		}
 		if g.Cold {
 			st.Cold++
@@ -171,8 +173,17 @@
 		if b.Draining {
 			st.Draining++
 		} else {
-			st.Usable++
+			usable[b.Partner]++
 		}
 	}
+	for _, n := range usable {
+		st.Usable += n
+	}
+	for partner, n := range usable {
+		if partner != "" {
+			st.WithoutPartner = append(st.WithoutPartner, operator.PartnerStatus{Partner: partner, Usable: st.Usable - n})
+		}
+	}
+	slices.SortFunc(st.WithoutPartner, func(a, b operator.PartnerStatus) int { return cmp.Compare(a.Partner, b.Partner) })
 	return st
 }
--- a/control/sync_test.go
+++ b/control/sync_test.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -64,6 +65,17 @@
 	assert.Equal(t, len(l.learn("s", stale, 103*time.Second)), 0, "an earlier owner was followed")
 }
 
+// TestStatusWithoutPartner guards against a capacity without a partner that
+// counts the partner's own groups or ones that get no work.
+func TestStatusWithoutPartner(t *testing.T) {
+	groups := testGroups(4, 2, time.Second)
+	groups[0].Partner, groups[1].Partner, groups[2].Partner = "firm-a", "firm-a", "firm-b"
+	groups[1].Draining = true
+	st := serviceStatus(&view.Service{Groups: groups}, time.Second)
+	assert.Equal(t, st.Usable, 3)
+	assert.DeepEqual(t, st.WithoutPartner, []operator.PartnerStatus{{Partner: "firm-a", Usable: 2}, {Partner: "firm-b", Usable: 2}})
+}
+
 // BenchmarkSync reports the bytes and the time of one exchange at an owner, by
 // the number of groups. The facts are known already, as in steady state.
 func BenchmarkSync(b *testing.B) {
--- a/operator/message.go
+++ b/operator/message.go
@@ -57,6 +57,15 @@
 	Usable   int `json:"usable" yaml:"usable"`
 	Draining int `json:"draining" yaml:"draining"`
 	Cold     int `json:"cold" yaml:"cold"`
+	// WithoutPartner tells what would remain without each partner.
+	WithoutPartner []PartnerStatus `json:"without_partner,omitempty" yaml:"without_partner,omitempty"`
+}
+
+// PartnerStatus is what remains of a service if a partner withdraws.
+type PartnerStatus struct {
+	Partner ident.Partner `json:"partner" yaml:"partner"`
+	// Usable counts the groups or backend servers of others.
+	Usable int `json:"usable" yaml:"usable"`
 }
 
 // Status is the state of the entry instance that answers.
