--- a/control/follow.go
+++ b/control/follow.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		candidates = append(candidates, e.Instance)
-		if svc != nil && e.Instance == svc.Lease.Holder {
+		if svc != nil && e.Instance == svc.LeaseHolder {
 			preferred = e.Instance
 		}
 	}
--- a/control/lease.go
+++ b/control/lease.go
@@ -100,3 +100,16 @@
 	row.RowKey = key
 	return row, err
 }
+
+// leaseHolder returns the holder of a service's lease as last seen, or "".
+func (l *Loop) leaseHolder(name ident.ServiceName, now time.Duration) ident.InstanceID {
+	c, ok := l.groups.services[name]
+	if !ok {
+		return ""
+	}
+	if _, held := c.lease.Held(now); held {
+		return l.opts.Self.Instance
+	}
+	holder, _ := c.lease.Holder()
+	return holder.Instance
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -20,7 +20,7 @@
 	s := view.Snapshot{Revision: l.config.shell.View().Revision, Ready: l.ready(), Entries: l.entries()}
 	groups := 0
 	for _, doc := range l.serviceDocuments() {
-		svc := &view.Service{Document: doc, Lease: l.leaseView(doc.Service, now)}
+		svc := &view.Service{Document: doc, LeaseHolder: l.leaseHolder(doc.Service, now)}
 		switch doc.Kind {
 		case service.KindModel:
 			svc.Groups = l.serviceGroups(doc, now)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -109,7 +110,7 @@
 	var local, remote []*view.Backend
 	for _, b := range r.Service.Backends {
 		switch {
-		case b.Draining || contains(excluded, b.Instance):
+		case b.Draining || slices.Contains(excluded, b.Instance):
 		case b.DataCentre == g.opts.Self.DataCentre:
 			local = append(local, b)
 		default:
@@ -125,15 +126,6 @@
 	return local[rand.IntN(len(local))]
 }
 
-func contains(ids []ident.InstanceID, id ident.InstanceID) bool {
-	for _, have := range ids {
-		if have == id {
-			return true
-		}
-	}
-	return false
-}
-
 // ServerRouter picks a backend server of a plain service and acquires a credit
 // there. It waits until the request's deadline. Release must be called once;
 // further calls have no effect.
--- a/gateway/static.go
+++ b/gateway/static_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	}
 	var best *view.Group
 	for _, g := range svc.Groups {
-		if !g.Usable(s.Now()) || containsGroup(excluded, g.ID) || s.inFlight[g.ID] >= s.share(g, snap.Entries) {
+		if !g.Usable(s.Now()) || slices.Contains(excluded, g.ID) || s.inFlight[g.ID] >= s.share(g, snap.Entries) {
 			continue
 		}
 		if best == nil || s.inFlight[g.ID] < s.inFlight[best.ID] {
@@ -98,12 +99,3 @@
 	}
 	return share
 }
-
-func containsGroup(ids []ident.GroupID, id ident.GroupID) bool {
-	for _, have := range ids {
-		if have == id {
-			return true
-		}
-	}
-	return false
-}
--- a/view/view.go
+++ b/view/view.go
@@ -49,17 +49,8 @@
 	Groups []*Group
 	// Backends serve a plain service.
 	Backends []*Backend
-	// Lease is the service's lease as this entry instance last saw it.
-	Lease Lease
-}
-
-// Lease names the holder of a service's lease. Only the holder knows until when
-// it may act.
-type Lease struct {
-	Holder ident.InstanceID
-	Epoch  ident.Epoch
-	// ActsUntil is set on the holder itself.
-	ActsUntil time.Duration
+	// LeaseHolder holds the service's lease as this entry instance last saw it.
+	LeaseHolder ident.InstanceID
 }
 
 // Group is a complete group of engine members. A group is usable until
