--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -91,8 +91,8 @@
 	return best
 }
 
-// permitAlone counts the run like any other one. The target stays isolated
-// until its release.
+// permitAlone counts the run like any other one. The target takes no other
+// suspect until its release.
 func (l *lane) permitAlone(now time.Duration, t *ticket, target target, c credit.Credit, i int) *permit {
 	p := &permit{lane: l, ticket: t, target: target, credit: c, started: now, uncached: l.table.Uncached(i, &t.route), alone: true}
 	l.table.Start(now, ident.GroupID(target.backend), t.route.Prefixes)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,8 +55,8 @@
 	CallerPriority int
 	HasPriority    bool
 
-	// Isolated asks for a group that runs nothing else at the time, because the
-	// request is suspected of crashing backend servers.
+	// Isolated asks for a group that runs no other suspect at the time, because
+	// the request is suspected of crashing backend servers.
 	Isolated bool
 
 	// Completion is set for model services.
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -33,7 +33,7 @@
 
 // Permissions.
 const (
-	// PermitAlone allows one run with nothing else on the backend server.
+	// PermitAlone allows one run as the only suspect on the backend server.
 	PermitAlone Permission = iota + 1
 	// PermitShared allows a run with others: the request is not a suspect.
 	PermitShared
