--- a/control/loop.go
+++ b/control/loop.go
@@ -167,7 +167,11 @@
 			e.apply(l, l.opts.Now())
 			l.drainEvents()
 		}
-		if !due {
+		switch {
+		case l.config.shell.View().Revision != l.Snapshot().Revision:
+			// A changed configuration is in force here at once.
+			l.publish(l.opts.Now())
+		case !due:
 			due = true
 			publish.Reset(publishDelay)
 		}
