--- a/control/confirm.go
+++ b/control/confirm.go
@@ -10,10 +10,10 @@
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
-// Confirmations are spread by the lease holder: it polls the members of its
-// service, and each other entry instance gets the confirmed groups with the
-// replies to its syncs. An entry instance polls members itself only while the
-// holder does not answer.
+// Confirmations are spread by the credit owner of a service, which as a rule
+// holds its lease: it polls the members, and each other entry instance gets the
+// confirmed groups with the replies to its syncs. An entry instance polls
+// members itself only while the owner does not answer.
 
 // groupFacts is the part of a group that changes with its epoch or a restart.
 // It is sent once.
@@ -50,22 +50,22 @@
 	TokenMicros int           `msgpack:"t,omitempty"`
 }
 
-// Confirmations is what a holder knows about the groups of its service.
+// Confirmations is what an owner knows about the groups of its service.
 type Confirmations struct {
-	// Epoch is the lease's; versions of facts compare within one epoch.
+	// Epoch is the owner's; versions of facts compare within one epoch.
 	Epoch   ident.Epoch  `msgpack:"o"`
 	Version uint64       `msgpack:"v"`
 	Facts   []groupFacts `msgpack:"f,omitempty"`
 	Loads   []groupLoad  `msgpack:"l,omitempty"`
 }
 
-// Known tells a holder which facts its peer has.
+// Known tells an owner which facts its peer has.
 type Known struct {
 	Epoch   ident.Epoch `msgpack:"o"`
 	Version uint64      `msgpack:"v"`
 }
 
-// factTable numbers the changes of facts at a holder.
+// factTable numbers the changes of facts at an owner.
 type factTable struct {
 	version uint64
 	facts   map[ident.GroupID]groupFacts
@@ -127,7 +127,7 @@
 }
 
 // group joins facts and load. sent is when the sync was sent: the confirmation
-// is at least as old as the holder says, counted from then.
+// is at least as old as the owner says, counted from then.
 func (f *groupFacts) group(l groupLoad, sent time.Duration) *view.Group {
 	return &view.Group{
 		ID: f.Group, Epoch: f.Epoch, Role: f.Role, Region: f.Region, DataCentre: f.DataCentre, Domain: f.Domain, Partner: f.Partner,
@@ -144,7 +144,7 @@
 	}
 }
 
-// learner keeps the facts that holders sent, per service.
+// learner keeps the facts that owners sent, per service.
 type learner struct {
 	mu       sync.Mutex
 	services map[ident.ServiceName]*learnedFacts
@@ -159,7 +159,7 @@
 	return &learner{services: make(map[ident.ServiceName]*learnedFacts)}
 }
 
-// known returns what the next sync tells the holder.
+// known returns what the next sync tells the owner.
 func (l *learner) known(name ident.ServiceName) Known {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/control/learned.go
+++ b/control/learned.go
@@ -19,7 +19,7 @@
 	foreignPollInterval = time.Second
 )
 
-// groupsLearned carries the groups that a holder confirmed.
+// groupsLearned carries the groups that a credit owner confirmed.
 type groupsLearned struct {
 	service ident.ServiceName
 	sent    time.Duration
@@ -33,7 +33,7 @@
 	l.learned[e.service] = e
 }
 
-// fresh reports whether the holder of a service answered lately.
+// fresh reports whether the owner of a service answered lately.
 func (e groupsLearned) fresh(now time.Duration) bool {
 	return e.sent > 0 && now-e.sent < learnedFresh
 }
@@ -49,7 +49,7 @@
 }
 
 // serviceGroups returns the groups of a service: as polled here, and as the
-// holder confirmed them where that is newer.
+// owner confirmed them where that is newer.
 func (l *Loop) serviceGroups(doc service.Document, now time.Duration) []*view.Group {
 	own := l.confirmedGroups(doc, now)
 	learned := l.learned[doc.Service]
@@ -74,7 +74,7 @@
 }
 
 // withDrains applies the drains in force here, which may be newer than what the
-// holder knew.
+// owner knew.
 func (l *Loop) withDrains(g *view.Group) *view.Group {
 	out := *g
 	for _, m := range g.Members {
@@ -92,8 +92,9 @@
 	mine  map[ident.ServiceName]bool
 }
 
-// pollScope returns the scope at an instant: a holder polls the members of its
-// services and the free instances; others poll while a holder does not answer.
+// pollScope returns the scope at an instant: a lease holder polls the members of
+// its services and the free instances; others, an owner without the lease among
+// them, poll while they learn nothing.
 func (l *Loop) pollScope(now time.Duration) pollScope {
 	s := pollScope{mine: make(map[ident.ServiceName]bool)}
 	for _, doc := range l.serviceDocuments() {
