--- a/cmd/bulrush-bench/main.go
+++ b/cmd/bulrush-bench/main.go
@@ -38,6 +38,7 @@
 		plainRunner("routing", "routing policies on one trace in a queueing model", experiment.Routing),
 		plainRunner("fairness", "one account at ten times its share, and a loss of capacity, in a model", experiment.Fairness),
 		plainRunner("cold", "engines that restart at random moments, in a model and as processes", experiment.Cold),
+		plainRunner("orders", "orders a second, claim latency and the cost of crashing requests", experiment.Orders),
 		plainRunner("path", "speed of the path: direct, bare relay and daemon", experiment.Path),
 	}
 	for _, r := range runners {
