--- a/control/config.go
+++ b/control/config.go
@@ -28,6 +28,9 @@
 	// listed is the last instance list, for the operators' interface.
 	listed atomic.Pointer[[]platform.Instance]
 	logged bool
+	// documents are the documents in force as of the view they were made from.
+	documents     []service.Document
+	documentsFrom *config.View
 }
 
 // configStep runs a function of the shell on the control goroutine.
@@ -93,8 +96,17 @@
 
 // serviceDocuments returns the documents in force. Documents given at the start
 // apply to services that the configuration never had: a deleted one stays so.
+// Only the control goroutine calls it. The list is made once for each view, and
+// read several times a tick.
 func (l *Loop) serviceDocuments() []service.Document {
 	v := l.config.shell.View()
+	if v != l.config.documentsFrom {
+		l.config.documents, l.config.documentsFrom = l.mergeDocuments(v), v
+	}
+	return l.config.documents
+}
+
+func (l *Loop) mergeDocuments(v *config.View) []service.Document {
 	out := make([]service.Document, 0, len(v.Services)+len(l.documents))
 	for _, s := range v.Services {
 		out = append(out, s.Document)
--- a/control/groups.go
+++ b/control/groups.go
@@ -124,7 +124,7 @@
 		return
 	}
 	seen := make(map[ident.ServiceName]bool)
-	for _, doc := range l.groupDocuments() {
+	for _, doc := range l.serviceDocuments() {
 		c, ok := l.groups.services[doc.Service]
 		if doc.Kind != service.KindModel {
 			doc = service.Document{Service: doc.Service}
@@ -166,9 +166,6 @@
 	l.stepPlanner(now, c, group.DocumentChanged{Document: doc})
 }
 
-// groupDocuments returns the service documents in force.
-func (l *Loop) groupDocuments() []service.Document { return l.serviceDocuments() }
-
 // groupDrains returns what operators took out of service.
 func (l *Loop) groupDrains() group.DrainsChanged {
 	var out group.DrainsChanged
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -20,8 +20,6 @@
 
 // Limits of decoded requests.
 const (
-	// bytesPerToken estimates context tokens from the length of a prompt.
-	bytesPerToken = 4
 	// defaultMaxTokens applies when a completion does not bound its answer.
 	defaultMaxTokens = 256
 	// maxCompletionTokens bounds what a caller may ask for. A larger number
@@ -191,5 +189,5 @@
 	if answer <= 0 {
 		answer = defaultMaxTokens
 	}
-	return n/bytesPerToken + answer
+	return n/engine.BytesPerToken + answer
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -117,8 +117,9 @@
 		t.excluded = append(t.excluded, GroupBackend(id))
 	}
 	if r.Completion != nil {
-		t.route.Prefixes = prefixes(r)
-		t.route.PromptTokens = engine.TokenCount(r.Completion.Text())
+		prompt := r.Completion.Text()
+		t.route.Prefixes = prefixes(prompt)
+		t.route.PromptTokens = engine.TokenCount(prompt)
 	}
 	p, err := b.acquire(ctx, t)
 	if err != nil {
@@ -183,8 +184,8 @@
 	}
 }
 
-func prefixes(r *Request) []uint64 {
-	h := engine.PrefixHashes(r.Completion.Text())
+func prefixes(prompt string) []uint64 {
+	h := engine.PrefixHashes(prompt)
 	return h[:min(len(h), maxPrefixBlocks)]
 }
 
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -2,7 +2,6 @@
 package ident
 
 import (
-	"encoding/hex"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,11 +67,3 @@
 	_, _ = d.WriteString(string(owner))
 	return d.Sum64()
 }
-
-// Short returns the first eight hexadecimal digits of the hash of s, for use
-// in names that people read.
-func Short(s string) string {
-	sum := xxhash.Sum64String(s)
-	b := []byte{byte(sum >> 56), byte(sum >> 48), byte(sum >> 40), byte(sum >> 32)}
-	return hex.EncodeToString(b)
-}
