Give each test cluster a loopback network of its own

The port was free when it was chosen and another cluster could not have it (reservations last until the cluster ends), so an outgoing connection of some process took it as its source port: the range 16000 to 32000 is not below the source ports of every kernel. On this machine they start at 32768, so the failure was not reproduced here.

Change: a cluster claims a network 127.a.b.0/24 by listening on one of its addresses; its platform and entry instances listen on addresses there, at ports from 10000 to 16000. Sockets of other addresses cannot conflict with them. Stand-ins with port 0 stay on 127.0.0.1.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -45,7 +45,7 @@
 	Engines     []*Process
 	Orders      []*Process
 	documents   []string
-	ports       ports
+	network     *network
 }
 
 // Start runs the whole cluster and waits until every entry instance is ready.
@@ -55,6 +55,10 @@
 		return nil, errors.Wrap(err, "create directory for settings and logs")
 	}
 	c := &Cluster{cfg: cfg, dir: dir}
+	if c.network, err = claimNetwork(); err != nil {
+		_ = os.RemoveAll(dir)
+		return nil, err
+	}
 	if err := c.start(ctx); err != nil {
 		logs := c.Logs()
 		c.Close()
@@ -109,16 +113,13 @@
 }
 
 func (c *Cluster) startPlatform(ctx context.Context) error {
-	addresses, err := c.ports.free(1)
-	if err != nil {
-		return err
-	}
-	args := append([]string{"platform", "--listen", addresses[0]}, c.cfg.PlatformFlags...)
-	c.Platform, err = c.standIn("platform", args...)
+	address := c.network.address(platformHost, portCallers)
+	var err error
+	c.Platform, err = c.standIn("platform", append([]string{"platform", "--listen", address}, c.cfg.PlatformFlags...)...)
 	if err != nil {
 		return err
 	}
-	c.PlatformURL = "http://" + addresses[0]
+	c.PlatformURL = "http://" + address
 	return Wait(ctx, startTimeout, "the platform stand-in answers", func() bool {
 		_, err := platform.NewClient(c.PlatformURL).Instances(ctx)
 		return err == nil
@@ -156,18 +157,14 @@
 }
 
 func (c *Cluster) startEntries() error {
-	addresses, err := c.ports.free(3 * c.cfg.Entries)
-	if err != nil {
-		return err
-	}
 	var listed []platform.Instance
 	for i := range c.cfg.Entries {
 		e := &Entry{
 			Instance:   ident.InstanceID(fmt.Sprintf("entry-%d", i)),
 			DataCentre: c.cfg.DataCentres[i%len(c.cfg.DataCentres)],
-			Callers:    addresses[3*i],
-			Peers:      addresses[3*i+1],
-			Operators:  addresses[3*i+2],
+			Callers:    c.network.address(firstEntryHost+i, portCallers),
+			Peers:      c.network.address(firstEntryHost+i, portPeers),
+			Operators:  c.network.address(firstEntryHost+i, portOperators),
 		}
 		c.Entries = append(c.Entries, e)
 		listed = append(listed, c.listing(e))
@@ -300,7 +297,7 @@
 	for _, p := range c.processes() {
 		p.Kill()
 	}
-	c.ports.release()
+	c.network.release()
 	_ = os.RemoveAll(c.dir)
 }
 
