Keep standby groups with preloaded weights

Spares are per domain, so no other domain had a whole group's weights in memory, although the model has 14 idle instances.

Change: replicas.standby_groups keeps the weights of whole groups preloaded on idle instances, where the next group would form. New groups go there first. A broken group whose replacement has to load its weights is dissolved in favour of a standby group; this is decided again when the group has stopped, because a leader reports a loss before the planner knows which member it is.

Both new tests fail without the preloads (mutant), the second one also without the choice of the standby group. The property test draws 0 or 1 standby groups; 600 cases passed. The traces of a scenario run in parallel. The worst case of a dark domain stays, when the standby group itself is in it.

--- a/experiment/groups.go
+++ b/experiment/groups.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/service"
@@ -87,30 +88,48 @@
 	moved   group.Counters
 }
 
-func groupsDocument() service.Document {
+func groupsDocument(standby int) service.Document {
 	doc := service.DefaultDocument()
 	doc.Service, doc.Kind = "quotes", service.KindModel
 	doc.Model = service.Model{Name: "base-model", Version: "1"}
 	doc.Replicas = service.Replicas{
 		Wanted: groupsWanted, Minimum: groupsWanted - 2, InstancesPerReplica: groupsSize, SparesPerDomain: 1,
+		StandbyGroups: standby,
 	}
 	return doc
 }
 
-func groupsConfig(p group.Policy, seed uint64) ModelConfig {
+// contestant is a planner in a comparison.
+type contestant struct {
+	name    string
+	policy  group.Policy
+	standby int
+}
+
+func contestants() []contestant {
+	full := group.Policy{Spares: true, Swap: true}
+	return []contestant{
+		{"baseline", group.Policy{}, 0},
+		{"spares and swap", full, 0},
+		{"and 1 standby group", full, 1},
+		{"and 2 standby groups", full, 2},
+	}
+}
+
+func groupsConfig(c contestant, seed uint64) ModelConfig {
 	cfg := ModelConfig{
-		Document: groupsDocument(), Planner: group.DefaultConfig(), Entries: 2,
+		Document: groupsDocument(c.standby), Planner: group.DefaultConfig(), Entries: 2,
 		Domains: groupsDomains, PerDomain: groupsPer, Accelerators: accelerators,
 		Load: 30 * time.Second, Preloaded: 2 * time.Second, WeightSlot: time.Second, Seed: seed,
 	}
-	cfg.Planner.Policy = p
+	cfg.Planner.Policy = c.policy
 	return cfg
 }
 
 // measureScenario runs a trace against one planner. An outage lasts from a drop
 // of the number of serving groups until the number is back.
-func measureScenario(s scenario, p group.Policy, seed uint64) (downtime, error) {
-	m := NewModel(groupsConfig(p, seed))
+func measureScenario(s scenario, c contestant, seed uint64) (downtime, error) {
+	m := NewModel(groupsConfig(c, seed))
 	s.start(m, rand.New(rand.NewPCG(seed, 4)))
 	m.Run(groupsWarm - time.Second)
 	d := downtime{lowest: m.Serving()}
@@ -171,33 +190,42 @@
 func groupDowntime(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "54 instances, 10 groups of 4, %d traces\tplanner\toutages\tmedian s\tp95 s\tworst s\tgroup-seconds missing\tlowest\tstranded accelerator-s\tformed\tswapped\n", groupSeeds)
-	policies := []struct {
-		name   string
-		policy group.Policy
-	}{
-		{"baseline", group.Policy{}},
-		{"spares and swap", group.Policy{Spares: true, Swap: true}},
-	}
 	for _, s := range scenarios() {
-		for _, p := range policies {
-			var sum downtime
-			sum.lowest = groupsWanted
-			for seed := range uint64(groupSeeds) {
-				d, err := measureScenario(s, p.policy, seed)
-				if err != nil {
-					return errors.Wrapf(err, "%s, %s, seed %d", s.name, p.name, seed)
-				}
-				sum.outages = append(sum.outages, d.outages...)
-				sum.missing += d.missing
-				sum.stranded += d.stranded
-				sum.lowest = min(sum.lowest, d.lowest)
-				sum.moved = sum.moved.Add(d.moved)
+		for _, c := range contestants() {
+			sum, err := measureSeeds(s, c)
+			if err != nil {
+				return errors.Wrapf(err, "%s, %s", s.name, c.name)
 			}
-			slices.Sort(sum.outages)
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.0f\t%d\t%.0f\t%d\t%d\n", s.name, p.name, len(sum.outages),
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.0f\t%d\t%.0f\t%d\t%d\n", s.name, c.name, len(sum.outages),
 				outageQuantile(sum.outages, 0.5), outageQuantile(sum.outages, 0.95), outageQuantile(sum.outages, 1),
 				sum.missing, sum.lowest, sum.stranded, sum.moved.Formed, sum.moved.Swapped)
 		}
 	}
 	return errors.Wrap(t.Flush(), "write group table")
 }
+
+// measureSeeds sums the runs of all seeds, which share nothing and run in
+// parallel.
+func measureSeeds(s scenario, c contestant) (downtime, error) {
+	runs := make([]downtime, groupSeeds)
+	var g errgroup.Group
+	for seed := range runs {
+		g.Go(func() (err error) {
+			runs[seed], err = measureScenario(s, c, uint64(seed))
+			return errors.Wrapf(err, "seed %d", seed)
+		})
+	}
+	sum := downtime{lowest: groupsWanted}
+	if err := g.Wait(); err != nil {
+		return sum, err
+	}
+	for _, d := range runs {
+		sum.outages = append(sum.outages, d.outages...)
+		sum.missing += d.missing
+		sum.stranded += d.stranded
+		sum.lowest = min(sum.lowest, d.lowest)
+		sum.moved = sum.moved.Add(d.moved)
+	}
+	slices.Sort(sum.outages)
+	return sum, nil
+}
--- a/experiment/groups_cost.go
+++ b/experiment/groups_cost.go
@@ -42,7 +42,7 @@
 // plannerCost measures a planner that serves a number of domains: in a quiet
 // time, and while a member and then a whole domain are lost.
 func plannerCost(domains int) (report, tick, repair stepCost, err error) {
-	doc := groupsDocument()
+	doc := groupsDocument(0)
 	doc.Replicas.InstancesPerReplica = costSize
 	doc.Replicas.Wanted = costGroups * domains
 	doc.Replicas.Minimum = 1
--- a/group/config.go
+++ b/group/config.go
@@ -9,7 +9,8 @@
 // Policy switches parts of the planner. The zero value is the baseline, which
 // re-forms groups from idle instances.
 type Policy struct {
-	// Spares keeps idle instances with preloaded weights.
+	// Spares keeps idle instances with preloaded weights, single ones and
+	// standby groups.
 	Spares bool
 	// Swap replaces lost members in place of forming a new group.
 	Swap bool
--- a/group/place.go
+++ b/group/place.go
@@ -44,17 +44,20 @@
 
 // domainRank is what decides between domains.
 type domainRank struct {
-	domain         ident.Domain
-	dataCentre     ident.DataCentre
-	free           int
-	groups         int
-	inDataCentre   int
+	domain     ident.Domain
+	dataCentre ident.DataCentre
+	free       int
+	// loaded counts free instances with preloaded weights.
+	loaded       int
+	groups       int
+	inDataCentre int
+	// standby tells that a whole group's weights are in memory.
+	standby        bool
 	keepsItsSpares bool
 }
 
-// chooseDomain returns the best domain for a whole group, or nil. Groups spread
-// over data centres, then over domains.
-func (p *Planner) chooseDomain(now time.Duration) *domainRank {
+// rankDomains describes the domains that have free instances.
+func (p *Planner) rankDomains(now time.Duration) map[ident.Domain]*domainRank {
 	byDomain := make(map[ident.Domain]*domainRank)
 	for _, i := range p.order {
 		if !p.free(now, i) {
@@ -66,6 +69,9 @@
 			byDomain[i.info.Domain] = d
 		}
 		d.free++
+		if p.preloaded(i) {
+			d.loaded++
+		}
 	}
 	dataCentres := make(map[ident.DataCentre]int)
 	for _, g := range p.sorted {
@@ -77,12 +83,26 @@
 			d.groups++
 		}
 	}
+	for _, d := range byDomain {
+		d.inDataCentre = dataCentres[d.dataCentre]
+	}
+	return byDomain
+}
+
+// chooseDomain returns the best domain for a whole group, or nil. A group whose
+// weights are in memory serves tens of seconds earlier; beside that, groups
+// spread over data centres, then over domains.
+func (p *Planner) chooseDomain(now time.Duration) *domainRank {
+	return p.bestDomain(p.rankDomains(now))
+}
+
+func (p *Planner) bestDomain(byDomain map[ident.Domain]*domainRank) *domainRank {
 	var best *domainRank
 	for _, d := range byDomain {
 		if d.free < p.size() {
 			continue
 		}
-		d.inDataCentre = dataCentres[d.dataCentre]
+		d.standby = p.standbyGroups() > 0 && d.loaded >= p.size()
 		d.keepsItsSpares = !p.cfg.Policy.Spares || d.free-p.size() >= p.doc.Replicas.SparesPerDomain
 		if best == nil || d.better(best) {
 			best = d
@@ -92,6 +112,9 @@
 }
 
 func (d *domainRank) better(o *domainRank) bool {
+	if d.standby != o.standby {
+		return d.standby
+	}
 	if d.keepsItsSpares != o.keepsItsSpares {
 		return d.keepsItsSpares
 	}
--- a/group/plan.go
+++ b/group/plan.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		if g.repair && p.current(&g.row) {
-			if members, ok := p.repaired(now, g); ok {
+			if members, ok := p.quickRepair(now, g); ok {
 				p.reform(g, members)
 				return true
 			}
@@ -169,7 +169,7 @@
 		}
 		repair := p.cfg.Policy.Swap && p.current(&g.row) && p.below(roles, g.row.Role)
 		if repair {
-			_, repair = p.repaired(now, g)
+			_, repair = p.quickRepair(now, g)
 		}
 		if repair || l.dead > 0 || !p.cfg.Policy.Swap || now-g.brokenSince >= p.cfg.StrandTimeout ||
 			p.chooseDomain(now) != nil {
@@ -281,7 +281,25 @@
 		return false
 	}
 	members, ok := p.repaired(now, g)
-	return ok && !slices.ContainsFunc(members, func(i *instance) bool { return i.member != g && !p.preloaded(i) })
+	return ok && p.loaded(g, members)
+}
+
+// loaded reports whether all members of a group's next epoch have the weights.
+func (p *Planner) loaded(g *group, members []*instance) bool {
+	return !slices.ContainsFunc(members, func(i *instance) bool { return i.member != g && !p.preloaded(i) })
+}
+
+// quickRepair returns the members of a group's next epoch, unless a standby
+// group can serve earlier than a replacement that has to load the weights.
+func (p *Planner) quickRepair(now time.Duration, g *group) ([]*instance, bool) {
+	members, ok := p.repaired(now, g)
+	return members, ok && (p.loaded(g, members) || !p.hasStandby(now))
+}
+
+// hasStandby reports whether a whole group's weights are in memory somewhere.
+func (p *Planner) hasStandby(now time.Duration) bool {
+	d := p.chooseDomain(now)
+	return d != nil && d.standby
 }
 
 func (p *Planner) allReady(roles []*census, r engine.Role) bool {
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -90,6 +90,7 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		cfg := modelConfig(seed)
 		cfg.LostAnswers, cfg.LateCommands = 0.1, 0.1
+		cfg.Document.Replicas.StandbyGroups = rng.IntN(2)
 		want := 0
 		if rapid.Bool().Draw(t, "second service") {
 			other := document(2, 4)
@@ -235,6 +236,54 @@
 	noViolations(t, m)
 }
 
+// standbyConfig has two domains for each of the three groups. Weights from the
+// store take long, so that only groups with preloaded weights are quick.
+func standbyConfig() experiment.ModelConfig {
+	cfg := modelConfig(1)
+	cfg.Domains, cfg.Load = 6, 20*time.Second
+	cfg.Document.Replicas.StandbyGroups = 1
+	return cfg
+}
+
+// settled runs a model until its groups serve and the weights of its standby
+// group are loaded.
+func settled(t *testing.T, cfg experiment.ModelConfig) *experiment.Model {
+	t.Helper()
+	m := experiment.NewModel(cfg)
+	m.Run(180 * time.Second)
+	assert.Equal(t, m.Serving(), cfg.Document.Replicas.Wanted, "%v", status(m))
+	return m
+}
+
+// Guards against a lost domain whose groups load their weights from the weight
+// store although a standby group has them in memory.
+func TestDarkDomainStandby(t *testing.T) {
+	m := settled(t, standbyConfig())
+	dark := holder(m).Groups(m.Now)[0].Row.Domain
+	for _, e := range m.Engines {
+		if e.Info.Domain == dark {
+			e.Kill(5 * time.Minute)
+		}
+	}
+	m.Run(m.Now + 8*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	noViolations(t, m)
+}
+
+// Guards against a group that waits for the weights of a second replacement
+// while a standby group has them in memory elsewhere.
+func TestSecondLossUsesStandby(t *testing.T) {
+	m := settled(t, standbyConfig())
+	g := holder(m).Groups(m.Now)[0].Row
+	m.Engine(g.Members[0].Instance).Kill(5 * time.Minute)
+	m.Run(m.Now + 8*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	m.Engine(g.Members[1].Instance).Kill(5 * time.Minute)
+	m.Run(m.Now + 8*time.Second)
+	assert.Equal(t, m.Serving(), 3, "%v", status(m))
+	noViolations(t, m)
+}
+
 // Guards against a service whose roles do not get their share of the groups,
 // and against groups that go on using a partner which withdrew.
 func TestRolesAndPartner(t *testing.T) {
--- a/group/spare.go
+++ b/group/spare.go
@@ -22,21 +22,24 @@
 // spareInterval is the time between two looks at the spares.
 const spareInterval = time.Second
 
-// preload keeps spares in the domains that groups use. A bounded number of
-// preloads runs at a time, so that loads of groups get their share of the
-// weight store.
+// standbyGroups is the number of whole groups whose weights are preloaded.
+func (p *Planner) standbyGroups() int {
+	if !p.cfg.Policy.Spares || p.doc.Kind != service.KindModel {
+		return 0
+	}
+	return p.doc.Replicas.StandbyGroups
+}
+
+// preload keeps spares in the domains that groups use, and standby groups. A
+// bounded number of preloads runs at a time, so that loads of groups get their
+// share of the weight store.
 func (p *Planner) preload(now time.Duration) {
-	wanted := p.doc.Replicas.SparesPerDomain
-	if !p.cfg.Policy.Spares || wanted == 0 || p.doc.Kind != service.KindModel || now < p.nextSpare {
+	if !p.cfg.Policy.Spares || p.doc.Kind != service.KindModel || now < p.nextSpare ||
+		p.doc.Replicas.SparesPerDomain+p.doc.Replicas.StandbyGroups == 0 {
 		return
 	}
 	p.nextSpare = now + spareInterval
-	need := make(map[ident.Domain]int)
-	for _, g := range p.sorted {
-		if g.row.State == StateActive && g.drainedSince == 0 {
-			need[g.row.Domain] = wanted
-		}
-	}
+	need := p.wantedPreloads(now)
 	running := 0
 	var idle []*instance
 	for _, i := range p.order {
@@ -68,6 +71,38 @@
 	}
 }
 
+// wantedPreloads is the number of preloaded idle instances wanted by domain.
+func (p *Planner) wantedPreloads(now time.Duration) map[ident.Domain]int {
+	need := make(map[ident.Domain]int)
+	for _, g := range p.sorted {
+		if g.row.State == StateActive && g.drainedSince == 0 {
+			need[g.row.Domain] = p.doc.Replicas.SparesPerDomain
+		}
+	}
+	if p.standbyGroups() == 0 {
+		return need
+	}
+	// A standby group is placed as a new group would be. It counts as a group
+	// afterwards, so that several of them spread.
+	domains := p.rankDomains(now)
+	for range p.standbyGroups() {
+		d := p.bestDomain(domains)
+		if d == nil {
+			break
+		}
+		need[d.domain] += p.size()
+		d.free -= p.size()
+		d.loaded = max(0, d.loaded-p.size())
+		d.groups++
+		for _, o := range domains {
+			if o.dataCentre == d.dataCentre {
+				o.inDataCentre++
+			}
+		}
+	}
+	return need
+}
+
 // stragglerInterval is the time between two looks at the members' speed.
 const stragglerInterval = time.Second
 
--- a/service/check.go
+++ b/service/check.go
@@ -60,7 +60,7 @@
 	if d.Model.Name != "" || d.Model.Version != "" || len(d.Model.Adapters) > 0 || len(d.Model.Roles) > 0 {
 		r.Add("model", "a plain service loads no model", "remove model, or set kind to model")
 	}
-	if d.Replicas.Wanted > 0 || d.Replicas.Minimum > 0 || d.Replicas.SparesPerDomain > 0 {
+	if d.Replicas.Wanted > 0 || d.Replicas.Minimum > 0 || d.Replicas.SparesPerDomain > 0 || d.Replicas.StandbyGroups > 0 {
 		r.Add("replicas", "a plain service has no replicas", "remove replicas: its backend servers come from the instance list")
 	}
 }
--- a/service/document.go
+++ b/service/document.go
@@ -68,6 +68,9 @@
 	// SparesPerDomain is the number of idle instances per used fabric domain
 	// that keep the weights preloaded.
 	SparesPerDomain int `yaml:"spares_per_domain" json:"spares_per_domain" validate:"min=0,max=256"`
+	// StandbyGroups is the number of whole groups whose weights idle instances
+	// of one fabric domain each keep preloaded, for the loss of a domain.
+	StandbyGroups int `yaml:"standby_groups" json:"standby_groups" validate:"min=0,max=10000"`
 }
 
 // Placement restricts where groups may be formed. Empty means anywhere.
