--- a/service/check_test.go
+++ b/service/check_test.go
@@ -43,7 +43,7 @@
 		{"quotes", "name: quote-writer", "adapters: [a, a]", []string{"6: model.name", "7: model.adapters"}},
 		{"quotes", `version: "7"`, "version: \"7\"\n  roles: [prefill]", []string{"9: model.roles"}},
 		{"quotes", "class: interactive", "class: urgent", []string{"16: class"}},
-		{"drafting", "    key_sha256: ", "    key_sha256: x", []string{"27: accounts[0].key_sha256", "32: accounts[1].key_sha256"}},
+		{"drafting", "    key_sha256: ", "    key_sha256: x", []string{"28: accounts[0].key_sha256", "33: accounts[1].key_sha256"}},
 		{"orders", "path_prefix: /stock/lookup", "path_prefix: stock", []string{"18: methods[1].path_prefix"}},
 		{"orders", "path_prefix: /rush-orders", "path_prefix: /", []string{"17: methods[1]", "24: methods[3]"}},
 		{"orders", "kind: plain", "kind: plain\nreplicas: {wanted: 2}", []string{"6: replicas"}},
