Let the credit owner read cache events and pass them on

Cause: each entry instance read the events of each group leader once a second, so reads grew with entry instances times groups.

Change: the credit owner of a service reads them and logs them; the regular syncs ask for what was logged after a position and get at most 2 KiB. Others read themselves 700 ms after the last answered sync was sent, as for confirmations, when the owner's last round is 2.5 s old, and once after they began to follow an owner. Sequence numbers are passed on as they are, and the log keeps the last event of each group, so a gap stays a gap.

Conclusion: the cost no longer grows with the number of entry instances. A service with more than about 140 events a second loses some as gaps.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -48,6 +48,7 @@
 	data     *engine.Data
 	balancer *gateway.Balancer
 	syncer   *control.Syncer
+	feed     *gateway.CacheFeed
 	orders   *gateway.OrderParts
 }
 
@@ -99,6 +100,8 @@
 	d.loop.RegisterSync(mux)
 	d.loop.RegisterInstances(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
+	d.feed = gateway.NewCacheFeed(d.balancer, engine.NewControl().CacheEvents, d.metrics)
+	d.loop.RelayCacheEvents(d.feed)
 	d.syncer = control.NewSyncer(d.loop, d.balancer)
 	d.orders, err = gateway.NewOrderParts(gateway.OrderOptions{
 		Table: store, Objects: store, Node: d.node, Snapshot: d.loop.Snapshot, Now: now, Self: self, Scope: d.metrics.Scope,
@@ -157,10 +160,7 @@
 	g.Go(func() error { d.syncer.Run(loopCtx); return nil })
 	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
 	g.Go(func() error { d.orders.Run(loopCtx); return nil })
-	g.Go(func() error {
-		gateway.NewCacheFeed(d.balancer, engine.NewControl(), d.metrics).Run(loopCtx)
-		return nil
-	})
+	g.Go(func() error { d.feed.Run(loopCtx); return nil })
 	g.Go(func() error {
 		<-ctx.Done()
 		d.drain(callerServer)
--- a/control/follow.go
+++ b/control/follow.go
@@ -90,7 +90,7 @@
 
 // exchange sends one sync and applies the reply. It reports whether the next
 // sync should be sent at once.
-func (s *Syncer) exchange(ctx context.Context, name ident.ServiceName) bool {
+func (s *Syncer) exchange(ctx context.Context, name ident.ServiceName, regular bool) bool {
 	to, ok := s.next(name)
 	if !ok {
 		return false
@@ -98,6 +98,11 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := GroupSync{Service: name, Sync: to.sync, Known: s.learner.known(name), Heard: to.heard}
+	relay := s.loop.relay
+	if regular && relay != nil {
+		ask := relay.Ask(name)
+		req.Events = &ask
+	}
 	s.sent.Inc(1)
 	var resp GroupSyncReply
 	var err error
@@ -115,6 +120,9 @@
 	case resp.Pending:
 		return first
 	case !self:
+		if req.Events != nil && resp.Events != nil {
+			relay.Learn(name, to.sent, *req.Events, *resp.Events)
+		}
 		groups := s.learner.learn(name, resp.Confirmations, to.sent)
 		s.loop.post(ctx, groupsLearned{service: name, sent: to.sent, groups: groups})
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -86,6 +86,8 @@
 	polls    chan struct{}
 	wg       sync.WaitGroup
 	counters loopCounters
+	// relay passes cache events on; without one each entry instance reads them.
+	relay CacheRelay
 
 	// The fields below belong to the control goroutine.
 	documents     []service.Document
--- a/control/sync.go
+++ b/control/sync.go
@@ -10,6 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -51,6 +52,8 @@
 	Known   Known             `msgpack:"k"`
 	// Heard is the sequence of the last sync that this owner answered.
 	Heard uint64 `msgpack:"h"`
+	// Events asks for cache events; only the regular syncs do.
+	Events *routing.EventAsk `msgpack:"e,omitempty"`
 }
 
 // GroupSyncReply is its response. Granted is false when the sync was overtaken
@@ -62,8 +65,20 @@
 	Reply   credit.Reply `msgpack:"r"`
 	// Confirmations are sent with each reply, also when the sync was overtaken.
 	Confirmations Confirmations `msgpack:"c"`
+	// Events answers the sync's ask for cache events.
+	Events *routing.EventAnswer `msgpack:"e,omitempty"`
 }
 
+// CacheRelay passes the cache events that an owner read on to its followers.
+type CacheRelay interface {
+	Ask(name ident.ServiceName) routing.EventAsk
+	Answer(name ident.ServiceName, epoch ident.Epoch, ask routing.EventAsk) routing.EventAnswer
+	Learn(name ident.ServiceName, sent time.Duration, ask routing.EventAsk, answer routing.EventAnswer)
+}
+
+// RelayCacheEvents sets the relay. Call it before the node serves.
+func (l *Loop) RelayCacheEvents(r CacheRelay) { l.relay = r }
+
 // ownerState is this entry instance as the credit owner of one service.
 type ownerState struct {
 	followers *credit.Followers
@@ -126,7 +141,12 @@
 		if req.Sync.Entry != from.Instance {
 			return GroupSyncReply{}, errors.Errorf("sync of %s came from %s", req.Sync.Entry, from.Instance)
 		}
-		return l.ownSync(ctx, req)
+		reply, err := l.ownSync(ctx, req)
+		if err == nil && !reply.Pending && req.Events != nil && l.relay != nil {
+			answer := l.relay.Answer(req.Service, reply.Confirmations.Epoch, *req.Events)
+			reply.Events = &answer
+		}
+		return reply, err
 	})
 }
 
@@ -280,7 +300,7 @@
 			return
 		case <-tick.C:
 			for _, svc := range s.loop.Snapshot().Services {
-				s.start(ctx, svc.Document.Service)
+				s.start(ctx, svc.Document.Service, true)
 			}
 		case name := <-s.holders.Wake():
 			if len(urgent) == 0 {
@@ -289,15 +309,16 @@
 			urgent[name] = true
 		case <-gap.C:
 			for name := range urgent {
-				s.start(ctx, name)
+				s.start(ctx, name, false)
 			}
 			clear(urgent)
 		}
 	}
 }
 
-// start begins one exchange unless too many are open.
-func (s *Syncer) start(ctx context.Context, name ident.ServiceName) {
+// start begins one exchange unless too many are open. Only the regular ones ask
+// for cache events, which bounds the events' bytes a second.
+func (s *Syncer) start(ctx context.Context, name ident.ServiceName, regular bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open[name] >= maxOpenSyncs {
@@ -307,12 +328,12 @@
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		again := s.exchange(ctx, name)
+		again := s.exchange(ctx, name, regular)
 		s.mu.Lock()
 		s.open[name]--
 		s.mu.Unlock()
 		if again {
-			s.start(ctx, name)
+			s.start(ctx, name, false)
 		}
 	}()
 }
