Read the instance list conditionally

Cause: each entry instance read and decoded the whole list each second, and passed it to every planner.

Change: ListInstances sends the version that the reader knows as If-None-Match; an unchanged list costs a 304. A platform without entity tags is compared by a hash of the body, before the decoding. The stand-in's tag changes when a change becomes visible, so the lag is as before. Planners and membership count reads that lack an instance, so each unchanged read reaches them as an event of its own; a planner whose instances are all listed does nothing then. The model of the group property test sends it as the daemon does. A poll that is answered after its instance left the list is no longer stored.

--- a/control/groups.go
+++ b/control/groups.go
@@ -197,10 +197,10 @@
 	return out
 }
 
-// groupInstances passes a new instance list to the planners.
-func (l *Loop) groupInstances(now time.Duration) {
+// groupInstances passes a read of the instance list to the planners.
+func (l *Loop) groupInstances(now time.Duration, e group.Event) {
 	for _, c := range l.groups.services {
-		l.stepPlanner(now, c, group.InstancesListed{Instances: l.instances})
+		l.stepPlanner(now, c, e)
 	}
 }
 
--- a/control/instances.go
+++ b/control/instances.go
@@ -42,15 +42,15 @@
 // readInstances reads the platform's list. It runs outside the control
 // goroutine. While this process knows no list, it asks the peers of its settings
 // when the platform fails: the instances that they know are better than none.
-func (l *Loop) readInstances(ctx context.Context) instancesListed {
-	instances, err := l.opts.Instances.Instances(ctx)
+func (l *Loop) readInstances(ctx context.Context, known string) instancesListed {
+	list, err := l.opts.Instances.ListInstances(ctx, known)
 	if err == nil || l.config.listed.Load() != nil {
-		return instancesListed{instances: instances, err: err}
+		return instancesListed{list: list, err: err}
 	}
 	for _, addr := range l.opts.Seeds {
 		if list, peerErr := l.askInstances(ctx, addr); peerErr == nil {
 			l.counters.listsFromPeers.Inc(1)
-			return instancesListed{instances: list}
+			return instancesListed{list: platform.Listing{Instances: list}}
 		}
 	}
 	return instancesListed{err: err}
--- a/control/loop.go
+++ b/control/loop.go
@@ -16,6 +16,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/membership"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
@@ -93,6 +94,8 @@
 	documents     []service.Document
 	instances     []platform.Instance
 	byID          map[ident.InstanceID]platform.Instance
+	listVersion   string
+	listedNodes   membership.Listed
 	learned       map[ident.ServiceName]groupsLearned
 	statuses      map[ident.InstanceID]memberStatus
 	polling       map[ident.InstanceID]bool
@@ -109,6 +112,7 @@
 	listErrors tally.Counter
 	// listsFromPeers counts instance lists taken from peers in an outage.
 	listsFromPeers tally.Counter
+	listsUnchanged tally.Counter
 	droppedEvents  tally.Counter
 	groups         tally.Gauge
 }
@@ -128,6 +132,7 @@
 			pollErrors:     opts.Scope.Counter("status_poll_errors_total"),
 			listErrors:     opts.Scope.Counter("instance_list_errors_total"),
 			listsFromPeers: opts.Scope.Counter("instance_lists_from_peers_total"),
+			listsUnchanged: opts.Scope.Counter("instance_lists_unchanged_total"),
 			droppedEvents:  opts.Scope.Counter("control_events_dropped_total"),
 			groups:         opts.Scope.Gauge("groups_confirmed"),
 		},
--- a/control/membership.go
+++ b/control/membership.go
@@ -180,7 +180,8 @@
 			nodes = append(nodes, membership.Node{Instance: inst.ID, Address: inst.PeerAddress})
 		}
 	}
-	l.stepMembership(now, membership.Listed{Nodes: nodes})
+	l.listedNodes = membership.Listed{Nodes: nodes}
+	l.stepMembership(now, l.listedNodes)
 }
 
 // entryState is membership's opinion on an entry instance. A node that suspects
--- a/control/poll.go
+++ b/control/poll.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // instancesListed carries the platform's instance list.
 type instancesListed struct {
-	instances []platform.Instance
-	err       error
+	list platform.Listing
+	err  error
 }
 
 func (e instancesListed) apply(l *Loop, now time.Duration) {
@@ -21,10 +22,17 @@
 		l.counters.listErrors.Inc(1)
 		return
 	}
-	l.instances = e.instances
+	if e.list.Unchanged {
+		// Planners and membership count reads that lack an instance.
+		l.counters.listsUnchanged.Inc(1)
+		l.groupInstances(now, group.InstancesUnchanged{})
+		l.stepMembership(now, l.listedNodes)
+		return
+	}
+	l.instances, l.listVersion = e.list.Instances, e.list.Version
 	l.forgetGone()
 	l.configInstances(now)
-	l.groupInstances(now)
+	l.groupInstances(now, group.InstancesListed{Instances: l.instances})
 	l.membershipInstances(now)
 }
 
@@ -48,8 +56,9 @@
 	}
 	l.listing = true
 	l.nextInstances = now + instancesInterval
+	known := l.listVersion
 	l.spawn(ctx, func() event {
-		return l.readInstances(ctx)
+		return l.readInstances(ctx, known)
 	})
 }
 
@@ -69,6 +78,9 @@
 		// The last report stays until it is too old to confirm anything.
 		return
 	}
+	if _, ok := l.byID[e.instance]; !ok {
+		return // The instance left the list while the poll was on its way.
+	}
 	l.statuses[e.instance] = memberStatus{status: e.status, sent: e.sent, ok: true}
 }
 
--- a/experiment/model_entry.go
+++ b/experiment/model_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/group"
@@ -31,6 +32,8 @@
 	service ident.ServiceName
 	paused  time.Duration
 	inbox   []func()
+	// listed is the instance list that was read last.
+	listed []platform.Instance
 }
 
 func newModelEntry(m *Model, doc service.Document, n int) *ModelEntry {
@@ -98,8 +101,13 @@
 		out = append(out, g.Info)
 	}
 	drains := e.m.drains
+	var listed group.Event = group.InstancesListed{Instances: out}
+	if slices.Equal(out, e.listed) {
+		listed = group.InstancesUnchanged{}
+	}
+	e.listed = out
 	e.reply(modelRTT, func() {
-		e.step(group.InstancesListed{Instances: out})
+		e.step(listed)
 		e.step(drains)
 	})
 }
--- a/group/events.go
+++ b/group/events.go
@@ -20,6 +20,9 @@
 // InstancesListed carries the platform's lagging instance list.
 type InstancesListed struct{ Instances []platform.Instance }
 
+// InstancesUnchanged tells that a further read brought the same list.
+type InstancesUnchanged struct{}
+
 // DrainsChanged carries everything that operators took out of service.
 type DrainsChanged struct {
 	DataCentres []ident.DataCentre
@@ -90,16 +93,17 @@
 // Tick lets time pass. The caller sends one every 100 ms or so.
 type Tick struct{}
 
-func (DocumentChanged) groupEvent() {}
-func (InstancesListed) groupEvent() {}
-func (DrainsChanged) groupEvent()   {}
-func (Report) groupEvent()          {}
-func (LeaseChanged) groupEvent()    {}
-func (Committed) groupEvent()       {}
-func (RowRead) groupEvent()         {}
-func (AllRead) groupEvent()         {}
-func (CommandAnswered) groupEvent() {}
-func (Tick) groupEvent()            {}
+func (DocumentChanged) groupEvent()    {}
+func (InstancesListed) groupEvent()    {}
+func (InstancesUnchanged) groupEvent() {}
+func (DrainsChanged) groupEvent()      {}
+func (Report) groupEvent()             {}
+func (LeaseChanged) groupEvent()       {}
+func (Committed) groupEvent()          {}
+func (RowRead) groupEvent()            {}
+func (AllRead) groupEvent()            {}
+func (CommandAnswered) groupEvent()    {}
+func (Tick) groupEvent()               {}
 
 // Action is an output of the planner.
 type Action interface{ groupAction() }
--- a/group/planner.go
+++ b/group/planner.go
@@ -34,7 +34,10 @@
 
 // instance is what the planner knows of one engine instance.
 type instance struct {
-	info   platform.Instance
+	info platform.Instance
+	// listed tells whether the last list names the instance, and missed how many
+	// reads in a row did not.
+	listed bool
 	missed int
 	// out instances may get no new work: they are leaving, drained or excluded
 	// by the document.
@@ -98,6 +101,8 @@
 
 	instances map[ident.InstanceID]*instance
 	order     []*instance
+	// allListed tells that the last list names all instances.
+	allListed bool
 	groups    map[ident.GroupID]*group
 	sorted    []*group
 	drains    drainSet
@@ -170,6 +175,8 @@
 	case InstancesListed:
 		p.list(e.Instances)
 		p.updateDrained()
+	case InstancesUnchanged:
+		p.listAgain()
 	case DrainsChanged:
 		p.drains = newDrainSet(e)
 		p.updateDrained()
@@ -258,6 +265,7 @@
 // has an assignment row.
 func (p *Planner) list(list []platform.Instance) {
 	for _, i := range p.instances {
+		i.listed = false
 		i.missed++
 	}
 	for _, info := range list {
@@ -265,12 +273,35 @@
 			continue
 		}
 		i := p.instance(info.ID)
-		i.info, i.missed = info, 0
+		i.info, i.listed, i.missed = info, true, 0
 	}
+	p.dropGone()
+}
+
+// listAgain counts a further read of the same list for the instances that it
+// lacks.
+func (p *Planner) listAgain() {
+	if p.allListed {
+		return
+	}
+	for _, i := range p.instances {
+		if !i.listed {
+			i.missed++
+		}
+	}
+	p.dropGone()
+	p.updateDrained()
+}
+
+// dropGone forgets the instances that left and nothing depends on.
+func (p *Planner) dropGone() {
+	p.allListed = true
 	for id, i := range p.instances {
 		if i.missed >= missedLists && i.assigned == nil && i.commands.pending == 0 {
 			delete(p.instances, id)
+			continue
 		}
+		p.allListed = p.allListed && i.listed
 	}
 	p.order = p.order[:0]
 	for _, i := range p.instances {
@@ -286,6 +317,7 @@
 		// names counts as gone.
 		i = &instance{info: platform.Instance{ID: id}}
 		p.instances[id] = i
+		p.allListed = false
 		p.order = append(p.order, i)
 	}
 	return i
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -77,9 +77,17 @@
 }
 
 func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
-	if s.pass(w, r) {
-		httpd.WriteJSON(w, http.StatusOK, platform.InstancesResponse{Instances: s.list.read()})
+	if !s.pass(w, r) {
+		return
+	}
+	if known := r.Header.Get("If-None-Match"); known != "" && known == s.list.tag() {
+		w.Header().Set("ETag", known)
+		w.WriteHeader(http.StatusNotModified)
+		return
 	}
+	list, tag := s.list.read()
+	w.Header().Set("ETag", tag)
+	httpd.WriteJSON(w, http.StatusOK, platform.InstancesResponse{Instances: list})
 }
 
 func (s *Server) handleObject(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -30,12 +32,28 @@
 	mu      sync.Mutex
 	visible map[ident.InstanceID]platform.Instance
 	pending []pendingChange
+	// run and version make the entity tag. A stand-in that starts again has
+	// another list.
+	run     uint64
+	version uint64
 }
 
 func newInstanceList(lag time.Duration) *instanceList {
-	return &instanceList{lag: lag, visible: make(map[ident.InstanceID]platform.Instance)}
+	return &instanceList{lag: lag, visible: make(map[ident.InstanceID]platform.Instance), run: rand.Uint64()}
 }
 
+// tag is the entity tag of what is visible now.
+func (l *instanceList) tag() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.show(time.Now())
+	return l.tagLocked()
+}
+
+// tagLocked is tag without the changes that became visible since the last read.
+// The caller holds l.mu.
+func (l *instanceList) tagLocked() string { return fmt.Sprintf(`"%x-%d"`, l.run, l.version) }
+
 func (l *instanceList) change(c InstanceChange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,20 +68,26 @@
 	l.pending = append(l.pending, pendingChange{at: at, change: c})
 }
 
-func (l *instanceList) read() []platform.Instance {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
+// show applies the changes whose lag is over. The caller holds l.mu.
+func (l *instanceList) show(now time.Time) {
 	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
 		l.apply(l.pending[0].change)
 		l.pending = l.pending[1:]
+		l.version++
 	}
+}
+
+// read returns the visible instances and their entity tag.
+func (l *instanceList) read() ([]platform.Instance, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.show(time.Now())
 	out := make([]platform.Instance, 0, len(l.visible))
 	for _, i := range l.visible {
 		out = append(out, i)
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
-	return out
+	return out, l.tagLocked()
 }
 
 func (l *instanceList) apply(c InstanceChange) {
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
 )
 
@@ -92,3 +98,81 @@
 	assert.NilError(t, err)
 	assert.Equal(t, list[0].State, platform.StateLive)
 }
+
+// TestInstancesUnchanged guards against a list that is sent again although it did
+// not change, and against a change or a lag that the condition hides.
+func TestInstancesUnchanged(t *testing.T) {
+	ctx := context.Background()
+	s, c := start(t)
+	s.ChangeInstances(InstanceChange{Put: []platform.Instance{{ID: "w"}}, Now: true})
+	first, err := c.ListInstances(ctx, "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(first.Instances), 1)
+	again, err := c.ListInstances(ctx, first.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Unchanged && again.Version == first.Version && again.Instances == nil)
+
+	s.list.lag = time.Hour
+	s.PutInstances(platform.Instance{ID: "v"})
+	again, err = c.ListInstances(ctx, first.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Unchanged, "the change lags")
+	s.ChangeInstances(InstanceChange{Leaving: []ident.InstanceID{"w"}, Now: true})
+	second, err := c.ListInstances(ctx, first.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, !second.Unchanged && second.Version != first.Version)
+	assert.Equal(t, len(second.Instances), 2)
+
+	s.SetFaults(Faults{Outage: true})
+	_, err = c.ListInstances(ctx, second.Version)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// TestInstancesWithoutTag guards against a platform without entity tags whose
+// list is decoded at each read, or taken for unchanged when it changed.
+func TestInstancesWithoutTag(t *testing.T) {
+	var body atomic.Value
+	body.Store(`{"instances":[{"id":"w"}]}`)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body.Load().(string)) }))
+	defer server.Close()
+	c := platform.NewClient(server.URL)
+	first, err := c.ListInstances(context.Background(), "")
+	assert.NilError(t, err)
+	again, err := c.ListInstances(context.Background(), first.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Unchanged)
+	body.Store(`{"instances":[{"id":"v"}]}`)
+	second, err := c.ListInstances(context.Background(), first.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, second.Instances[0].ID, ident.InstanceID("v"))
+}
+
+// BenchmarkInstances reads a list of the size to design for, client and stand-in
+// together: in full, and as a reader that knows its version.
+func BenchmarkInstances(b *testing.B) {
+	s, err := Start(DefaultConfig())
+	assert.NilError(b, err)
+	defer s.Close()
+	var list []platform.Instance
+	for i := range 8190 {
+		list = append(list, platform.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("worker-%05d", i)), Kind: platform.KindEngine, State: platform.StateLive,
+			Address: "10.0.0.1:7100", Region: "bg-north", DataCentre: "gabrovo-a", Domain: "gabrovo-a-12", Accelerators: 4,
+		})
+	}
+	s.ChangeInstances(InstanceChange{Put: list, Now: true})
+	for _, full := range []bool{true, false} {
+		b.Run(fmt.Sprintf("full=%v", full), func(b *testing.B) {
+			c := platform.NewClient(s.URL())
+			known := ""
+			for b.Loop() {
+				l, err := c.ListInstances(context.Background(), known)
+				assert.NilError(b, err)
+				if !full {
+					known = l.Version
+				}
+			}
+			b.ReportAllocs()
+		})
+	}
+}
