--- a/control/loop.go
+++ b/control/loop.go
@@ -16,6 +16,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/membership"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
@@ -86,13 +87,20 @@
 	polls    chan struct{}
 	wg       sync.WaitGroup
 	counters loopCounters
+	// relay passes cache events on; without one each entry instance reads them.
+	relay CacheRelay
 
 	// The fields below belong to the control goroutine.
-	documents     []service.Document
-	instances     []platform.Instance
-	byID          map[ident.InstanceID]platform.Instance
+	documents   []service.Document
+	instances   []platform.Instance
+	byID        map[ident.InstanceID]platform.Instance
+	listVersion string
+	listed      listedPart
+	// lastReport is when the newest answered poll was sent.
+	lastReport    time.Duration
+	listedNodes   membership.Listed
 	learned       map[ident.ServiceName]groupsLearned
-	statuses      map[ident.InstanceID]memberStatus
+	statuses      map[ident.InstanceID]*memberStatus
 	polling       map[ident.InstanceID]bool
 	credits       credits
 	nextInstances time.Duration
@@ -107,6 +115,7 @@
 	listErrors tally.Counter
 	// listsFromPeers counts instance lists taken from peers in an outage.
 	listsFromPeers tally.Counter
+	listsUnchanged tally.Counter
 	droppedEvents  tally.Counter
 	groups         tally.Gauge
 }
@@ -119,13 +128,14 @@
 		polls:     make(chan struct{}, maxPolls),
 		documents: opts.Documents,
 		learned:   make(map[ident.ServiceName]groupsLearned),
-		statuses:  make(map[ident.InstanceID]memberStatus),
+		statuses:  make(map[ident.InstanceID]*memberStatus),
 		polling:   make(map[ident.InstanceID]bool),
 		credits:   credits{owners: make(map[ident.ServiceName]*ownerState)},
 		counters: loopCounters{
 			pollErrors:     opts.Scope.Counter("status_poll_errors_total"),
 			listErrors:     opts.Scope.Counter("instance_list_errors_total"),
 			listsFromPeers: opts.Scope.Counter("instance_lists_from_peers_total"),
+			listsUnchanged: opts.Scope.Counter("instance_lists_unchanged_total"),
 			droppedEvents:  opts.Scope.Counter("control_events_dropped_total"),
 			groups:         opts.Scope.Gauge("groups_confirmed"),
 		},
