Run the relay of the path measure in a process of its own

The relay ran in the callers' process, so that its allocations were only known as a difference and it paid no start of a process of its own. It is now a subcommand of bulrush-standin. Load runs in rounds that alternate between the ways, with answers of 20 and of 200 tokens: the difference separates the cost of a token from that of a request. Processor time and allocations come from the metrics of the process under test.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -44,6 +44,7 @@
 	Entries     []*Entry
 	Engines     []*Process
 	Orders      []*Process
+	relay       *Process
 	documents   []string
 	network     *network
 }
@@ -310,8 +311,10 @@
 	}
 	out = append(out, c.Engines...)
 	out = append(out, c.Orders...)
-	if c.Platform != nil {
-		out = append(out, c.Platform)
+	for _, p := range []*Process{c.relay, c.Platform} {
+		if p != nil {
+			out = append(out, p)
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/cluster/relay.go
@@ -0,0 +1,36 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"strings"
+)
+
+// relayHost is the host of the relay in the cluster's network.
+const relayHost = 2
+
+// Relay is a running relay process.
+type Relay struct {
+	*Process
+	Callers string
+	Metrics string
+}
+
+// StartRelay runs the relay that the daemon is compared with. Close ends it.
+func (c *Cluster) StartRelay(ctx context.Context, targets []string) (*Relay, error) {
+	r := &Relay{
+		Callers: c.network.address(relayHost, portCallers),
+		Metrics: c.network.address(relayHost, portOperators),
+	}
+	var err error
+	r.Process, err = c.standIn("relay", "relay", "--listen", r.Callers, "--metrics", r.Metrics,
+		"--targets", strings.Join(targets, ","))
+	if err != nil {
+		return nil, err
+	}
+	c.relay = r.Process
+	return r, Wait(ctx, startTimeout, "the relay answers", func() bool {
+		status, err := httpStatus(ctx, "http://"+r.Metrics+"/metrics")
+		return err == nil && status == http.StatusOK
+	})
+}
--- a/cmd/bulrush-standin/main.go
+++ b/cmd/bulrush-standin/main.go
@@ -1,6 +1,6 @@
 // Command bulrush-standin runs one stand-in of an outside system on loopback
 // until SIGTERM or SIGINT: the platform, a set of model engines, an order
-// system or the fault proxy.
+// system, the fault proxy or the relay of the path measure.
 package main
 
 import (
@@ -22,7 +22,7 @@
 	flaggy.SetName("bulrush-standin")
 	flaggy.SetDescription("stand-ins of outside systems on loopback addresses, for tests and the demo")
 	flaggy.DefaultParser.DisableShowVersionWithVersion()
-	commands := []command{newPlatformCommand(), newEngineCommand(), newOrdersCommand(), newFaultProxyCommand()}
+	commands := []command{newPlatformCommand(), newEngineCommand(), newOrdersCommand(), newFaultProxyCommand(), newRelayCommand()}
 	subs := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		subs[i] = c.flags()
--- a/experiment/path.go
+++ b/experiment/path.go
@@ -7,12 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,11 +24,13 @@
 const (
 	pathEngines     = 4
 	pathSequential  = 1000
-	pathShort       = 20 // tokens of a sequential answer
+	pathWarm        = 50 // requests that open connections and warm caches
+	pathShort       = 20 // tokens of a short answer
 	pathLong        = 200
 	pathConnections = 64
-	pathLoad        = 5 * time.Second
-	pathMetricsWait = 2500 * time.Millisecond // counters reach the endpoint late
+	pathRounds      = 5
+	pathRound       = time.Second
+	pathIdle        = 5 * time.Second
 )
 
 // pathCase is one way to the engines. Direct requests go to the engines in turn;
@@ -40,22 +39,22 @@
 	name    string
 	targets []string
 	headers [][2]string
-	// mallocs counts the allocations of the process that relays.
-	mallocs func() (float64, error)
-
-	client  http.Client
-	next    atomic.Uint64
-	first   []time.Duration
-	whole   []time.Duration
-	tokens  int64
-	answers int64
-	allocs  float64
+	// metrics is the address of the metrics of the process under test, or empty
+	// for direct requests.
+	metrics string
+
+	client http.Client
+	next   atomic.Uint64
+	first  []time.Duration
+	whole  []time.Duration
+	short  pathLoad
+	long   pathLoad
+	idle   pathUsage
 }
 
-// pathRig is the processes and listeners of the measure.
+// pathRig is the processes of the measure.
 type pathRig struct {
 	cluster *cluster.Cluster
-	relay   *http.Server
 	cases   []*pathCase
 }
 
@@ -107,24 +106,16 @@
 	for _, g := range groups {
 		targets = append(targets, g.Leader.Address)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	relay, err := p.cluster.StartRelay(ctx, targets)
 	if err != nil {
-		return errors.Wrap(err, "listen for the relay")
-	}
-	p.relay = &http.Server{
-		Handler:           &relay{targets: targets, transport: pathTransport()},
-		ReadHeaderTimeout: time.Second,
+		return err
 	}
-	go func() { _ = p.relay.Serve(l) }()
 	entry := p.cluster.Entries[0]
 	auth := [][2]string{{"Authorization", "Bearer " + cluster.AccountKey(0)}}
 	p.cases = []*pathCase{
-		{name: "direct", targets: targets, mallocs: ownMallocs},
-		{name: "bare relay", targets: []string{l.Addr().String()}, mallocs: ownMallocs},
-		{name: "daemon", targets: []string{entry.Callers}, headers: auth, mallocs: func() (float64, error) {
-			m, err := scrape(entry.Operators)
-			return m["go_memstats_mallocs_total"], err
-		}},
+		{name: "direct", targets: targets},
+		{name: "bare relay", targets: []string{relay.Callers}, metrics: relay.Metrics},
+		{name: "daemon", targets: []string{entry.Callers}, headers: auth, metrics: entry.Operators},
 	}
 	for _, pc := range p.cases {
 		pc.client.Transport = pathTransport()
@@ -132,23 +123,12 @@
 	return nil
 }
 
-func (p *pathRig) close() {
-	if p.relay != nil {
-		_ = p.relay.Close()
-	}
-	p.cluster.Close()
-}
+func (p *pathRig) close() { p.cluster.Close() }
 
 func pathTransport() *http.Transport {
 	return &http.Transport{MaxIdleConnsPerHost: 2 * pathConnections, DisableCompression: true}
 }
 
-func ownMallocs() (float64, error) {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.Mallocs), nil
-}
-
 // ask sends one request and reads the answer to its end marker. It returns the
 // times to the first token and to the end.
 func (c *pathCase) ask(tokens int, n int) (first, whole time.Duration, err error) {
@@ -200,51 +180,20 @@
 	}
 }
 
-// sequential asks through each way in turn, so that all see the same machine.
+// sequential asks through each way in turn, so that all see the same machine. The
+// first way changes, so that none always follows the same other one.
 func (p *pathRig) sequential() error {
-	for n := range pathSequential + 50 {
-		for _, c := range p.cases {
+	for n := range pathSequential + pathWarm {
+		for i := range p.cases {
+			c := p.cases[(n+i)%len(p.cases)]
 			first, whole, err := c.ask(pathShort, n)
 			if err != nil {
 				return err
 			}
-			if n >= 50 { // connections are open, caches are warm
+			if n >= pathWarm {
 				c.first, c.whole = append(c.first, first), append(c.whole, whole)
 			}
 		}
 	}
 	return nil
 }
-
-// throughput keeps a number of connections busy.
-func (c *pathCase) throughput() error {
-	before, err := c.mallocs()
-	if err != nil {
-		return err
-	}
-	var wg sync.WaitGroup
-	var failed atomic.Value
-	end := time.Now().Add(pathLoad)
-	for i := range pathConnections {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for n := i; time.Now().Before(end); n += pathConnections {
-				if _, _, err := c.ask(pathLong, n); err != nil {
-					failed.Store(err)
-					return
-				}
-				atomic.AddInt64(&c.answers, 1)
-				atomic.AddInt64(&c.tokens, pathLong)
-			}
-		}()
-	}
-	wg.Wait()
-	if err, ok := failed.Load().(error); ok {
-		return err
-	}
-	time.Sleep(pathMetricsWait)
-	after, err := c.mallocs()
-	c.allocs = (after - before) / float64(c.tokens)
-	return err
-}
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -142,8 +142,7 @@
 }
 
 // Path compares, in one run, a direct connection to the engines with a bare
-// relay and with the daemon with all its filters. The relay runs in this
-// process, so that its allocations are the difference to the direct case.
+// relay and with the daemon with all its filters, each in a process of its own.
 func Path(w io.Writer) error {
 	dir, err := binaries()
 	if err != nil {
@@ -157,32 +156,8 @@
 	if err := p.sequential(); err != nil {
 		return err
 	}
-	for _, c := range p.cases {
-		if err := c.throughput(); err != nil {
-			return err
-		}
+	if err := p.loads(); err != nil {
+		return err
 	}
 	return p.print(w)
 }
-
-func (p *pathRig) print(w io.Writer) error {
-	t := table(w, "way\tfirst token p50 us\tp99 us\tadded p50 us\tadded p99 us\tanswer of 20 tokens p50 us\tp99 us\ttokens/s at 64 connections\tanswers/s\tallocations per token")
-	direct := p.cases[0]
-	us := func(d time.Duration) int64 { return d.Microseconds() }
-	for _, c := range p.cases {
-		allocs := c.allocs
-		if c.name == "bare relay" {
-			allocs -= direct.allocs
-		}
-		shown := fmt.Sprintf("%.2f", allocs)
-		if c == direct {
-			shown = "-"
-		}
-		p50, p99 := percentile(c.first, 50), percentile(c.first, 99)
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%s\n", c.name, us(p50), us(p99),
-			us(p50-percentile(direct.first, 50)), us(p99-percentile(direct.first, 99)),
-			us(percentile(c.whole, 50)), us(percentile(c.whole, 99)),
-			float64(c.tokens)/pathLoad.Seconds(), float64(c.answers)/pathLoad.Seconds(), shown)
-	}
-	return t.Flush()
-}
