Speak to model engines on connections without goroutines of their own

Change: the goroutine of the request writes to an idle or new connection and reads the response there, with http.ReadResponse. Before an idle connection is used, one read that does not wait tells whether the leader has closed it; the transport's reading goroutine noticed that before.

--- a/engine/data.go
+++ b/engine/data.go
@@ -9,8 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,11 +25,6 @@
 	ProgressTimeout = time.Second
 	// maxErrorBytes bounds what is read of an error response.
 	maxErrorBytes = 4 << 10
-	// maxIdlePerLeader bounds idle connections kept to one group leader.
-	maxIdlePerLeader = 64
-	// poolIdle is the time after which the pool of a leader that nobody uses
-	// is dropped.
-	poolIdle = time.Minute
 )
 
 // Errors of the data path. After ErrNotSent the engine has not received the
@@ -78,97 +71,37 @@
 	ResumeOffset int
 }
 
-// poolKey binds connections to one incarnation of a leader, so that a restarted
-// engine never gets load over what was granted to its predecessor.
-type poolKey struct {
-	address     string
-	incarnation ident.Incarnation
-}
-
-type pool struct {
-	transport *http.Transport
-	lastUsed  time.Time
-}
-
 // Data opens streams to group leaders.
 type Data struct {
-	mu    sync.Mutex
-	pools map[poolKey]*pool
+	pool connPool
 }
 
 // NewData returns a data client.
 func NewData() *Data {
-	return &Data{pools: make(map[poolKey]*pool)}
-}
-
-type targetKey struct{}
-
-// transport returns the connection pool for a target and drops unused pools.
-func (d *Data) transport(t Target) *http.Transport {
-	key := poolKey{address: t.Address, incarnation: t.Incarnation}
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.pools[key]
-	if !ok {
-		d.dropUnused(now)
-		p = &pool{transport: &http.Transport{
-			DialContext:         dialChecked,
-			MaxIdleConnsPerHost: maxIdlePerLeader,
-			IdleConnTimeout:     poolIdle,
-			DisableCompression:  true,
-			ReadBufferSize:      readerBytes,
-		}}
-		d.pools[key] = p
-	}
-	p.lastUsed = now
-	return p.transport
-}
-
-func (d *Data) dropUnused(now time.Time) {
-	for key, p := range d.pools {
-		if now.Sub(p.lastUsed) > poolIdle {
-			p.transport.CloseIdleConnections()
-			delete(d.pools, key)
-		}
-	}
+	return &Data{pool: connPool{idle: make(map[poolKey][]*dataConn)}}
 }
 
 // Forget closes the idle connections to an address. It is called when the
 // address stops answering, so that silent connections are not used again.
-func (d *Data) Forget(address string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key, p := range d.pools {
-		if key.address == address {
-			p.transport.CloseIdleConnections()
-		}
-	}
-}
+func (d *Data) Forget(address string) { d.pool.forget(address) }
 
 // Close drops all idle connections.
-func (d *Data) Close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		p.transport.CloseIdleConnections()
-	}
-}
+func (d *Data) Close() { d.pool.close() }
 
-// dialChecked opens a connection and reads the engine's status on it before any
-// request uses it.
-func dialChecked(ctx context.Context, network, addr string) (net.Conn, error) {
-	target, _ := ctx.Value(targetKey{}).(Target)
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
-	}
-	if err := checkStatus(c, target); err != nil {
+// conn returns an idle connection to the target, or a new one.
+func (d *Data) conn(ctx context.Context, t Target) (*dataConn, error) {
+	key := poolKey{address: t.Address, incarnation: t.Incarnation}
+	for c := d.pool.get(key); c != nil; c = d.pool.get(key) {
+		if c.alive() {
+			return c, nil
+		}
 		_ = c.Close()
+	}
+	c, err := dialChecked(ctx, t)
+	if err != nil {
 		return nil, err
 	}
-	return c, nil
+	return newDataConn(c, key), nil
 }
 
 func checkStatus(c net.Conn, target Target) error {
@@ -200,54 +133,33 @@
 // Open sends a request and returns its stream. The context bounds the whole
 // stream.
 func (d *Data) Open(ctx context.Context, r Request) (*Stream, error) {
-	ctx, cancel := context.WithCancel(context.WithValue(ctx, targetKey{}, r.Target))
-	s := &Stream{cancel: cancel, last: -1}
-	s.watch.start(cancel)
-	resp, err := d.send(ctx, r)
+	c, err := d.conn(ctx, r.Target)
 	if err != nil {
+		return nil, err
+	}
+	s := &Stream{pool: &d.pool, conn: c, last: -1}
+	s.watch.start(func() { _ = c.Close() })
+	s.release = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if s.response, err = c.roundTrip(&r); err != nil {
+		err = s.cause(err)
 		s.Close()
-		if s.watch.stalled() {
-			return nil, errors.Wrap(ErrNoProgress, "before the response")
-		}
 		return nil, err
 	}
-	s.body = resp.Body
-	s.reader = newReader(watchedBody{body: resp.Body, watch: &s.watch})
+	if s.response.StatusCode != http.StatusOK {
+		defer s.Close()
+		return nil, s.refusal()
+	}
+	s.reader = newReader(watchedBody{body: s.response.Body, watch: &s.watch})
 	return s, nil
 }
 
-func (d *Data) send(ctx context.Context, r Request) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Target.Address+r.Path, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
-	}
-	// Without GetBody the transport cannot resend the request by itself: the
-	// gateway's dispatch filter is the only place that retries.
-	req.GetBody = nil
-	h := req.Header
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderGroup, string(r.Target.Group))
-	h.Set(HeaderEpoch, strconv.FormatUint(uint64(r.Target.Epoch), 10))
-	h.Set(HeaderAttempt, string(r.Attempt))
-	h.Set(HeaderPriority, strconv.Itoa(r.Priority))
-	if r.ResumeOffset > 0 {
-		h.Set(HeaderResumeOffset, strconv.Itoa(r.ResumeOffset))
-	}
-	resp, err := d.transport(r.Target).RoundTrip(req)
-	if err != nil {
-		if errors.Is(err, ErrNotSent) {
-			return nil, err
-		}
-		return nil, errors.Wrap(ErrBroken, err.Error())
-	}
-	if resp.StatusCode == http.StatusOK {
-		return resp, nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	return nil, &RefusedError{
-		Status: resp.StatusCode,
-		NotRun: resp.Header.Get(HeaderNotRun) != "",
+// refusal reads an error response.
+func (s *Stream) refusal() error {
+	detail, err := io.ReadAll(io.LimitReader(s.response.Body, maxErrorBytes))
+	s.done = err == nil && len(detail) < maxErrorBytes
+	return &RefusedError{
+		Status: s.response.StatusCode,
+		NotRun: s.response.Header.Get(HeaderNotRun) != "",
 		Detail: string(bytes.TrimSpace(detail)),
 	}
 }
--- /dev/null
+++ b/engine/pool.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+const (
+	// maxIdlePerLeader bounds idle connections kept to one group leader.
+	maxIdlePerLeader = 64
+	// poolIdle is how long an idle connection is kept.
+	poolIdle = time.Minute
+)
+
+// poolKey binds connections to one incarnation of a leader, so that a restarted
+// engine never gets load over what was granted to its predecessor.
+type poolKey struct {
+	address     string
+	incarnation ident.Incarnation
+}
+
+// connPool keeps idle connections, the last used ones first in use.
+type connPool struct {
+	mu     sync.Mutex
+	idle   map[poolKey][]*dataConn
+	closed bool
+	// sweeper closes old connections. It runs while there are any.
+	sweeper *time.Timer
+}
+
+// get returns an idle connection or nil. The caller checks that it is alive.
+func (p *connPool) get(key poolKey) *dataConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[key]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	c := conns[last]
+	conns[last] = nil
+	p.idle[key] = conns[:last]
+	return c
+}
+
+// put keeps a connection for another request, or closes it.
+func (p *connPool) put(c *dataConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[c.key]) >= maxIdlePerLeader {
+		_ = c.Close()
+		return
+	}
+	c.idleSince = time.Now()
+	p.idle[c.key] = append(p.idle[c.key], c)
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(poolIdle, p.sweep)
+	}
+}
+
+// sweep closes the connections that were idle for long.
+func (p *connPool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(func(c *dataConn) bool { return time.Since(c.idleSince) >= poolIdle })
+	p.sweeper = nil
+	if len(p.idle) > 0 && !p.closed {
+		p.sweeper = time.AfterFunc(poolIdle/2, p.sweep)
+	}
+}
+
+// drop closes the idle connections that match. The caller holds p.mu.
+func (p *connPool) drop(match func(*dataConn) bool) {
+	for key, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if match(c) {
+				_ = c.Close()
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		clear(conns[len(kept):])
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		} else {
+			p.idle[key] = kept
+		}
+	}
+}
+
+// forget closes the idle connections to an address.
+func (p *connPool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(func(c *dataConn) bool { return c.key.address == address })
+}
+
+// close closes all idle connections; connections in use are closed at the end
+// of their request.
+func (p *connPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.drop(func(*dataConn) bool { return true })
+}
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -65,12 +65,15 @@
 
 func (w *progressWatch) stalled() bool { return w.since.Load() == hasStalled }
 
-// stop ends the watch. A check that runs at this moment may fire once more.
-func (w *progressWatch) stop() {
-	if w.since.Load() != hasStalled {
-		w.since.Store(hasStopped)
-	}
+// stop ends the watch and reports whether the stream was not abandoned. A check
+// that runs at this moment may fire once more, without effect.
+func (w *progressWatch) stop() bool {
 	w.timer.Stop()
+	if w.since.Swap(hasStopped) != hasStalled {
+		return true
+	}
+	w.since.Store(hasStalled)
+	return false
 }
 
 // watchedBody is the body of a stream. The progress deadline counts only while
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -39,11 +39,14 @@
 
 // Stream reads the frames of one attempt. It belongs to one goroutine.
 type Stream struct {
-	body   io.ReadCloser
-	reader *bufio.Reader
-	cancel context.CancelFunc
-	watch  progressWatch
-	done   bool
+	pool     *connPool
+	conn     *dataConn
+	response *http.Response
+	reader   *bufio.Reader
+	// release ends the hold of the context on the connection.
+	release func() bool
+	watch   progressWatch
+	done    bool
 	// last is the offset of the last frame with an id, or -1.
 	last    int
 	idBuf   []byte
@@ -127,14 +130,19 @@
 }
 
 func (s *Stream) readError(err error) error {
-	switch {
-	case s.watch.stalled():
-		return ErrNoProgress
-	case errors.Is(err, bufio.ErrBufferFull):
+	if errors.Is(err, bufio.ErrBufferFull) {
 		return errors.Wrap(ErrBadFrame, "line exceeds "+strconv.Itoa(readerBytes)+" bytes")
-	default:
-		return errors.Wrap(ErrBroken, err.Error())
 	}
+	return s.cause(errors.Wrap(ErrBroken, err.Error()))
+}
+
+// cause tells why a connection failed: closing it is how the progress deadline
+// ends a stream.
+func (s *Stream) cause(err error) error {
+	if s.watch.stalled() {
+		return ErrNoProgress
+	}
+	return err
 }
 
 // Buffered reports whether more of the stream can be read without waiting.
@@ -143,24 +151,25 @@
 // Close releases the connection. A stream closed before its last frame cancels
 // the attempt at the engine, because the connection is closed.
 func (s *Stream) Close() {
-	if s.body != nil {
-		if s.done {
-			// A response read to its end leaves the connection reusable.
-			_, _ = io.Copy(io.Discard, s.reader)
-		}
-		s.watch.stop()
-		s.cancelUnlessDone()
-		_ = s.body.Close()
+	if s.conn == nil {
+		return
+	}
+	// A response read to its end leaves the connection reusable. The progress
+	// deadline bounds the wait for that end.
+	s.watch.wait()
+	reusable := s.done && s.conn.finish(s.response)
+	if !s.watch.stop() || !s.release() {
+		reusable = false
+	}
+	if reusable {
+		s.pool.put(s.conn)
+	} else {
+		_ = s.conn.Close()
+	}
+	s.conn = nil
+	if s.reader != nil {
 		s.reader.Reset(nil)
 		readers.Put(s.reader)
-		s.body = nil
-	}
-	s.watch.stop()
-	s.cancel()
-}
-
-func (s *Stream) cancelUnlessDone() {
-	if !s.done {
-		s.cancel()
+		s.reader = nil
 	}
 }
