Do not take a caller that leaves for a crash of the engine

Cause: the end of a request's context, because its caller left or its deadline passed before the first token, came back from the engine client as ErrBroken. The quarantine took that for a crash, made all requests in flight on the engine suspects, and the lane kept new work from the group until the next poll. Change: the stream returns the error of the context instead, as calls of plain services do. The new test fails without the change.

--- a/engine/data.go
+++ b/engine/data.go
@@ -131,13 +131,13 @@
 }
 
 // Open sends a request and returns its stream. The context bounds the whole
-// stream.
+// stream; its end is returned as the error of the context.
 func (d *Data) Open(ctx context.Context, r Request) (*Stream, error) {
 	c, err := d.conn(ctx, r.Target)
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{pool: &d.pool, conn: c, last: -1}
+	s := &Stream{ctx: ctx, pool: &d.pool, conn: c, last: -1}
 	s.watch.start(func() { _ = c.Close() })
 	s.release = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if s.response, err = c.roundTrip(&r); err != nil {
--- a/engine/progress_test.go
+++ b/engine/progress_test.go
@@ -16,7 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r, w := io.Pipe()
 		begin := time.Now()
-		s := &Stream{last: -1}
+		s := &Stream{ctx: t.Context(), last: -1}
 		s.watch.start(func() { _ = r.Close() })
 		s.reader = newReader(watchedBody{body: r, watch: &s.watch})
 		go func() {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,6 +44,7 @@
 	conn     *dataConn
 	response *http.Response
 	reader   *bufio.Reader
+	ctx      context.Context
 	// release ends the hold of the context on the connection.
 	release func() bool
 	watch   progressWatch
@@ -137,10 +139,14 @@
 }
 
 // cause tells why a connection failed: closing it is how the progress deadline
-// ends a stream.
+// and the context end a stream. A caller that leaves says nothing about the
+// engine, while ErrBroken makes the requests that run there suspects.
 func (s *Stream) cause(err error) error {
-	if s.watch.stalled() {
+	switch {
+	case s.watch.stalled():
 		return ErrNoProgress
+	case s.ctx.Err() != nil:
+		return errors.Wrap(context.Cause(s.ctx), "attempt was given up")
 	}
 	return err
 }
--- a/gateway/isolate_test.go
+++ b/gateway/isolate_test.go
@@ -115,3 +115,35 @@
 	f.entries[2].stop()
 	assert.Equal(t, q.acquireOwn(poison, holder, 0), quarantine.PermitLater)
 }
+
+// TestCallerLeavesNoSuspects guards against a caller that leaves, or a deadline
+// that passes, being taken for a crash of the engine: all requests in flight
+// there would become suspects.
+func TestCallerLeavesNoSuspects(t *testing.T) {
+	cfg := standin.DefaultConfig()
+	cfg.ColdTime, cfg.LoadTime, cfg.TokenInterval = 0, 0, 10*time.Millisecond
+	cfg.PrefillPerToken = 20 * time.Millisecond
+	var q *Quarantine
+	var shares *StaticShares
+	h := newHarness(t, 1, cfg, func(o *Options) {
+		shares = o.Router.(*StaticShares)
+		q = NewQuarantine(quarantine.DefaultConfig(), OrderOptions{
+			Snapshot: o.Snapshot, Now: o.Now, Self: o.Self, Scope: o.Metrics.Scope,
+		})
+		o.Router = q.Router(o.Router)
+	})
+	_, body := completionBody(100_000, true)
+	resp := h.post(body)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	_ = resp.Body.Close()
+	late := h.post(body, HeaderDeadline, "5")
+	assert.Assert(t, late.StatusCode >= http.StatusBadRequest)
+	h.waitFor("the runs have ended", func() bool {
+		shares.mu.Lock()
+		defer shares.mu.Unlock()
+		return shares.inFlight["group-0"] == 0
+	})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	assert.Equal(t, q.tracker.Len(), 0)
+}
