--- a/engine/stream.go
+++ b/engine/stream.go
@@ -5,10 +5,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -41,11 +40,14 @@
 
 // Stream reads the frames of one attempt. It belongs to one goroutine.
 type Stream struct {
-	body    io.ReadCloser
-	reader  *bufio.Reader
-	cancel  context.CancelFunc
-	watch   *time.Timer
-	stalled atomic.Bool
+	pool     *connPool
+	conn     *dataConn
+	response *http.Response
+	reader   *bufio.Reader
+	ctx      context.Context
+	// release ends the hold of the context on the connection.
+	release func() bool
+	watch   progressWatch
 	done    bool
 	// last is the offset of the last frame with an id, or -1.
 	last    int
@@ -61,7 +63,7 @@
 		if err != nil {
 			return s.readError(err)
 		}
-		s.watch.Reset(ProgressTimeout)
+		s.watch.progress()
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0:
@@ -130,21 +132,24 @@
 }
 
 func (s *Stream) readError(err error) error {
-	switch {
-	case s.stalled.Load():
-		return ErrNoProgress
-	case errors.Is(err, bufio.ErrBufferFull):
+	if errors.Is(err, bufio.ErrBufferFull) {
 		return errors.Wrap(ErrBadFrame, "line exceeds "+strconv.Itoa(readerBytes)+" bytes")
-	default:
-		return errors.Wrap(ErrBroken, err.Error())
 	}
+	return s.cause(errors.Wrap(ErrBroken, err.Error()))
 }
 
-// Pause stops the progress deadline while the reader of the answer is slow.
-func (s *Stream) Pause() { s.watch.Stop() }
-
-// Continue restarts the progress deadline.
-func (s *Stream) Continue() { s.watch.Reset(ProgressTimeout) }
+// cause tells why a connection failed: closing it is how the progress deadline
+// and the context end a stream. A caller that leaves says nothing about the
+// engine, while ErrBroken makes the requests that run there suspects.
+func (s *Stream) cause(err error) error {
+	switch {
+	case s.watch.stalled():
+		return ErrNoProgress
+	case s.ctx.Err() != nil:
+		return errors.Wrap(context.Cause(s.ctx), "attempt was given up")
+	}
+	return err
+}
 
 // Buffered reports whether more of the stream can be read without waiting.
 func (s *Stream) Buffered() bool { return s.reader.Buffered() > 0 }
@@ -152,24 +157,25 @@
 // Close releases the connection. A stream closed before its last frame cancels
 // the attempt at the engine, because the connection is closed.
 func (s *Stream) Close() {
-	if s.body != nil {
-		if s.done {
-			// A response read to its end leaves the connection reusable.
-			_, _ = io.Copy(io.Discard, s.reader)
-		}
-		s.watch.Stop()
-		s.cancelUnlessDone()
-		_ = s.body.Close()
+	if s.conn == nil {
+		return
+	}
+	// A response read to its end leaves the connection reusable. The progress
+	// deadline bounds the wait for that end.
+	s.watch.wait()
+	reusable := s.done && s.conn.finish(s.response)
+	if !s.watch.stop() || !s.release() {
+		reusable = false
+	}
+	if reusable {
+		s.pool.put(s.conn)
+	} else {
+		_ = s.conn.Close()
+	}
+	s.conn = nil
+	if s.reader != nil {
 		s.reader.Reset(nil)
 		readers.Put(s.reader)
-		s.body = nil
-	}
-	s.watch.Stop()
-	s.cancel()
-}
-
-func (s *Stream) cancelUnlessDone() {
-	if !s.done {
-		s.cancel()
+		s.reader = nil
 	}
 }
