--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -18,6 +18,7 @@
 
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/standin/faultproxy"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -32,7 +33,11 @@
 	Callers    string
 	Peers      string
 	Operators  string
-	settings   string
+	// Advertised is the peers' address that others know.
+	Advertised string
+	// PlatformURL is where this instance finds the platform.
+	PlatformURL string
+	settings    string
 }
 
 // Cluster is a set of running processes.
@@ -46,6 +51,10 @@
 	Orders      []*Process
 	documents   []string
 	network     *network
+	// Backends are the backend servers as they listen, before a proxy.
+	Backends []platform.Instance
+	// Proxy is the fault proxy of a Proxied cluster, or nil.
+	Proxy *faultproxy.Proxy
 }
 
 // Start runs the whole cluster and waits until every entry instance is ready.
@@ -85,8 +94,13 @@
 	if err := c.waitListed(ctx, backends); err != nil {
 		return err
 	}
-	if c.cfg.BeforeEntries != nil {
-		if err := c.cfg.BeforeEntries(ctx, c); err != nil {
+	c.placeEntries()
+	var err error
+	if c.Backends, err = c.Instances(ctx); err != nil {
+		return err
+	}
+	if c.cfg.Proxied {
+		if err := c.startProxy(); err != nil {
 			return err
 		}
 	}
@@ -156,17 +170,25 @@
 	return nil
 }
 
+// placeEntries gives each entry instance its addresses.
+func (c *Cluster) placeEntries() {
+	for i := range c.cfg.Entries {
+		peers := c.network.address(firstEntryHost+i, portPeers)
+		c.Entries = append(c.Entries, &Entry{
+			Instance:    ident.InstanceID(fmt.Sprintf("entry-%d", i)),
+			DataCentre:  c.cfg.DataCentres[i%len(c.cfg.DataCentres)],
+			Callers:     c.network.address(firstEntryHost+i, portCallers),
+			Peers:       peers,
+			Advertised:  peers,
+			Operators:   c.network.address(firstEntryHost+i, portOperators),
+			PlatformURL: c.PlatformURL,
+		})
+	}
+}
+
 func (c *Cluster) startEntries() error {
 	var listed []platform.Instance
-	for i := range c.cfg.Entries {
-		e := &Entry{
-			Instance:   ident.InstanceID(fmt.Sprintf("entry-%d", i)),
-			DataCentre: c.cfg.DataCentres[i%len(c.cfg.DataCentres)],
-			Callers:    c.network.address(firstEntryHost+i, portCallers),
-			Peers:      c.network.address(firstEntryHost+i, portPeers),
-			Operators:  c.network.address(firstEntryHost+i, portOperators),
-		}
-		c.Entries = append(c.Entries, e)
+	for _, e := range c.Entries {
 		listed = append(listed, c.listing(e))
 	}
 	if err := c.ChangeInstances(standin.InstanceChange{Put: listed, Now: true}); err != nil {
@@ -183,7 +205,7 @@
 func (c *Cluster) listing(e *Entry) platform.Instance {
 	return platform.Instance{
 		ID: e.Instance, Kind: platform.KindEntry, State: platform.StateLive,
-		Address: e.Callers, PeerAddress: e.Peers, Region: c.cfg.Region, DataCentre: e.DataCentre,
+		Address: e.Callers, PeerAddress: e.Advertised, Region: c.cfg.Region, DataCentre: e.DataCentre,
 	}
 }
 
@@ -206,7 +228,7 @@
 	var seeds strings.Builder
 	for _, other := range c.Entries {
 		if other != e {
-			fmt.Fprintf(&seeds, "\n    - %s", other.Peers)
+			fmt.Fprintf(&seeds, "\n    - %s", other.Advertised)
 		}
 	}
 	level := c.cfg.LogLevel
@@ -220,6 +242,9 @@
   callers: %s
   peers: %s
   operators: %s
+advertise:
+  peers: %s
+dial_from: %s
 platform:
   url: %s
 peers:
@@ -230,7 +255,8 @@
     token_sha256: [%s]
 lookup_ttl: 1s
 log_level: %s
-%s`, e.Instance, c.cfg.Region, e.DataCentre, e.Callers, e.Peers, e.Operators, c.PlatformURL, secret,
+%s`, e.Instance, c.cfg.Region, e.DataCentre, e.Callers, e.Peers, e.Operators,
+		e.Advertised, e.host(), e.PlatformURL, secret,
 		seeds.String(), Team, hash(TeamToken), level, c.cfg.Settings)
 }
 
@@ -297,6 +323,9 @@
 	for _, p := range c.processes() {
 		p.Kill()
 	}
+	if c.Proxy != nil {
+		c.Proxy.Close()
+	}
 	c.network.release()
 	_ = os.RemoveAll(c.dir)
 }
--- a/cluster/config.go
+++ b/cluster/config.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -30,9 +29,9 @@
 	// Settings are lines appended to each entry instance's settings file.
 	Settings string
 	LogLevel string
-	// BeforeEntries, if set, runs when all backend servers are listed and no
-	// entry instance has started. A test can put a proxy in front of them.
-	BeforeEntries func(ctx context.Context, c *Cluster) error
+	// Proxied puts a fault proxy in front of each entry instance's peers'
+	// address, each backend server and the platform.
+	Proxied bool
 }
 
 // Names used by the default documents.
--- a/cluster/network.go
+++ b/cluster/network.go
@@ -21,6 +21,8 @@
 
 	platformHost   = 1
 	firstEntryHost = 10
+	// firstProxyHost is the fault proxy in front of the first entry instance.
+	firstProxyHost = 130
 	lockHost       = 254
 )
 
--- /dev/null
+++ b/cluster/partition.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"net"
+	"slices"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/standin/faultproxy"
+	standin "github.com/bulrushfall/bulrushfall/standin/platform"
+)
+
+// PlatformGroup is the platform's name in cuts. Entry instances and backend
+// servers have the names of their instances.
+const PlatformGroup = "platform"
+
+// host is the address that the entry instance dials from.
+func (e *Entry) host() string {
+	host, _, _ := net.SplitHostPort(e.Peers) // The cluster made the address.
+	return host
+}
+
+// startProxy puts a link in front of each address that entry instances dial.
+// The proxy tells the entry instances apart by the address they dial from.
+func (c *Cluster) startProxy() error {
+	sources := make(map[string]string)
+	for _, e := range c.Entries {
+		sources[e.host()] = string(e.Instance)
+	}
+	var err error
+	if c.Proxy, err = faultproxy.Start(faultproxy.Config{Sources: sources}); err != nil {
+		return err
+	}
+	address, err := c.Proxy.Add(faultproxy.Link{
+		Name: PlatformGroup, Target: c.network.address(platformHost, portCallers), To: PlatformGroup,
+	})
+	if err != nil {
+		return err
+	}
+	for i, e := range c.Entries {
+		e.PlatformURL = "http://" + address
+		e.Advertised = c.network.address(firstProxyHost+i, portPeers)
+		for _, n := range []faultproxy.Network{faultproxy.TCP, faultproxy.UDP} {
+			link := faultproxy.Link{
+				Name: string(e.Instance) + "-" + string(n), Network: n,
+				Listen: e.Advertised, Target: e.Peers, To: string(e.Instance),
+			}
+			if _, err := c.Proxy.Add(link); err != nil {
+				return err
+			}
+		}
+	}
+	return c.proxyBackends()
+}
+
+// proxyBackends lists the backend servers at links in front of them.
+func (c *Cluster) proxyBackends() error {
+	instances := slices.Clone(c.Backends)
+	for i := range instances {
+		inst := &instances[i]
+		link := faultproxy.Link{Name: string(inst.ID), Target: inst.Address, To: string(inst.ID)}
+		address, err := c.Proxy.Add(link)
+		if err != nil {
+			return err
+		}
+		inst.Address = address
+	}
+	return c.ChangeInstances(standin.InstanceChange{Put: instances, Now: true})
+}
+
+// CutDataCentre cuts the entry instances and backend servers of a data centre
+// off from those of the others and from the platform, and replaces earlier cuts.
+func (c *Cluster) CutDataCentre(dc ident.DataCentre) {
+	in, out := []string{}, []string{PlatformGroup}
+	add := func(at ident.DataCentre, id ident.InstanceID) {
+		if at == dc {
+			in = append(in, string(id))
+		} else {
+			out = append(out, string(id))
+		}
+	}
+	for _, e := range c.Entries {
+		add(e.DataCentre, e.Instance)
+	}
+	for _, b := range c.Backends {
+		add(b.DataCentre, b.ID)
+	}
+	var cuts []faultproxy.Cut
+	for _, a := range in {
+		for _, b := range out {
+			cuts = append(cuts, faultproxy.Cut{A: a, B: b})
+		}
+	}
+	c.Proxy.SetCuts(cuts...)
+}
--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -52,9 +52,19 @@
 }
 
 func outageRunner() runner {
+	length := experiment.DefaultOutage
 	sub := flaggy.NewSubcommand("outage")
 	sub.Description = "service while the store is down and all entry instances are replaced"
+	sub.Duration(&length, "", "length", "length of the outage")
 	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
-		return experiment.Outage(ctx, os.Stdout, binDir)
+		return experiment.Outage(ctx, os.Stdout, binDir, length)
+	}}
+}
+
+func partitionRunner() runner {
+	sub := flaggy.NewSubcommand("partition")
+	sub.Description = "service on both sides while a data centre is cut off for longer than the reserves last"
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
+		return experiment.Partition(ctx, os.Stdout, binDir)
 	}}
 }
--- a/cmd/bulrush-bench/main.go
+++ b/cmd/bulrush-bench/main.go
@@ -32,6 +32,7 @@
 		readersRunner(),
 		idleRunner(),
 		outageRunner(),
+		partitionRunner(),
 		plainRunner("groups", "group downtime and stranded accelerators against a baseline planner", experiment.Groups),
 		plainRunner("membership", "cost and false suspicions of membership by number of nodes", experiment.Membership),
 		plainRunner("config", "spread of configuration changes and its cost", experiment.Config),
--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"net/netip"
 	"os"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
@@ -39,24 +41,34 @@
 
 // daemon is one entry instance with its listeners.
 type daemon struct {
-	cfg      settings.Config
-	log      *logrus.Logger
-	metrics  *telemetry.Metrics
-	node     *wire.Node
-	loop     *control.Loop
-	gateway  *gateway.Gateway
-	data     *engine.Data
+	cfg     settings.Config
+	log     *logrus.Logger
+	metrics *telemetry.Metrics
+	node    *wire.Node
+	loop    *control.Loop
+	gateway *gateway.Gateway
+	data    *engine.Data
+	// engines polls and commands engines, feeds reads their cache events. Each
+	// keeps one idle connection per engine.
+	engines  *engine.Control
+	feeds    *engine.Control
 	balancer *gateway.Balancer
 	syncer   *control.Syncer
 	orders   *gateway.OrderParts
 }
 
+// dialer opens connections from a local address.
+type dialer interface{ DialFrom(local netip.Addr) }
+
 func newDaemon(cfg settings.Config, documents []service.Document) (*daemon, error) {
 	log, err := telemetry.NewLogger(os.Stderr, cfg.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{cfg: cfg, log: log, metrics: telemetry.New(), data: engine.NewData()}
+	if err := dial.Check(cfg.LocalAddr()); err != nil {
+		return nil, err
+	}
+	d := &daemon{cfg: cfg, log: log, metrics: telemetry.New(), data: engine.NewData(), engines: engine.NewControl(), feeds: engine.NewControl()}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	self := view.Entry{
@@ -71,10 +83,15 @@
 	mux := wire.NewMux()
 	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
 	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
+	store := platform.NewClient(cfg.Platform.URL)
+	if local := cfg.LocalAddr(); local.IsValid() {
+		for _, c := range []dialer{d.node, d.data, d.engines, d.feeds, store} {
+			c.DialFrom(local)
+		}
+	}
 	if err := usePeerTLS(d.node, cfg.TLS.Peers); err != nil {
 		return nil, err
 	}
-	store := platform.NewClient(cfg.Platform.URL)
 	datagrams, err := net.ListenPacket("udp", cfg.Listen.Peers)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for membership datagrams")
@@ -84,7 +101,7 @@
 		Table:      store,
 		Objects:    store,
 		Instances:  store,
-		Engines:    engine.NewControl(),
+		Engines:    d.engines,
 		Node:       d.node,
 		Mux:        mux,
 		Datagrams:  datagrams,
@@ -118,6 +135,7 @@
 		Orders:               d.orders.Orders,
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
+		DialFrom:             cfg.LocalAddr(),
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
 		AccountParkedStreams: int(cfg.Limits.AccountStreamBytes / parkedStreamBytes),
@@ -158,7 +176,7 @@
 	g.Go(func() error { d.balancer.Run(loopCtx); return nil })
 	g.Go(func() error { d.orders.Run(loopCtx); return nil })
 	g.Go(func() error {
-		gateway.NewCacheFeed(d.balancer, engine.NewControl(), d.metrics).Run(loopCtx)
+		gateway.NewCacheFeed(d.balancer, d.feeds, d.metrics).Run(loopCtx)
 		return nil
 	})
 	g.Go(func() error {
--- a/control/follow.go
+++ b/control/follow.go
@@ -19,12 +19,36 @@
 	owner    ident.InstanceID
 	// heard is the sequence of the last sync that the owner answered.
 	heard uint64
+	// direct is when the owner is called directly again after it did not answer,
+	// or 0. Until then syncs go through a relay.
+	direct time.Duration
+	// relays counts the failed relays, so that another one is taken each time.
+	relays int
+}
+
+// via returns the entry instance that passes the next sync on, or none. While
+// one sync tries the owner again, the others still go through a relay.
+func (f *following) via(now time.Duration, self ident.InstanceID, candidates []ident.InstanceID) ident.InstanceID {
+	if f.direct == 0 || f.owner == self {
+		return ""
+	}
+	if now >= f.direct {
+		f.direct = now + relayTime
+		return ""
+	}
+	others := slices.DeleteFunc(slices.Clone(candidates), func(id ident.InstanceID) bool { return id == self || id == f.owner })
+	if len(others) == 0 {
+		return ""
+	}
+	return others[f.relays%len(others)]
 }
 
 // target is the owner that a sync goes to.
 type target struct {
 	owner ident.InstanceID
 	addr  string
+	// relay is the entry instance that passes the sync on, or empty.
+	relay ident.InstanceID
 	heard uint64
 	sync  credit.Sync
 	sent  time.Duration
@@ -48,11 +72,16 @@
 		return target{}, false
 	}
 	if owner != f.owner {
-		f.owner, f.heard = owner, 0
+		f.owner, f.heard, f.direct = owner, 0, 0
+	}
+	relay := f.via(now, s.loop.opts.Self.Instance, candidates)
+	addr := peerAddress(snap, owner)
+	if relay != "" {
+		addr = peerAddress(snap, relay)
 	}
 	sync := s.holders.Sync(now, name)
 	f.follower.Sent(now, sync.Seq)
-	return target{owner: owner, addr: peerAddress(snap, owner), heard: f.heard, sync: sync, sent: now}, true
+	return target{owner: owner, addr: addr, relay: relay, heard: f.heard, sync: sync, sent: now}, true
 }
 
 // ownerCandidates returns the lease holder, if it can be reached as far as
@@ -102,12 +131,16 @@
 	var resp GroupSyncReply
 	var err error
 	self := to.owner == s.loop.opts.Self.Instance
-	if self {
+	switch {
+	case self:
 		resp, err = s.loop.ownSync(ctx, req)
-	} else {
+	case to.relay != "":
+		s.relayed.Inc(1)
+		err = s.loop.opts.Node.Call(ctx, to.addr, KindGroupSyncRelay, GroupSyncRelay{Owner: to.owner, Request: req}, &resp)
+	default:
 		err = s.loop.opts.Node.Call(ctx, to.addr, KindGroupSync, req, &resp)
 	}
-	first := s.answered(name, to, err)
+	first := s.answered(name, to, resp, err)
 	switch {
 	case err != nil:
 		s.failed.Inc(1)
@@ -123,7 +156,7 @@
 
 // answered notes the answer of an owner and reports whether it was the first
 // one: the owner counts this entry instance from the next sync on.
-func (s *Syncer) answered(name ident.ServiceName, to target, err error) bool {
+func (s *Syncer) answered(name ident.ServiceName, to target, resp GroupSyncReply, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f, now := s.follow[name], s.loop.opts.Now()
@@ -133,9 +166,17 @@
 		return false
 	case err != nil:
 		f.follower.Failed(now, to.owner)
+		f.unanswered(now, to)
 		return false
+	case to.relay == "" && f.owner == to.owner:
+		f.direct = 0
+	}
+	if resp.Pending {
+		f.follower.Pending(now, to.owner, resp.Follows)
+	} else {
+		f.follower.Answered(to.owner)
+		s.loop.credits.follows.Store(name, to.owner)
 	}
-	f.follower.Answered(to.owner)
 	if f.owner != to.owner {
 		return false
 	}
@@ -144,6 +185,17 @@
 	return first
 }
 
+// unanswered chooses the way of the next syncs.
+func (f *following) unanswered(now time.Duration, to target) {
+	switch {
+	case f.owner != to.owner:
+	case to.relay == "":
+		f.direct = now + relayTime
+	default:
+		f.relays++
+	}
+}
+
 // isNotOwner recognises ErrNotOwner from this process and from a peer.
 func isNotOwner(err error) bool {
 	var remote *wire.RemoteError
--- a/control/sync.go
+++ b/control/sync.go
@@ -24,6 +24,9 @@
 	syncTimeout = 700 * time.Millisecond
 	// syncGap separates two syncs of a service that are asked for at once.
 	syncGap = 10 * time.Millisecond
+	// relayTime is how long syncs go through a relay before the owner is called
+	// directly again.
+	relayTime = 5 * time.Second
 	// maxOpenSyncs bounds the exchanges of a service that wait for a reply.
 	maxOpenSyncs = 3
 	// plainHold is the least time that requests of a lost entry instance count
@@ -51,6 +54,19 @@
 	Known   Known             `msgpack:"k"`
 	// Heard is the sequence of the last sync that this owner answered.
 	Heard uint64 `msgpack:"h"`
+	// Via is the entry instance that passed the sync on, or empty.
+	Via ident.InstanceID `msgpack:"via,omitempty"`
+}
+
+// KindGroupSyncRelay asks a peer to pass a sync on to an owner that the sender
+// cannot reach or hear. A delay on the way only shortens what the reply grants,
+// because its validity counts from when the sync was sent.
+const KindGroupSyncRelay wire.Kind = "group-sync-relay"
+
+// GroupSyncRelay is a sync on its way through a relay.
+type GroupSyncRelay struct {
+	Owner   ident.InstanceID `msgpack:"o"`
+	Request GroupSync        `msgpack:"r"`
 }
 
 // GroupSyncReply is its response. Granted is false when the sync was overtaken
@@ -58,8 +74,10 @@
 type GroupSyncReply struct {
 	Granted bool `msgpack:"g"`
 	// Pending means that the owner has no majority yet: follow it on.
-	Pending bool         `msgpack:"p,omitempty"`
-	Reply   credit.Reply `msgpack:"r"`
+	Pending bool `msgpack:"p,omitempty"`
+	// Follows is whom this entry instance follows itself, when it is pending.
+	Follows ident.InstanceID `msgpack:"f,omitempty"`
+	Reply   credit.Reply     `msgpack:"r"`
 	// Confirmations are sent with each reply, also when the sync was overtaken.
 	Confirmations Confirmations `msgpack:"c"`
 }
@@ -79,6 +97,9 @@
 // goroutine.
 type credits struct {
 	owners map[ident.ServiceName]*ownerState
+	// follows holds the last owner that answered this entry instance with a
+	// majority, by service. The syncer writes it.
+	follows sync.Map
 }
 
 // syncReceived is a sync that waits for the control goroutine.
@@ -105,7 +126,9 @@
 	o := l.ownerState(name)
 	o.followers.Heard(now, e.request.Sync, e.request.Heard)
 	if !l.acts(now, o) {
-		e.reply <- syncAnswer{reply: GroupSyncReply{Pending: true}}
+		follows, _ := l.credits.follows.Load(name)
+		owner, _ := follows.(ident.InstanceID)
+		e.reply <- syncAnswer{reply: GroupSyncReply{Pending: true, Follows: owner}}
 		return
 	}
 	var out GroupSyncReply
@@ -123,11 +146,36 @@
 // RegisterSync adds the owner's handler. Call it before the node serves.
 func (l *Loop) RegisterSync(mux *wire.Mux) {
 	wire.Register(mux, KindGroupSync, func(ctx context.Context, from wire.Peer, req GroupSync) (GroupSyncReply, error) {
-		if req.Sync.Entry != from.Instance {
+		if req.Sync.Entry != from.Instance && req.Via != from.Instance {
 			return GroupSyncReply{}, errors.Errorf("sync of %s came from %s", req.Sync.Entry, from.Instance)
 		}
 		return l.ownSync(ctx, req)
 	})
+	wire.Register(mux, KindGroupSyncRelay, func(ctx context.Context, from wire.Peer, req GroupSyncRelay) (GroupSyncReply, error) {
+		if req.Request.Sync.Entry != from.Instance {
+			return GroupSyncReply{}, errors.Errorf("sync of %s came from %s", req.Request.Sync.Entry, from.Instance)
+		}
+		return l.relaySync(ctx, req)
+	})
+}
+
+// relaySync passes a sync on. The owner's refusal keeps its wording, by which
+// the sender recognises it.
+func (l *Loop) relaySync(ctx context.Context, req GroupSyncRelay) (GroupSyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	addr := peerAddress(l.Snapshot(), req.Owner)
+	if addr == "" || req.Owner == l.opts.Self.Instance {
+		return GroupSyncReply{}, errors.Errorf("no other entry instance is %s", req.Owner)
+	}
+	req.Request.Via = l.opts.Self.Instance
+	var resp GroupSyncReply
+	err := l.opts.Node.Call(ctx, addr, KindGroupSync, req.Request, &resp)
+	var remote *wire.RemoteError
+	if errors.As(err, &remote) {
+		err = errors.New(remote.Message)
+	}
+	return resp, err
 }
 
 // ownSync hands a sync to the control goroutine and waits for the answer.
@@ -243,6 +291,7 @@
 	holders CreditHolders
 	sent    tally.Counter
 	failed  tally.Counter
+	relayed tally.Counter
 	learner *learner
 	// follow holds whom this entry instance follows, by service.
 	follow map[ident.ServiceName]*following
@@ -261,6 +310,7 @@
 	return &Syncer{
 		loop: loop, holders: holders, open: make(map[ident.ServiceName]int),
 		sent: s.Counter("group_syncs_total"), failed: s.Counter("group_sync_errors_total"),
+		relayed: s.Counter("group_syncs_relayed_total"),
 		learner: newLearner(), follow: make(map[ident.ServiceName]*following), started: loop.opts.Now(),
 	}
 }
--- a/credit/follow.go
+++ b/credit/follow.go
@@ -1,6 +1,7 @@
 package credit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -21,6 +22,11 @@
 	failTime = 2 * time.Second
 	// avoidTime is how long a target that failed or refused is avoided.
 	avoidTime = 10 * time.Second
+	// pendingTime is how long a target may lack a majority before another one is
+	// chosen, and pendingAvoid how long it is avoided then. The change costs up
+	// to followTime + pendingTime without new allocations.
+	pendingTime  = 3 * time.Second
+	pendingAvoid = time.Minute
 )
 
 // Follower decides which owner an entry instance follows. The caller
@@ -32,6 +38,9 @@
 	lastSeq uint64
 	failing map[ident.InstanceID]time.Duration
 	avoided map[ident.InstanceID]time.Duration
+	pending map[ident.InstanceID]time.Duration
+	// named is the owner that a target without a majority follows itself.
+	named ident.InstanceID
 }
 
 // NewFollower returns the follower of a process that started at an instant. The
@@ -41,6 +50,7 @@
 		lastSent: now,
 		failing:  make(map[ident.InstanceID]time.Duration),
 		avoided:  make(map[ident.InstanceID]time.Duration),
+		pending:  make(map[ident.InstanceID]time.Duration),
 	}
 }
 
@@ -65,19 +75,46 @@
 	if preferred != "" && now >= f.avoided[preferred] {
 		return preferred
 	}
+	if f.named != "" && now >= f.avoided[f.named] && slices.Contains(candidates, f.named) {
+		return f.named
+	}
 	for _, c := range candidates {
 		if now >= f.avoided[c] {
 			return c
 		}
 	}
-	return ""
+	// All are avoided. Where a majority is lost, the preferred one is the first
+	// to get it back.
+	return preferred
 }
 
 // Sent notes the promise of a sync.
 func (f *Follower) Sent(now time.Duration, seq uint64) { f.lastSent, f.lastSeq = now, seq }
 
 // Answered notes that an owner answered.
-func (f *Follower) Answered(owner ident.InstanceID) { delete(f.failing, owner) }
+func (f *Follower) Answered(owner ident.InstanceID) {
+	delete(f.failing, owner)
+	delete(f.pending, owner)
+}
+
+// Pending notes that an owner answered that lacks a majority, and whom it
+// follows itself, if anybody. Entry instances that see different lease holders,
+// because the store is reachable for some of them only, agree again this way.
+func (f *Follower) Pending(now time.Duration, owner, follows ident.InstanceID) {
+	delete(f.failing, owner)
+	since, ok := f.pending[owner]
+	switch {
+	case !ok:
+		f.pending[owner] = now
+		return
+	case now-since < pendingTime:
+		return
+	case follows != owner:
+		f.named = follows
+	}
+	f.avoid(now, owner)
+	f.avoided[owner] = now + pendingAvoid
+}
 
 // Failed notes that an owner did not answer.
 func (f *Follower) Failed(now time.Duration, owner ident.InstanceID) {
@@ -101,6 +138,10 @@
 
 func (f *Follower) avoid(now time.Duration, owner ident.InstanceID) {
 	delete(f.failing, owner)
+	delete(f.pending, owner)
+	if f.named == owner {
+		f.named = ""
+	}
 	for id, until := range f.avoided {
 		if now >= until {
 			delete(f.avoided, id)
--- a/credit/follow_test.go
+++ b/credit/follow_test.go
@@ -207,3 +207,37 @@
 		t.Fatal("silent followers are still counted")
 	}
 }
+
+// TestPendingOwnerIsLeft guards against an entry instance that follows the
+// holder of a lease for good while the others, who cannot read the store, follow
+// another owner.
+func TestPendingOwnerIsLeft(t *testing.T) {
+	f := NewFollower(0)
+	candidates := []ident.InstanceID{"holder", "bystander", "owner"}
+	now := followTime
+	choose := func(want ident.InstanceID) {
+		t.Helper()
+		got, ok := f.Choose(now, "holder", candidates)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, want)
+		f.Sent(now, 1)
+	}
+	choose("holder")
+	f.Pending(now, "holder", "")
+	now += pendingTime
+	f.Pending(now, "holder", "")
+	now += followTime
+	choose("bystander")
+	f.Pending(now, "bystander", "owner")
+	now += pendingTime
+	f.Pending(now, "bystander", "owner")
+	now += followTime
+	choose("owner")
+	f.Answered("owner")
+	f.Failed(now, "owner")
+	now += failTime
+	f.Failed(now, "owner")
+	now += followTime
+	// All are avoided: the preferred one is tried.
+	choose("holder")
+}
--- a/credit/holder.go
+++ b/credit/holder.go
@@ -328,6 +328,13 @@
 	return max(0, s.usable(now, confirmed).Requests-s.inFlight.Requests)
 }
 
+// Usable reports whether this entry instance may run anything on a backend
+// server, however much runs there now.
+func (h *Holder) Usable(now time.Duration, b BackendID, confirmed bool) bool {
+	s, ok := h.backends[b]
+	return ok && s.usable(now, confirmed).Requests > 0
+}
+
 // Over reports whether what runs uses up the allocation, so that the owner
 // learns of a release only by a sync.
 func (h *Holder) Over(b BackendID) bool {
--- a/engine/client.go
+++ b/engine/client.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 )
 
 // Limits of the control client.
@@ -39,17 +41,23 @@
 
 // Control sends status polls and commands to engines.
 type Control struct {
-	http *http.Client
+	http      *http.Client
+	transport *http.Transport
 }
 
 // NewControl returns a control client.
 func NewControl() *Control {
-	return &Control{http: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
-	}}}
+	}
+	return &Control{http: &http.Client{Transport: transport}, transport: transport}
 }
 
+// DialFrom sets the local address of connections. Call it before the first
+// call.
+func (c *Control) DialFrom(local netip.Addr) { c.transport.DialContext = dial.From(local, 0) }
+
 // Status polls one engine member.
 func (c *Control) Status(ctx context.Context, addr string) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
--- a/engine/data.go
+++ b/engine/data.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 )
 
 // Timings and limits of the data path.
@@ -92,15 +94,20 @@
 
 // Data opens streams to group leaders.
 type Data struct {
+	dial dial.Func
+
 	mu    sync.Mutex
 	pools map[poolKey]*pool
 }
 
 // NewData returns a data client.
 func NewData() *Data {
-	return &Data{pools: make(map[poolKey]*pool)}
+	return &Data{dial: dial.From(netip.Addr{}, dialTimeout), pools: make(map[poolKey]*pool)}
 }
 
+// DialFrom sets the local address of connections. Call it before Open.
+func (d *Data) DialFrom(local netip.Addr) { d.dial = dial.From(local, dialTimeout) }
+
 type targetKey struct{}
 
 // transport returns the connection pool for a target and drops unused pools.
@@ -113,7 +120,7 @@
 	if !ok {
 		d.dropUnused(now)
 		p = &pool{transport: &http.Transport{
-			DialContext:         dialChecked,
+			DialContext:         d.dialChecked,
 			MaxIdleConnsPerHost: maxIdlePerLeader,
 			IdleConnTimeout:     poolIdle,
 			DisableCompression:  true,
@@ -157,10 +164,9 @@
 
 // dialChecked opens a connection and reads the engine's status on it before any
 // request uses it.
-func dialChecked(ctx context.Context, network, addr string) (net.Conn, error) {
+func (d *Data) dialChecked(ctx context.Context, network, addr string) (net.Conn, error) {
 	target, _ := ctx.Value(targetKey{}).(Target)
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, network, addr)
+	c, err := d.dial(ctx, network, addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
--- a/experiment/outage.go
+++ b/experiment/outage.go
@@ -16,9 +16,9 @@
 // Lengths of the phases of the outage experiment.
 const (
 	outageCalm = 5 * time.Second
-	// outageLength is long compared with the lease, the confirmation lifetime
+	// DefaultOutage is long compared with the lease, the confirmation lifetime
 	// and the reserves: what works at its end works for longer outages too.
-	outageLength = 110 * time.Second
+	DefaultOutage = 110 * time.Second
 	// outageReplace is when the entry instances begin to be replaced.
 	outageReplace = 15 * time.Second
 	// outageReplacePause separates two replacements.
@@ -33,7 +33,7 @@
 
 // Outage measures service while the store is down, and while all entry
 // instances are replaced one after another during that time.
-func Outage(ctx context.Context, w io.Writer, binDir string) error {
+func Outage(ctx context.Context, w io.Writer, binDir string, length time.Duration) error {
 	c, err := StartServing(ctx, cluster.DefaultConfig(binDir))
 	if err != nil {
 		return err
@@ -41,8 +41,8 @@
 	defer c.Close()
 	traffic := newOpenLoad(c, 60, 10)
 	traffic.tickets = 10
-	done := traffic.start(ctx, 2*outageCalm+outageLength)
-	phases, err := runOutage(ctx, c)
+	done := traffic.start(ctx, 2*outageCalm+length)
+	phases, err := runOutage(ctx, c, length)
 	done()
 	if err != nil {
 		return err
@@ -52,7 +52,7 @@
 
 // runOutage switches the store off and on, and replaces the entry instances in
 // between.
-func runOutage(ctx context.Context, c *cluster.Cluster) ([]phase, error) {
+func runOutage(ctx context.Context, c *cluster.Cluster, length time.Duration) ([]phase, error) {
 	phases := []phase{{"store up", time.Now()}}
 	if err := sleep(ctx, outageCalm); err != nil {
 		return nil, err
@@ -60,7 +60,7 @@
 	if err := c.SetFaults(standin.Faults{Outage: true}); err != nil {
 		return nil, err
 	}
-	end := time.Now().Add(outageLength)
+	end := time.Now().Add(length)
 	phases = append(phases, phase{"store down", time.Now()})
 	if err := sleep(ctx, outageReplace); err != nil {
 		return nil, err
--- a/gateway/credit.go
+++ b/gateway/credit.go
@@ -34,6 +34,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder.Reply(now, r)
+	l.granted = now
 	l.setSlots(now)
 	l.dispatch(now)
 	return r.Resync
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,9 @@
 	// services it wraps the Router.
 	Quarantine *Quarantine
 	Self       view.Entry
+	// DialFrom is the local address of connections to plain backend servers, or
+	// the zero address.
+	DialFrom netip.Addr
 	// LookupTTL is how long callers may keep a lookup answer.
 	LookupTTL time.Duration
 	// MaxBodyBytes bounds a request body.
@@ -114,7 +118,7 @@
 			lookups:         s.Counter("lookups_total"),
 			refusedEarly:    s.Counter("requests_refused_early_total"),
 		},
-		backends:  newPlainClient(),
+		backends:  newPlainClient(opts.DialFrom),
 		bodyGrace: bodyGrace,
 		parked:    newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
 	}
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -93,6 +93,8 @@
 	heldLimit int // context tokens that one backend server bears
 	// free is the number of credits left at each target during a dispatch.
 	free []int
+	// granted is when the owner of the credits answered last.
+	granted time.Duration
 	// failedAt is when an attempt at a target failed last.
 	failedAt map[credit.BackendID]time.Duration
 }
@@ -107,6 +109,9 @@
 	case l.heldLimit > 0 && t.tokens > l.heldLimit:
 		t.result <- outcome{err: ProblemTooManyTokens.With("%d tokens, limit %d", t.tokens, l.heldLimit)}
 		return
+	case l.cutOff(now) && !started(t.request):
+		t.result <- outcome{err: l.cutOffProblem()}
+		return
 	case !l.allowed(t):
 		t.result <- outcome{err: ProblemNoCapacity.With("every backend server of service %q failed an attempt", l.name).After(time.Second)}
 		return
@@ -193,6 +198,9 @@
 	for _, r := range l.queue.Shed(now) {
 		l.refuse(r)
 	}
+	if l.cutOff(now) {
+		l.refuseWaiting(now)
+	}
 	l.dispatch(now)
 	if waits := l.queue.Len() > 0 || len(l.isolating) > 0; waits && now-l.woken >= starvedSync {
 		l.woken = now
@@ -200,6 +208,33 @@
 	}
 }
 
+// cutOff reports whether no credits are left and none are to be expected soon,
+// so that callers do better at another entry instance.
+func (l *lane) cutOff(now time.Duration) bool {
+	if now-l.granted < ownerChangeTime {
+		return false
+	}
+	for i := range l.targets {
+		if l.holder.Usable(now, l.targets[i].backend, true) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lane) cutOffProblem() error {
+	return ProblemNoCapacity.With("this entry instance has no credits of service %q and cannot get any: use another address", l.name).After(time.Second)
+}
+
+// refuseWaiting refuses what waits, except streams that continue.
+func (l *lane) refuseWaiting(now time.Duration) {
+	for w, t := range l.waiting {
+		if !started(t.request) && l.queue.Cancel(now, w) {
+			l.forget(w).result <- outcome{err: l.cutOffProblem()}
+		}
+	}
+}
+
 // refresh takes over a new snapshot.
 func (l *lane) refresh(now time.Duration) {
 	snap := l.b.snapshot()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -46,11 +48,11 @@
 	fresh *http.Transport
 }
 
-func newPlainClient() *plainClient {
-	dial := (&net.Dialer{Timeout: plainDialTimeout}).DialContext
+func newPlainClient(local netip.Addr) *plainClient {
+	from := dial.From(local, plainDialTimeout)
 	return &plainClient{
-		idempotent: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
-		fresh:      &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		idempotent: &http.Transport{DialContext: from, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
+		fresh:      &http.Transport{DialContext: from, DisableKeepAlives: true},
 	}
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -27,6 +27,9 @@
 	// resumeWait bounds the wait of a stream that continues on another group:
 	// its caller has no deadline any more.
 	resumeWait = 10 * time.Second
+	// ownerChangeTime is longer than a change of the credit owner: about 5 s from
+	// its loss to the first grants of the next one.
+	ownerChangeTime = 8 * time.Second
 	// maxPrefixBlocks bounds the prompt prefixes that are looked up.
 	maxPrefixBlocks = 64
 	// maxHints bounds the prefix hints per service, at 24 bytes each.
--- a/internal/strictyaml/validate.go
+++ b/internal/strictyaml/validate.go
@@ -27,6 +27,10 @@
 			_, err := netip.ParseAddrPort(f.Field().String())
 			return err == nil
 		},
+		"specific_ip": func(f validator.FieldLevel) bool {
+			a, err := netip.ParseAddr(f.Field().String())
+			return err == nil && !a.IsUnspecified()
+		},
 		"specific_ip_port": func(f validator.FieldLevel) bool {
 			a, err := netip.ParseAddrPort(f.Field().String())
 			return err == nil && !a.Addr().IsUnspecified() && a.Port() != 0
@@ -78,6 +82,8 @@
 		return fmt.Sprintf("%q is not an IP address and port", value), "write an IP address such as 127.0.0.1:7000; host names are not accepted"
 	case "specific_ip_port":
 		return fmt.Sprintf("%q is not an address that others can connect to", value), "write a specific IP address and a port, such as 192.0.2.7:7000; host names, 0.0.0.0 and port 0 are not accepted"
+	case "specific_ip":
+		return fmt.Sprintf("%q is not an IP address of a host", value), "write an IP address of this host without a port, such as 192.0.2.7; host names and 0.0.0.0 are not accepted"
 	case "http_url":
 		return fmt.Sprintf("%q is not a URL", value), "write a URL such as http://192.0.2.1:7000"
 	case "startswith":
--- a/settings/load.go
+++ b/settings/load.go
@@ -62,6 +62,12 @@
 	return b, errors.Wrap(err, "encode settings")
 }
 
+// LocalAddr returns DialFrom, or the zero address when it is empty.
+func (c *Config) LocalAddr() netip.Addr {
+	a, _ := netip.ParseAddr(c.DialFrom) // Parse has checked it.
+	return a
+}
+
 // Team returns the team that owns a token with the given SHA-256.
 func (c *Config) Team(tokenSHA256 string) (ident.Team, bool) {
 	for _, t := range c.Operators {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,10 +14,13 @@
 	DataCentre ident.DataCentre `yaml:"data_centre" validate:"required,name"`
 	Listen     Listen           `yaml:"listen"`
 	Advertise  Advertise        `yaml:"advertise"`
-	Platform   Platform         `yaml:"platform"`
-	Peers      Peers            `yaml:"peers"`
-	Operators  []Team           `yaml:"operators" validate:"dive"`
-	Limits     Limits           `yaml:"limits"`
+	// DialFrom is the local IP address of all outgoing connections. An empty
+	// one leaves the choice to the system. Datagrams come from Listen.Peers.
+	DialFrom  string   `yaml:"dial_from,omitempty" validate:"omitempty,specific_ip"`
+	Platform  Platform `yaml:"platform"`
+	Peers     Peers    `yaml:"peers"`
+	Operators []Team   `yaml:"operators" validate:"dive"`
+	Limits    Limits   `yaml:"limits"`
 	// LookupTTL is how long callers may keep a lookup answer.
 	LookupTTL time.Duration `yaml:"lookup_ttl" validate:"min=100ms,max=1m"`
 	LogLevel  string        `yaml:"log_level" validate:"oneof=debug info warn error"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -27,6 +27,7 @@
 func TestDefaults(t *testing.T) {
 	c, err := Parse("s.yaml", []byte(valid))
 	assert.NilError(t, err)
+	assert.Assert(t, !c.LocalAddr().IsValid())
 	assert.Equal(t, c.LookupTTL, 2*time.Second)
 	assert.Equal(t, c.Advertise.Peers, c.Listen.Peers)
 	team, ok := c.Team("9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08")
@@ -49,6 +50,8 @@
 		{"values", valid + "lookup_ttl: 1h\nlisten:\n  callers: localhost:80\n  peers: 0.0.0.0:81\n", []Problem{
 			{Line: 12, Field: "lookup_ttl"}, {Line: 14, Field: "listen.callers"}, {Line: 15, Field: "listen.peers"},
 		}},
+		{"local address", valid + "dial_from: 127.0.0.1:80\n", []Problem{{Line: 12, Field: "dial_from"}}},
+		{"unspecified local address", valid + "dial_from: 0.0.0.0\n", []Problem{{Line: 12, Field: "dial_from"}}},
 		{"twice", valid + "region: x\n", []Problem{{Line: 12}}},
 		{"syntax", "instance: [\n", []Problem{{Line: 1}}},
 		{"empty", "", []Problem{{Line: 1}}},
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -1,6 +1,8 @@
 package faultproxy
 
 import (
+	"net"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -90,12 +92,22 @@
 	// Control is the loopback address of the control interface, or empty for none.
 	Control string
 	Links   []Link
+	// Sources names the group of the processes that dial from an IP address. It
+	// takes the place of the link's From.
+	Sources map[string]string
 }
 
-// Cut separates two groups of processes in both directions.
+// Cut separates two groups of processes.
 type Cut struct {
 	A string `json:"a"`
 	B string `json:"b"`
+	// OneWay cuts only what A sends to B.
+	OneWay bool `json:"one_way,omitempty"`
+}
+
+// crosses reports whether what one group sends to another is cut.
+func (c Cut) crosses(from, to string) bool {
+	return (from == c.A && to == c.B) || (!c.OneWay && from == c.B && to == c.A)
 }
 
 // forwarder is a running link.
@@ -109,6 +121,7 @@
 // Proxy is a set of links.
 type Proxy struct {
 	control *httpd.Server
+	sources map[string]string
 
 	mu    sync.Mutex
 	links map[string]*linkState
@@ -118,19 +131,43 @@
 // linkState is what all connections of a link share.
 type linkState struct {
 	link     Link
+	sources  map[string]string
 	forward  forwarder
 	counters counters
 
 	mu     sync.Mutex
 	fault  Fault
-	cut    bool
+	cuts   []Cut
 	change chan struct{} // closed and replaced at each change
 }
 
-func (l *linkState) read() (Fault, bool, <-chan struct{}) {
+func (l *linkState) read() Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault
+}
+
+// from returns the group of a client.
+func (l *linkState) from(client net.Addr) string {
+	if host, _, err := net.SplitHostPort(client.String()); err == nil && l.sources[host] != "" {
+		return l.sources[host]
+	}
+	return l.link.From
+}
+
+// cut reports whether one direction between a client's group and the target is
+// cut, and what is closed when that may change. An empty group is never cut.
+func (l *linkState) cut(from string, up bool) (bool, <-chan struct{}) {
+	a, b := from, l.link.To
+	if !up {
+		a, b = b, a
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fault, l.cut, l.change
+	if a == "" || b == "" {
+		return false, l.change
+	}
+	return slices.ContainsFunc(l.cuts, func(c Cut) bool { return c.crosses(a, b) }), l.change
 }
 
 func (l *linkState) update(fn func()) {
@@ -143,7 +180,7 @@
 
 // Start opens the control interface and the links.
 func Start(cfg Config) (*Proxy, error) {
-	p := &Proxy{links: make(map[string]*linkState)}
+	p := &Proxy{sources: cfg.Sources, links: make(map[string]*linkState)}
 	for _, l := range cfg.Links {
 		if _, err := p.Add(l); err != nil {
 			p.Close()
@@ -174,7 +211,7 @@
 	if l.Listen == "" {
 		l.Listen = "127.0.0.1:0"
 	}
-	st := &linkState{link: l, cut: p.isCut(l), change: make(chan struct{})}
+	st := &linkState{link: l, sources: p.sources, cuts: p.cuts, change: make(chan struct{})}
 	var err error
 	if l.Network == UDP {
 		st.forward, err = startUDP(st)
@@ -265,26 +302,12 @@
 }
 
 // SetCuts replaces all cuts. Traffic over a cut is held back until it heals;
-// a link with an empty group at one end is never cut.
+// a new connection over it is reset when it lasts.
 func (p *Proxy) SetCuts(cuts ...Cut) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cuts = cuts
 	for _, l := range p.links {
-		cut := p.isCut(l.link)
-		l.update(func() { l.cut = cut })
-	}
-}
-
-// isCut reports whether a link crosses a cut. The caller holds p.mu.
-func (p *Proxy) isCut(l Link) bool {
-	if l.From == "" || l.To == "" {
-		return false
-	}
-	for _, c := range p.cuts {
-		if (l.From == c.A && l.To == c.B) || (l.From == c.B && l.To == c.A) {
-			return true
-		}
+		l.update(func() { l.cuts = cuts })
 	}
-	return false
 }
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -97,6 +97,47 @@
 	assert.Equal(t, strings.TrimSpace(line), "ping")
 }
 
+// TestCutOfSource guards against a cut that reaches the clients of another
+// address or the other direction.
+func TestCutOfSource(t *testing.T) {
+	p, err := Start(Config{Sources: map[string]string{"127.1.2.3": "a", "127.1.2.4": "c"}})
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	addr, err := p.Add(Link{Name: "l", Target: echoServer(t), To: "b"})
+	assert.NilError(t, err)
+	from := func(ip string) net.Conn {
+		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", addr)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		assert.NilError(t, ping(c, long))
+		return c
+	}
+	a, c := from("127.1.2.3"), from("127.1.2.4")
+	arrived := func(up, down uint64) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n, _ := p.Counters("l"); n.BytesUp != up || n.BytesDown != down {
+				return poll.Continue("%d bytes up, %d down, want %d and %d", n.BytesUp, n.BytesDown, up, down)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(long))
+	}
+	arrived(10, 10)
+	for _, cut := range []struct {
+		Cut
+		up, down uint64 // that arrive in spite of the cut
+	}{{Cut{A: "a", B: "b", OneWay: true}, 15, 15}, {Cut{A: "b", B: "a", OneWay: true}, 30, 25}} {
+		p.SetCuts(cut.Cut)
+		assert.Assert(t, ping(a, soon) != nil)
+		assert.NilError(t, ping(c, long))
+		arrived(cut.up, cut.down)
+		p.SetCuts()
+		_ = a.SetDeadline(time.Now().Add(long))
+		_, err := bufio.NewReader(a).ReadString('\n')
+		assert.NilError(t, err)
+	}
+}
+
 // TestFaults guards against faults that do not happen or are not counted.
 func TestFaults(t *testing.T) {
 	p, addr := startProxy(t, Link{Name: "l", Target: echoServer(t)})
--- a/standin/faultproxy/tcp.go
+++ b/standin/faultproxy/tcp.go
@@ -21,6 +21,9 @@
 	// reaches the target.
 	slowBufferBytes = 16 << 10
 	dialTimeout     = time.Second
+	// newConnHold bounds how long a new connection waits at a cut. Callers give
+	// up sooner; without a bound their connections would pile up.
+	newConnHold = 5 * time.Second
 )
 
 type tcpForwarder struct {
@@ -36,6 +39,7 @@
 // tcpConn is one forwarded connection.
 type tcpConn struct {
 	f              *tcpForwarder
+	from           string
 	client, server *net.TCPConn
 	silent         atomic.Bool
 	wake           chan struct{} // closed when the connection ends
@@ -103,7 +107,7 @@
 			_ = nc.Close()
 			continue
 		}
-		if fault, _, _ := f.st.read(); fault.Refuse {
+		if f.st.read().Refuse {
 			f.st.counters.refused.Add(1)
 			_ = client.SetLinger(0)
 			_ = client.Close()
@@ -118,8 +122,13 @@
 }
 
 func (f *tcpForwarder) serve(client *net.TCPConn) {
-	c := &tcpConn{f: f, client: client, wake: make(chan struct{})}
-	if !f.waitHealed(nil) {
+	c := &tcpConn{f: f, from: f.st.from(client.RemoteAddr()), client: client, wake: make(chan struct{})}
+	giveUp := make(chan struct{})
+	hold := time.AfterFunc(newConnHold, func() { close(giveUp) })
+	healed := c.waitHealed(giveUp, true)
+	hold.Stop()
+	if !healed {
+		_ = client.SetLinger(0)
 		_ = client.Close()
 		return
 	}
@@ -154,13 +163,14 @@
 	f.mu.Unlock()
 }
 
-// waitHealed holds a new connection while the link is cut.
-func (f *tcpForwarder) waitHealed(wake <-chan struct{}) bool {
+// waitHealed waits while a direction is cut, or until wake is closed.
+func (c *tcpConn) waitHealed(wake <-chan struct{}, up bool) bool {
+	f := c.f
 	for {
 		f.mu.Lock()
 		closed := f.closed
 		f.mu.Unlock()
-		_, cut, change := f.st.read()
+		cut, change := f.st.cut(c.from, up)
 		if !cut || closed {
 			return !closed
 		}
@@ -233,7 +243,7 @@
 		b := make([]byte, chunkBytes)
 		n, err := from.Read(b)
 		if n > 0 {
-			fault, _, _ := c.f.st.read()
+			fault := c.f.st.read()
 			if fault.LossEvery > 0 && c.chunks.Add(1)%uint64(fault.LossEvery) == 0 {
 				c.f.st.counters.resets.Add(1)
 				c.reset()
@@ -261,7 +271,7 @@
 // write forwards queued chunks with the link's delay and rate.
 func (c *tcpConn) write(to *net.TCPConn, queue <-chan chunk, up bool) {
 	for ch := range queue {
-		if !c.pass(ch) {
+		if !c.pass(ch, up) {
 			continue
 		}
 		if !up && !c.drain(len(ch.data)) {
@@ -281,7 +291,7 @@
 
 // pass waits for the latency, a silence or a cut. It reports whether the chunk
 // goes on.
-func (c *tcpConn) pass(ch chunk) bool {
+func (c *tcpConn) pass(ch chunk, up bool) bool {
 	if wait := time.Until(ch.due); wait > 0 {
 		c.f.st.counters.delayed.Add(1)
 		if !c.wait(wait) {
@@ -293,12 +303,12 @@
 		<-c.wake
 		return false
 	}
-	return c.f.waitHealed(c.wake)
+	return c.waitHealed(c.wake, up)
 }
 
 // drain limits the rate of one direction.
 func (c *tcpConn) drain(n int) bool {
-	fault, _, _ := c.f.st.read()
+	fault := c.f.st.read()
 	if fault.BytesPerSecond <= 0 {
 		return true
 	}
--- a/standin/faultproxy/udp.go
+++ b/standin/faultproxy/udp.go
@@ -29,6 +29,7 @@
 
 type udpSession struct {
 	client *net.UDPAddr
+	from   string
 	server *net.UDPConn
 	silent bool
 }
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil
 	}
-	s := &udpSession{client: client, server: server}
+	s := &udpSession{client: client, from: f.st.from(client), server: server}
 	f.sessions[client.String()] = s
 	f.st.counters.connections.Add(1)
 	f.wg.Add(1)
@@ -158,7 +159,8 @@
 
 // passes applies silence, cuts, drops and loss to one datagram.
 func (f *udpForwarder) passes(s *udpSession, up bool) bool {
-	fault, cut, _ := f.st.read()
+	fault := f.st.read()
+	cut, _ := f.st.cut(s.from, up)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.packets++
@@ -168,7 +170,7 @@
 
 // later forwards a datagram after the latency.
 func (f *udpForwarder) later(p []byte, send func([]byte)) {
-	fault, _, _ := f.st.read()
+	fault := f.st.read()
 	if fault.LatencyMillis <= 0 {
 		send(p)
 		return
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -24,9 +24,7 @@
 	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
-	"github.com/bulrushfall/bulrushfall/standin/faultproxy"
 	"github.com/bulrushfall/bulrushfall/standin/history"
-	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
 // binDir holds the binaries that TestMain builds once.
@@ -66,8 +64,8 @@
 type rig struct {
 	t       *testing.T
 	ctx     context.Context
+	doc     service.Document // of the model service
 	c       *cluster.Cluster
-	proxy   *faultproxy.Proxy
 	engines []platform.Instance // as the stand-ins listen, not as listed
 	plain   []platform.Instance
 
@@ -76,14 +74,9 @@
 }
 
 // startRig starts three entries and groups of two engines in two data centres.
-func startRig(t *testing.T, edit func(*cluster.Config)) *rig { return buildRig(t, edit, false) }
-
-// startProxiedRig is startRig with a fault proxy in front of each backend
-// server.
-func startProxiedRig(t *testing.T) *rig { return buildRig(t, nil, true) }
-
-func buildRig(t *testing.T, edit func(*cluster.Config), proxied bool) *rig {
+func startRig(t *testing.T, edit func(*cluster.Config)) *rig {
 	t.Helper()
+
 	cfg := cluster.DefaultConfig(binDir)
 	cfg.DataCentres = []ident.DataCentre{"dc-a", "dc-b"}
 	cfg.Entries, cfg.EnginesPerDataCentre, cfg.DomainSize, cfg.OrderSystems = 3, 4, 4, 1
@@ -95,11 +88,19 @@
 	if edit != nil {
 		edit(&cfg)
 	}
-	r := &rig{t: t, ctx: t.Context()}
-	cfg.BeforeEntries = func(ctx context.Context, c *cluster.Cluster) error { return r.findBackends(ctx, c, proxied) }
+	doc, err := service.Parse([]byte(cfg.Documents[0]))
+	assert.NilError(t, err)
+	r := &rig{t: t, ctx: t.Context(), doc: doc}
 	c, err := cluster.Start(t.Context(), cfg)
 	assert.NilError(t, err)
 	r.c = c
+	for _, inst := range c.Backends {
+		if inst.Kind == platform.KindEngine {
+			r.engines = append(r.engines, inst)
+		} else {
+			r.plain = append(r.plain, inst)
+		}
+	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(c.Logs())
@@ -109,36 +110,8 @@
 	return r
 }
 
-// findBackends notes the backend servers and, if asked, lists them at the
-// address of a fault proxy.
-func (r *rig) findBackends(ctx context.Context, c *cluster.Cluster, proxied bool) error {
-	instances, err := c.Instances(ctx)
-	if err != nil {
-		return err
-	}
-	for _, inst := range instances {
-		if inst.Kind == platform.KindEngine {
-			r.engines = append(r.engines, inst)
-		} else {
-			r.plain = append(r.plain, inst)
-		}
-	}
-	if !proxied {
-		return nil
-	}
-	if r.proxy, err = faultproxy.Start(faultproxy.Config{}); err != nil {
-		return err
-	}
-	r.t.Cleanup(r.proxy.Close)
-	for i := range instances {
-		inst := &instances[i]
-		link := faultproxy.Link{Name: string(inst.ID), Target: inst.Address, From: "entries", To: string(inst.DataCentre)}
-		if inst.Address, err = r.proxy.Add(link); err != nil {
-			return err
-		}
-	}
-	return c.ChangeInstances(standin.InstanceChange{Put: instances, Now: true})
-}
+// proxied puts a fault proxy between all processes.
+func proxied(c *cluster.Config) { c.Proxied = true }
 
 // serve waits until the groups are formed and warm, and a stream through each
 // entry is answered.
@@ -155,17 +128,15 @@
 // waitGroups waits until all wanted groups are whole and their leaders warm.
 func (r *rig) waitGroups() {
 	r.t.Helper()
-	doc, err := service.Parse([]byte(cluster.ModelDocument(wantedGroups, 2, 2, 2)))
-	assert.NilError(r.t, err)
 	r.wait("all groups are whole and warm", func() bool {
-		groups, err := r.c.Groups(r.ctx, doc)
+		groups, err := r.c.Groups(r.ctx, r.doc)
 		warm := 0
 		for _, g := range groups {
 			if !g.Cold {
 				warm++
 			}
 		}
-		return err == nil && warm == wantedGroups
+		return err == nil && warm == r.doc.Replicas.Wanted
 	})
 }
 
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -96,18 +96,18 @@
 // established connections that carry nothing, while new ones work.
 func TestSilentConnections(t *testing.T) {
 	t.Parallel()
-	r := startProxiedRig(t)
+	r := startRig(t, proxied)
 	r.serve()
 	p := prompts(t, 6)
 	results := r.streams(r.c.Entries, p)
 	r.waitRunning(p)
-	for _, l := range r.proxy.Links() {
-		assert.NilError(t, r.proxy.Silence(l.Name))
+	for _, b := range r.c.Backends {
+		assert.NilError(t, r.c.Proxy.Silence(string(b.ID)))
 	}
 	allAnswered(t, results())
 	var silenced, held uint64
-	for _, l := range r.proxy.Links() {
-		c, err := r.proxy.Counters(l.Name)
+	for _, b := range r.c.Backends {
+		c, err := r.c.Proxy.Counters(string(b.ID))
 		assert.NilError(t, err)
 		silenced, held = silenced+c.Silenced, held+c.Held
 	}
--- a/wire/node.go
+++ b/wire/node.go
@@ -5,12 +5,15 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 )
 
 // maxConcurrentRequests bounds the handlers that run for one connection.
@@ -82,17 +85,21 @@
 		self:    self,
 		secret:  secret,
 		mux:     mux,
-		dial:    dialTCP,
+		dial:    tcpFrom(netip.Addr{}),
 		clients: make(map[string]*client),
 		conns:   make(map[*conn]struct{}),
 	}
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", addr)
+func tcpFrom(local netip.Addr) func(ctx context.Context, addr string) (net.Conn, error) {
+	from := dial.From(local, dialTimeout)
+	return func(ctx context.Context, addr string) (net.Conn, error) { return from(ctx, "tcp", addr) }
 }
 
+// DialFrom sets the local address of outgoing connections. Call it before
+// UseTLS and Serve.
+func (n *Node) DialFrom(local netip.Addr) { n.dial = tcpFrom(local) }
+
 // UseTLS makes the node speak TLS on all its connections. Call it before Serve.
 func (n *Node) UseTLS(server, client *tls.Config) {
 	n.serverTLS = server
