--- a/engine/conn.go
+++ b/engine/conn.go
@@ -125,9 +125,8 @@
 
 // dialChecked opens a connection and reads the engine's status on it before any
 // request uses it.
-func dialChecked(ctx context.Context, target Target) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", target.Address)
+func (d *Data) dialChecked(ctx context.Context, target Target) (net.Conn, error) {
+	c, err := d.dial(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
--- a/engine/data.go
+++ b/engine/data.go
@@ -9,11 +9,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 )
 
 // Timings and limits of the data path.
@@ -73,14 +75,18 @@
 
 // Data opens streams to group leaders.
 type Data struct {
+	dial dial.Func
 	pool connPool
 }
 
 // NewData returns a data client.
 func NewData() *Data {
-	return &Data{pool: connPool{idle: make(map[poolKey][]*dataConn)}}
+	return &Data{dial: dial.From(netip.Addr{}, dialTimeout), pool: connPool{idle: make(map[poolKey][]*dataConn)}}
 }
 
+// DialFrom sets the local address of connections. Call it before Open.
+func (d *Data) DialFrom(local netip.Addr) { d.dial = dial.From(local, dialTimeout) }
+
 // Forget closes the idle connections to an address. It is called when the
 // address stops answering, so that silent connections are not used again.
 func (d *Data) Forget(address string) { d.pool.forget(address) }
@@ -97,7 +103,7 @@
 		}
 		_ = c.Close()
 	}
-	c, err := dialChecked(ctx, t)
+	c, err := d.dialChecked(ctx, t)
 	if err != nil {
 		return nil, err
 	}
--- a/engine/poll.go
+++ b/engine/poll.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/internal/dial"
 )
 
 // pollIdle is the time after which a connection that no poll uses is closed.
@@ -22,9 +25,9 @@
 // one connection per engine, and decodes a report only if it differs from the
 // last one.
 type poller struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string]*pollConn
+	dial dial.Func
+	mu   sync.Mutex
+	idle map[string]*pollConn
 }
 
 // pollConn is a connection to one engine. One poll at a time uses it.
@@ -38,7 +41,9 @@
 	close  *time.Timer
 }
 
-func newPoller() *poller { return &poller{idle: make(map[string]*pollConn)} }
+func newPoller() *poller {
+	return &poller{dial: dial.From(netip.Addr{}, 0), idle: make(map[string]*pollConn)}
+}
 
 // poll reads the status of an engine. A poll on a connection that the engine
 // closed since the last one is repeated on a new one.
@@ -50,7 +55,7 @@
 			return status, err
 		}
 	}
-	c, err := p.dial(ctx, addr)
+	c, err := p.open(ctx, addr)
 	if err != nil {
 		return Status{}, err
 	}
@@ -63,8 +68,8 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-func (p *poller) dial(ctx context.Context, addr string) (*pollConn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+func (p *poller) open(ctx context.Context, addr string) (*pollConn, error) {
+	conn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -93,6 +93,12 @@
 	heldLimit int // context tokens that one backend server bears
 	// free is the number of credits left at each target during a dispatch.
 	free []int
+	// granted is when the owner of the credits answered last, or when this
+	// process went on after a pause: its credits have ended then, and the owner
+	// has had no time to answer.
+	granted time.Duration
+	// awake is the last instant at which the lane ran.
+	awake time.Duration
 	// failedAt is when an attempt at a target failed last.
 	failedAt map[credit.BackendID]time.Duration
 }
@@ -102,11 +108,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.b.now()
+	l.wake(now)
 	l.refresh(now)
 	switch {
 	case l.heldLimit > 0 && t.tokens > l.heldLimit:
 		t.result <- outcome{err: ProblemTooManyTokens.With("%d tokens, limit %d", t.tokens, l.heldLimit)}
 		return
+	case l.cutOff(now) && !started(t.request):
+		t.result <- outcome{err: l.cutOffProblem()}
+		return
 	case !l.allowed(t):
 		t.result <- outcome{err: ProblemNoCapacity.With("every backend server of service %q failed an attempt", l.name).After(time.Second)}
 		return
@@ -189,10 +199,14 @@
 func (l *lane) tick(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.wake(now)
 	l.refresh(now)
 	for _, r := range l.queue.Shed(now) {
 		l.refuse(r)
 	}
+	if l.cutOff(now) {
+		l.refuseWaiting(now)
+	}
 	l.dispatch(now)
 	if waits := l.queue.Len() > 0 || len(l.isolating) > 0; waits && now-l.woken >= starvedSync {
 		l.woken = now
@@ -200,6 +214,41 @@
 	}
 }
 
+// wake notes that the lane runs.
+func (l *lane) wake(now time.Duration) {
+	if now-l.awake >= pauseGap {
+		l.granted = now
+	}
+	l.awake = now
+}
+
+// cutOff reports whether no credits are left and none are to be expected soon,
+// so that callers do better at another entry instance.
+func (l *lane) cutOff(now time.Duration) bool {
+	if now-l.granted < ownerChangeTime {
+		return false
+	}
+	for i := range l.targets {
+		if l.holder.Usable(now, l.targets[i].backend, true) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lane) cutOffProblem() error {
+	return ProblemNoCapacity.With("this entry instance has no credits of service %q and cannot get any: use another address", l.name).After(time.Second)
+}
+
+// refuseWaiting refuses what waits, except streams that continue.
+func (l *lane) refuseWaiting(now time.Duration) {
+	for w, t := range l.waiting {
+		if !started(t.request) && l.queue.Cancel(now, w) {
+			l.forget(w).result <- outcome{err: l.cutOffProblem()}
+		}
+	}
+}
+
 // refresh takes over a new snapshot.
 func (l *lane) refresh(now time.Duration) {
 	snap := l.b.snapshot()
--- a/gateway/route_test.go
+++ b/gateway/route_test.go
@@ -160,3 +160,29 @@
 	_, err = acquire("p")
 	assert.ErrorContains(t, err, "every backend server")
 }
+
+// TestCutOff guards against an entry instance that refuses at once although
+// its credits are about to come: for a service that it has just learnt of, and
+// after a pause in which its credits ended. It also guards against one that
+// lets requests wait although no owner answers.
+func TestCutOff(t *testing.T) {
+	now := 100 * time.Second
+	doc := service.DefaultDocument()
+	doc.Service, doc.Kind = testService, service.KindModel
+	snapshot := view.New(view.Snapshot{Ready: true, Services: []*view.Service{{Document: doc}}})
+	b := NewBalancer(view.Entry{Instance: "entry"}, func() *view.Snapshot { return snapshot }, func() time.Duration { return now }, telemetry.New())
+	l := b.lane(testService)
+	runFor := func(d time.Duration) bool {
+		for end := now + d; now < end; now += balancerTick {
+			l.tick(now)
+		}
+		return l.cutOff(now)
+	}
+	assert.Assert(t, !runFor(time.Second), "a new service")
+	assert.Assert(t, runFor(ownerChangeTime), "no answer for longer than a change of owner")
+	now += 10 * time.Second
+	assert.Assert(t, !runFor(time.Second), "after a pause")
+	assert.Assert(t, runFor(ownerChangeTime), "no answer after the pause either")
+	b.Reply(now, testService, credit.Reply{})
+	assert.Assert(t, !runFor(time.Second), "after an answer")
+}
