Record requests, routing, load and losses in a running daemon

The recorder held edits, drains and states of the store only, so no trace of a running daemon could be replayed against the decisions on traffic.

It now takes typed events: arrivals and outcomes of requests, routing choices with the groups that had no credit, releases, the rows that routing takes over, load reports, cache events, losses and returns of members, and drains and documents from other entry instances. Nothing is encoded before the trace is read; the lock covers an append. Dropped events leave the newest state behind and a gap event. bulrushctl trace start, stop and get work for each entry instance.

--- a/cmd/bulrushctl/flags.go
+++ b/cmd/bulrushctl/flags.go
@@ -42,6 +42,7 @@
 	force    bool
 	explain  bool
 	machines []string
+	expect   string
 }
 
 // command runs after the command line was parsed.
--- a/cmd/bulrushctl/output.go
+++ b/cmd/bulrushctl/output.go
@@ -36,7 +36,7 @@
 	exitUnmet      = 10
 )
 
-const exitCodesHelp = "0 done; 1 failure; 2 usage; 3 invalid file; 4 conflict; 5 wrong owner or token; " +
+const exitCodesHelp = "0 done; 1 failure; 2 usage; 3 invalid file; 4 conflict or a recording runs already; 5 wrong owner or token; " +
 	"6 not applied, repeat later; 7 outcome unknown; 8 not found; 9 diff found differences; 10 replay missed an expectation"
 
 // errDiffers tells that diff found differences.
@@ -95,7 +95,7 @@
 	switch p.Kind {
 	case operator.KindInvalidDocument, operator.KindBodyTooLarge:
 		return exitInvalid
-	case operator.KindConflict:
+	case operator.KindConflict, operator.KindTraceRunning:
 		return exitConflict
 	case operator.KindWrongOwner, operator.KindUnknownTeam:
 		return exitForbidden
--- a/cmd/bulrushctl/trace.go
+++ b/cmd/bulrushctl/trace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +11,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"github.com/bulrushfall/bulrushfall/operator"
 	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/trace/machines"
 )
@@ -22,8 +24,32 @@
 	replay := leaf(g, "replay", "replay a trace through the decision machines and print their decisions, one JSON object a line")
 	replay.AddPositionalValue(&t.file, "file", 1, true, "trace (.jsonl), or expectations (.yaml) with the trace next to them")
 	replay.StringSlice(&t.machines, "M", "machine", "decision machine to drive; repeat it for more: "+strings.Join(machines.Names(), ", "))
+	replay.String(&t.expect, "x", "expect", "expectations (.yaml) for the trace that is replayed, whatever trace they name")
 	get := leaf(g, "get", "print the recorded trace of the entry instance that answers")
-	return []choice{{replay, t.traceReplay}, {get, t.traceGet}}
+	start := leaf(g, "start", "start a recording at the entry instance that answers; it forgets the last one")
+	stop := leaf(g, "stop", "stop the recording at the entry instance that answers; it can still be printed")
+	return []choice{
+		{replay, t.traceReplay},
+		{get, t.traceGet},
+		{start, func() error { return t.traceControl((*operator.Client).StartTrace) }},
+		{stop, func() error { return t.traceControl((*operator.Client).StopTrace) }},
+	}
+}
+
+// traceControl starts or stops a recording and prints what the recorder holds.
+func (t *tool) traceControl(do func(*operator.Client, context.Context) (operator.TraceStatus, error)) error {
+	c, err := t.client()
+	if err != nil {
+		return err
+	}
+	s, err := do(c, t.ctx)
+	if err != nil {
+		return err
+	}
+	return t.print(s, func(w *table) {
+		w.row("INSTANCE", "RECORDING", "EVENTS", "DROPPED", "BYTES", "MAX BYTES")
+		w.row(s.Instance, s.Recording, s.Events, s.Dropped, s.Bytes, s.MaxBytes)
+	})
 }
 
 func (t *tool) traceGet() error {
@@ -42,7 +68,12 @@
 // traceReplay replays a trace. With expectations it prints only those that are
 // not met.
 func (t *tool) traceReplay() error {
-	if !strings.HasSuffix(t.file, ".yaml") {
+	switch {
+	case t.expect != "":
+		return t.traceVerify(t.expect, func(string) string { return t.file })
+	case strings.HasSuffix(t.file, ".yaml"):
+		return t.traceVerify(t.file, func(name string) string { return filepath.Join(filepath.Dir(t.file), name) })
+	default:
 		names := t.machines
 		if len(names) == 0 {
 			names = machines.Names()
@@ -50,11 +81,16 @@
 		_, err := t.replayFile(t.file, t.stdout, names)
 		return err
 	}
-	x, err := readExpectations(t.file)
+}
+
+// traceVerify replays the trace that expectations are for. traceFile finds it
+// by the name that they give.
+func (t *tool) traceVerify(file string, traceFile func(name string) string) error {
+	x, err := readExpectations(file)
 	if err != nil {
 		return err
 	}
-	decisions, err := t.replayFile(filepath.Join(filepath.Dir(t.file), x.Trace), io.Discard, x.Machines)
+	decisions, err := t.replayFile(traceFile(x.Trace), io.Discard, x.Machines)
 	if err != nil {
 		return err
 	}
@@ -65,7 +101,7 @@
 	if len(unmet) > 0 {
 		return errUnmet
 	}
-	fmt.Fprintf(t.stdout, "%s: all %d expectations are met\n", t.file, len(x.Expect))
+	fmt.Fprintf(t.stdout, "%s: all %d expectations are met\n", file, len(x.Expect))
 	return nil
 }
 
--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/settings"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -50,6 +51,7 @@
 	syncer   *control.Syncer
 	feed     *gateway.CacheFeed
 	orders   *gateway.OrderParts
+	recorder *trace.Recorder
 }
 
 func newDaemon(cfg settings.Config, documents []service.Document) (*daemon, error) {
@@ -69,6 +71,7 @@
 		Region:      cfg.Region,
 		Alive:       true,
 	}
+	d.recorder = newRecorder(cfg.Trace, now)
 	mux := wire.NewMux()
 	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
 	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
@@ -95,13 +98,14 @@
 		Scope:      d.metrics.Scope,
 		Now:        now,
 		Documents:  documents,
-		Recorder:   newRecorder(cfg.Trace, now),
+		Recorder:   d.recorder,
 	})
 	d.loop.RegisterSync(mux)
 	d.loop.RegisterInstances(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
 	d.feed = gateway.NewCacheFeed(d.balancer, engine.NewControl().CacheEvents, d.metrics)
 	d.loop.RelayCacheEvents(d.feed)
+	d.balancer.Trace(d.recorder)
 	d.syncer = control.NewSyncer(d.loop, d.balancer)
 	d.orders, err = gateway.NewOrderParts(gateway.OrderOptions{
 		Table: store, Objects: store, Node: d.node, Snapshot: d.loop.Snapshot, Now: now, Self: self, Scope: d.metrics.Scope,
@@ -121,6 +125,7 @@
 		Orders:               d.orders.Orders,
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
+		Recorder:             d.recorder,
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
 		AccountParkedStreams: int(cfg.Limits.AccountStreamBytes / parkedStreamBytes),
@@ -203,7 +208,8 @@
 		Team:          d.cfg.Team,
 		Status:        d.loop.Status,
 		Known:         d.loop.KnownTargets,
-		Trace:         d.loop.TraceWriter(),
+		Recorder:      d.recorder,
+		TraceHeader:   d.loop.TraceHeader,
 		Now:           time.Now,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler())
--- a/cmd/bulrushfalld/trace.go
+++ b/cmd/bulrushfalld/trace.go
@@ -7,10 +7,12 @@
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
-// newRecorder returns the recorder that the settings ask for, or nil.
+// newRecorder returns the recorder, which records from the start if the settings
+// say so. It holds no memory before it records.
 func newRecorder(cfg settings.Trace, now func() time.Duration) *trace.Recorder {
-	if !cfg.Enabled {
-		return nil
+	r := trace.NewRecorder(cfg.MaxBytes, now)
+	if cfg.Enabled {
+		r.Start()
 	}
-	return trace.NewRecorder(cfg.MaxBytes, now)
+	return r
 }
--- a/control/config.go
+++ b/control/config.go
@@ -53,7 +53,7 @@
 		}
 	})
 	if l.opts.Recorder != nil {
-		c.shell.OnStep = newConfigTrace(l.opts.Recorder, l.opts.Self.Instance).step
+		c.shell.OnStep = l.traceConfig
 	}
 	if l.opts.Mux != nil {
 		c.shell.Register(l.opts.Mux)
--- a/control/learned.go
+++ b/control/learned.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -31,6 +33,7 @@
 		return
 	}
 	l.learned[e.service] = e
+	l.traceLearned(e)
 }
 
 // fresh reports whether the owner of a service answered lately.
@@ -70,6 +73,8 @@
 			*have = *l.withDrains(g)
 		}
 	}
+	// A fixed order lets a replay of the routing see the groups as they were.
+	slices.SortFunc(own, func(a, b *view.Group) int { return cmp.Compare(a.ID, b.ID) })
 	return own
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -54,7 +54,7 @@
 	Datagrams net.PacketConn
 	// PeerSecret authenticates membership messages.
 	PeerSecret []byte
-	// Recorder takes events for a trace; nil records none.
+	// Recorder takes events for a trace while it records; nil records none.
 	Recorder *trace.Recorder
 	// Seeds are peer addresses that are known at the start.
 	Seeds []string
@@ -108,6 +108,7 @@
 	config        configPart
 	groups        groupsPart
 	membership    membershipPart
+	trace         loopTrace
 }
 
 type loopCounters struct {
@@ -140,6 +141,7 @@
 			groups:         opts.Scope.Gauge("groups_confirmed"),
 		},
 	}
+	l.trace = newLoopTrace(opts.Recorder, opts.Self.Instance)
 	l.snapshot.Store(view.New(view.Snapshot{}))
 	l.startConfig()
 	l.startGroups()
@@ -227,4 +229,5 @@
 	l.tickConfig(now)
 	l.tickMembership(now)
 	l.tickGroups(now)
+	l.tickTrace()
 }
--- a/control/membership.go
+++ b/control/membership.go
@@ -127,6 +127,7 @@
 		case membership.Send:
 			l.sendDatagram(a)
 		case membership.Changed:
+			l.traceMembership(a)
 			l.opts.Log.WithField("entry", a.Instance).WithField("state", a.State).Debug("opinion on entry instance changed")
 		}
 	}
--- a/control/poll.go
+++ b/control/poll.go
@@ -35,6 +35,7 @@
 	l.configInstances(now)
 	l.groupInstances(now, group.InstancesListed{Instances: l.instances})
 	l.membershipInstances(now)
+	l.traceInstances()
 }
 
 // forgetGone indexes the list and drops the statuses of instances that left the list.
@@ -74,6 +75,7 @@
 func (e memberPolled) apply(l *Loop, now time.Duration) {
 	delete(l.polling, e.instance)
 	l.groupReport(now, e)
+	l.tracePoll(now, e)
 	if e.err != nil {
 		l.counters.pollErrors.Inc(1)
 		// The last report stays until it is too old to confirm anything.
--- a/control/publish.go
+++ b/control/publish.go
@@ -47,6 +47,7 @@
 		b := l.backendOf(inst)
 		out = append(out, &b)
 	}
+	slices.SortFunc(out, func(a, b *view.Backend) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
 }
 
--- /dev/null
+++ b/control/trace_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/trace"
+	"github.com/bulrushfall/bulrushfall/view"
+)
+
+// recordedLines returns the events after the last call as short lines.
+func recordedLines(t *testing.T, r *trace.Recorder, seen *int) []string {
+	t.Helper()
+	var b strings.Builder
+	assert.NilError(t, r.Write(&b, trace.Header{}))
+	back, err := trace.NewReader(strings.NewReader(b.String()))
+	assert.NilError(t, err)
+	var out []string
+	for e, err := back.Next(); err == nil; e, err = back.Next() {
+		line := string(e.Kind)
+		switch {
+		case e.Member != nil:
+			line += fmt.Sprintf(" %s %s %s", e.Member.Instance, e.Member.Incarnation, e.Member.Reason)
+		case e.Instance != nil:
+			line += " " + string(e.Instance.ID)
+		case e.LoadReport != nil:
+			line += fmt.Sprintf(" %s %d", e.LoadReport.Instance, e.LoadReport.Running)
+		}
+		out = append(out, line)
+	}
+	out = out[*seen:]
+	*seen += len(out)
+	return out
+}
+
+// TestMembersRecorded guards against losses and returns that the trace lacks,
+// tells twice or tells of a member that answers.
+func TestMembersRecorded(t *testing.T) {
+	r := trace.NewRecorder(1<<20, func() time.Duration { return time.Second })
+	r.Start()
+	x := newLoopTrace(r, "e")
+	x.reset(r.Generation())
+	seen := 0
+	expect := func(want ...string) {
+		t.Helper()
+		assert.DeepEqual(t, recordedLines(t, r, &seen), want)
+	}
+	status := func(incarnation ident.Incarnation, running int) engine.Status {
+		return engine.Status{Instance: "w", Incarnation: incarnation, Running: running}
+	}
+	list := []platform.Instance{{ID: "w", Kind: platform.KindEngine}}
+	x.listed(list)
+	x.listed(list)
+	x.failed(time.Second, "w", syscall.ECONNREFUSED) // never answered
+	expect("instance w")
+	x.answered("w", time.Second, status("1", 3))
+	x.answered("w", 2*time.Second, status("1", 3))
+	expect("load-report w 3")
+	x.failed(2*time.Second+view.ConfirmTTL-1, "w", syscall.ETIMEDOUT)
+	expect([]string{}...)
+	x.failed(2*time.Second+view.ConfirmTTL, "w", syscall.ETIMEDOUT)
+	x.failed(10*time.Second, "w", syscall.ETIMEDOUT)
+	expect("member-lost w 1 unreachable")
+	x.answered("w", 11*time.Second, status("1", 4))
+	expect("member-returned w 1 ", "load-report w 4")
+	x.failed(11*time.Second, "w", errors.Wrap(syscall.ECONNREFUSED, "status"))
+	x.answered("w", 12*time.Second, status("2", 0))
+	x.answered("w", 13*time.Second, status("3", 0))
+	expect("member-lost w 1 killed", "member-returned w 2 ", "load-report w 0",
+		"member-lost w 2 killed", "member-returned w 3 ", "load-report w 0")
+	x.listed(nil)
+	expect("member-lost w  left")
+}
+
+// TestDocumentsRecordedWithoutKeys guards against hashes of callers' keys in a
+// trace, and against a document that a replay cannot read.
+func TestDocumentsRecordedWithoutKeys(t *testing.T) {
+	b, err := os.ReadFile(filepath.Join("..", "examples", "orders.yaml"))
+	assert.NilError(t, err)
+	doc, err := service.Parse(b)
+	assert.NilError(t, err)
+	text := documentText(doc)
+	back, err := service.Parse([]byte(text))
+	assert.NilError(t, err)
+	assert.Assert(t, len(doc.Accounts) > 0)
+	for i, a := range doc.Accounts {
+		assert.Assert(t, !strings.Contains(text, a.KeySHA256))
+		assert.Equal(t, back.Accounts[i].Name, a.Name)
+	}
+}
--- a/gateway/cachefeed.go
+++ b/gateway/cachefeed.go
@@ -231,6 +231,9 @@
 		}
 		applied.Inc(int64(len(b.Events)))
 		for _, e := range b.Events {
+			l.traceCache(now, "", engine.CacheEvent{
+				Sequence: e.Sequence, Group: b.Source.Group, Prefix: e.Prefix, Tokens: e.Tokens, Evicted: e.Evicted,
+			})
 			l.table.Event(now, b.Source.Group, e.Sequence, e.Prefix, e.Tokens, e.Evicted)
 		}
 	}
@@ -243,6 +246,7 @@
 	now := l.b.now()
 	for _, e := range events {
 		if e.Group == g.ID {
+			l.traceCache(now, g.Leader.Instance, e)
 			l.table.Event(now, e.Group, e.Sequence, e.Prefix, e.Tokens, e.Evicted)
 		}
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -85,6 +85,7 @@
 func (g *Gateway) attempt(ctx context.Context, r *Request, grant Grant) Result {
 	started := g.now()
 	id := ident.AttemptID(uuid.NewString())
+	r.trace.server = grant.Group.ID
 	s, err := g.opts.Data.Open(ctx, engine.Request{
 		Target: engine.Target{
 			Group:       grant.Group.ID,
@@ -124,6 +125,7 @@
 	}
 	r.startTimer.Stop()
 	r.startTimer = nil
+	r.trace.firstToken = g.now() - r.Arrived
 	m := g.opts.Metrics.Request(r.Account.Name, r.Name, r.Class)
 	m.FirstByte.RecordDuration(g.now() - r.Arrived)
 	if g.now() > r.Deadline {
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -61,6 +61,7 @@
 		}
 		r.Deadline = r.Arrived + limit
 		r.Fingerprint = fingerprint(r)
+		g.traceRequest(r)
 		return next(ctx, r)
 	}
 }
@@ -102,6 +103,7 @@
 	return func(ctx context.Context, r *Request) (*Answer, error) {
 		a, err := next(ctx, r)
 		err = withEarlierCalls(r, err)
+		g.traceAnswer(r, err)
 		switch {
 		case r.Account.Name == "":
 			g.counters.unauthenticated.Inc(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -46,6 +47,8 @@
 	// services it wraps the Router.
 	Quarantine *Quarantine
 	Self       view.Entry
+	// Recorder takes events for a trace while it records; nil records none.
+	Recorder *trace.Recorder
 	// LookupTTL is how long callers may keep a lookup answer.
 	LookupTTL time.Duration
 	// MaxBodyBytes bounds a request body.
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -95,6 +95,7 @@
 // suspect until its release.
 func (l *lane) permitAlone(now time.Duration, t *ticket, target target, c credit.Credit, i int) *permit {
 	p := &permit{lane: l, ticket: t, target: target, credit: c, started: now, uncached: l.table.Uncached(i, &t.route), alone: true}
+	l.traceAlone(now, p)
 	l.table.Start(now, ident.GroupID(target.backend), t.route.Prefixes)
 	l.b.counters.granted.Inc(1)
 	return p
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -95,6 +96,9 @@
 	free []int
 	// failedAt is when an attempt at a target failed last.
 	failedAt map[credit.BackendID]time.Duration
+	// random is the source of the policy.
+	random *rand.PCG
+	trace  laneTrace
 }
 
 // enter queues a ticket and starts what can start.
@@ -221,6 +225,8 @@
 	}
 	l.dropGone()
 	l.table.Update(now, rows)
+	l.trace.rowLimit = svc.Document.Backend.Requests
+	l.traceGroups(now)
 	l.observe(svc.Groups)
 	l.setSlots(now)
 	l.free = make([]int, len(l.targets))
@@ -307,12 +313,14 @@
 		}
 	}
 	t.route.Free = l.free
+	l.traced(now)
 	for range maxPicks {
 		i := l.policy.Pick(now, l.table, &t.route)
 		if i < 0 {
 			return false
 		}
 		c, err := l.holder.Acquire(now, l.targets[i].backend, t.tokens, true)
+		l.traceChoice(now, t, i, err != nil)
 		if err == nil {
 			l.free[i]--
 			l.grant(now, t, i, c)
@@ -373,6 +381,7 @@
 		hold = 0
 		l.fail(now, p.target.backend, r.Err)
 	}
+	l.traceRelease(now, p, r.FirstToken, hold, r.Err != nil)
 	l.table.Done(now, ident.GroupID(p.target.backend), p.uncached, r.FirstToken, hold)
 	l.dispatch(now)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -74,6 +74,7 @@
 	reachedRecord bool
 	// startTimer enforces the deadline until the answer starts.
 	startTimer *time.Timer
+	trace      requestTrace
 }
 
 // Sink receives the parts of an answer in order.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -45,6 +46,7 @@
 	refused  refusals
 	counters balancerCounters
 	wake     chan ident.ServiceName
+	recorder *trace.Recorder
 
 	mu    sync.RWMutex
 	lanes map[ident.ServiceName]*lane
@@ -192,13 +194,15 @@
 // newLane returns the state of one service.
 func newLane(b *Balancer, name ident.ServiceName) *lane {
 	seed := ident.Score(string(name), b.self.Instance)
+	random := rand.NewPCG(seed, seed)
 	return &lane{
 		b: b, name: name,
 		holder:  credit.NewHolder(b.self.Instance, b.self.Incarnation),
 		queue:   admission.NewQueue(admission.DefaultConfig()),
 		retries: admission.NewRetryBudget(),
 		table:   routing.NewTable(routing.Place{DataCentre: b.self.DataCentre, Region: b.self.Region}, maxHints),
-		policy:  routing.ExpectedDelay{Rand: rand.New(rand.NewPCG(seed, seed))},
+		policy:  routing.ExpectedDelay{Rand: rand.New(random)},
+		random:  random,
 		waiting: make(map[*admission.Waiter]*ticket),
 
 		isolating: make(map[credit.BackendID]int),
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -349,6 +349,7 @@
 		release(Result{Err: errOutdated})
 		return nil, nil, errOutdated
 	}
+	r.trace.server = ident.GroupID(b.Instance)
 	a, err := g.backends.call(ctx, r, b, ident.AttemptID(r.AnswerID))
 	run.end(plainRunResult(ctx, err))
 	release(Result{Err: err})
--- a/operator/client.go
+++ b/operator/client.go
@@ -104,6 +104,16 @@
 	return call[Status](ctx, c, http.MethodGet, statusPath, nil, nil)
 }
 
+// StartTrace begins a recording at the entry instance that answers.
+func (c *Client) StartTrace(ctx context.Context) (TraceStatus, error) {
+	return call[TraceStatus](ctx, c, http.MethodPost, traceStartPath, nil, nil)
+}
+
+// StopTrace ends the recording of the entry instance that answers.
+func (c *Client) StopTrace(ctx context.Context) (TraceStatus, error) {
+	return call[TraceStatus](ctx, c, http.MethodPost, traceStopPath, nil, nil)
+}
+
 // Trace returns the recorded trace of the entry instance that answers.
 func (c *Client) Trace(ctx context.Context) ([]byte, error) {
 	return call[[]byte](ctx, c, http.MethodGet, tracePath, nil, nil)
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/service"
+	"github.com/bulrushfall/bulrushfall/trace"
 )
 
 // Configuration is the configuration of an entry instance.
@@ -35,8 +35,10 @@
 	// Known lists the names that a drain of a kind may name. An empty list
 	// allows all. It may be nil.
 	Known func(kind config.DrainKind) []string
-	// Trace writes the recorded trace. It is nil when none is recorded.
-	Trace func(w io.Writer) error
+	// Recorder records traces of this entry instance; nil means that it cannot.
+	Recorder *trace.Recorder
+	// TraceHeader is the header of the traces. It may be nil.
+	TraceHeader func() trace.Header
 	// Now is the wall clock for audit rows.
 	Now func() time.Time
 }
@@ -206,17 +208,6 @@
 	return Accepted{Revision: revision, Attempt: e.Attempt}, nil
 }
 
-// recorded is a trace to be written as the answer.
-type recorded func(w io.Writer) error
-
-func (o Options) trace(context.Context, any) (any, error) {
-	if o.Trace == nil {
-		return nil, newProblem(KindNoTrace, http.StatusNotFound, "No trace is recorded",
-			"set trace.enabled in the settings of this entry instance and restart it")
-	}
-	return recorded(o.Trace), nil
-}
-
 func (o Options) status(context.Context, any) (any, error) {
 	v := o.Configuration.View()
 	out := Status{Ready: v.Ready}
--- a/operator/message.go
+++ b/operator/message.go
@@ -83,6 +83,17 @@
 	Drains   []Drain         `json:"drains" yaml:"drains"`
 }
 
+// TraceStatus is what the recorder of the entry instance that answers holds.
+type TraceStatus struct {
+	Instance  ident.InstanceID `json:"instance" yaml:"instance"`
+	Recording bool             `json:"recording" yaml:"recording"`
+	// Events were recorded, Dropped of them are gone.
+	Events   uint64 `json:"events" yaml:"events"`
+	Dropped  uint64 `json:"dropped" yaml:"dropped"`
+	Bytes    int    `json:"bytes" yaml:"bytes"`
+	MaxBytes int    `json:"max_bytes" yaml:"max_bytes"`
+}
+
 func serviceOf(v config.ServiceView) Service {
 	return Service{
 		Name: v.Document.Service, Revision: v.Revision, Owner: v.Document.Owner,
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -29,6 +29,7 @@
 	KindUnknownService   Kind = "unknown-service"
 	KindUnknownTarget    Kind = "unknown-target"
 	KindNoTrace          Kind = "no-trace"
+	KindTraceRunning     Kind = "trace-running"
 	KindRevisionRequired Kind = "revision-required"
 	KindBadRequest       Kind = "bad-request"
 	KindBodyTooLarge     Kind = "body-too-large"
--- a/operator/transport.go
+++ b/operator/transport.go
@@ -24,6 +24,9 @@
 	drainsPath   = "/operator/v1/drains"
 	statusPath   = "/operator/v1/status"
 	tracePath    = "/operator/v1/trace"
+	// traceStartPath and traceStopPath control the recorder.
+	traceStartPath = tracePath + "/start"
+	traceStopPath  = tracePath + "/stop"
 )
 
 // maxDocumentBytes bounds a document. A record has to fit into one frame of the
@@ -49,7 +52,9 @@
 	serve("PUT "+drainsPath+"/{kind}/{name}", o.setDrain, decodeSetDrain(true))
 	serve("DELETE "+drainsPath+"/{kind}/{name}", o.setDrain, decodeSetDrain(false))
 	serve("GET "+statusPath, o.status, decodeNothing)
-	serve("GET "+tracePath, o.trace, decodeNothing)
+	serve("GET "+tracePath, o.getTrace, decodeNothing)
+	serve("POST "+traceStartPath, o.startTrace, decodeNothing)
+	serve("POST "+traceStopPath, o.stopTrace, decodeNothing)
 	return mux
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -87,8 +87,10 @@
 	CAFile string `yaml:"ca_file,omitempty"`
 }
 
-// Trace controls the recorder of control events.
+// Trace controls the recorder of traces.
 type Trace struct {
+	// Enabled starts a recording with the process. Operators start and stop
+	// recordings at any time.
 	Enabled bool `yaml:"enabled"`
 	// MaxBytes bounds the memory that the recorder holds; the oldest records
 	// are dropped first.
--- /dev/null
+++ b/test/integration/trace_test.go
@@ -0,0 +1,102 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/load"
+	"github.com/bulrushfall/bulrushfall/trace/machines"
+)
+
+// ctl runs bulrushctl against an entry instance and returns its exit code and
+// output.
+func (r *rig) ctl(e *cluster.Entry, args ...string) (int, []byte) {
+	r.t.Helper()
+	var out, errs bytes.Buffer
+	cmd := exec.CommandContext(r.ctx, filepath.Join(binDir, "bulrushctl"), append([]string{"--address", e.Operators}, args...)...)
+	cmd.Env = append(os.Environ(), "BULRUSH_TOKEN="+cluster.TeamToken)
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		assert.NilError(r.t, err)
+	}
+	if errs.Len() > 0 {
+		r.t.Logf("bulrushctl %v: %s", args, errs.Bytes())
+	}
+	return cmd.ProcessState.ExitCode(), out.Bytes()
+}
+
+// TestRecordedTraceReplays guards against a recorder that misses what the
+// decision machines need, or that holds text or keys of callers: the trace of a
+// real run, in which a member is killed, is replayed against stated outcomes.
+func TestRecordedTraceReplays(t *testing.T) {
+	t.Parallel()
+	const (
+		exitConflict = 4
+		exitNotFound = 8
+		secretText   = "the customer's own words"
+	)
+	r := startRig(t, nil)
+	r.serve()
+	holder := r.leaseHolder()
+	code, _ := r.ctl(holder, "trace", "get")
+	assert.Equal(t, code, exitNotFound)
+	for _, e := range r.c.Entries {
+		code, _ = r.ctl(e, "trace", "start")
+		assert.Equal(t, code, 0)
+	}
+	code, _ = r.ctl(holder, "trace", "start")
+	assert.Equal(t, code, exitConflict)
+
+	var n atomic.Int64
+	stopLoad := background(t, 8, func(_ context.Context, worker int) {
+		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d %s", secretText, worker, t.Name()+fmt.Sprint(n.Add(1))), 20)
+		assert.Check(t, res.Outcome == load.Answered, "%s %s", res.Outcome, res.Detail)
+	})
+	defer stopLoad()
+	r.wait("requests before the loss", func() bool { return n.Load() > 60 })
+	r.crashMember(r.leaders()[0])
+	r.waitGroups()
+	before := n.Load()
+	r.wait("requests after the loss", func() bool { return n.Load() > before+60 })
+	stopLoad()
+
+	for _, e := range r.c.Entries {
+		code, _ = r.ctl(e, "trace", "stop")
+		assert.Equal(t, code, 0)
+		code, text := r.ctl(e, "trace", "get")
+		assert.Equal(t, code, 0)
+		for _, secret := range []string{secretText, cluster.AccountKey(0), cluster.TeamToken} {
+			assert.Assert(t, !bytes.Contains(text, []byte(secret)), "the trace holds %q", secret)
+		}
+		file := filepath.Join(t.TempDir(), string(e.Instance)+".jsonl")
+		assert.NilError(t, os.WriteFile(file, text, 0o600))
+		expect := filepath.Join("testdata", "recorded-follower.expect.yaml")
+		if e == holder {
+			expect = filepath.Join("testdata", "recorded-holder.expect.yaml")
+		}
+		code, unmet := r.ctl(e, "trace", "replay", file, "--expect", expect)
+		assert.Equal(t, code, 0, "%s: %s", e.Instance, unmet)
+		var first, second bytes.Buffer
+		for _, log := range []*bytes.Buffer{&first, &second} {
+			_, _, err := machines.Replay(bytes.NewReader(text), log, machines.Names()...)
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, bytes.Equal(first.Bytes(), second.Bytes()), "two replays differ")
+		if keep := os.Getenv("KEEP_TRACES"); keep != "" {
+			_ = os.WriteFile(filepath.Join(keep, string(e.Instance)+fmt.Sprint(e == holder)+".jsonl"), text, 0o600)
+		}
+	}
+	r.judge()
+}
--- a/trace/event.go
+++ b/trace/event.go
@@ -6,6 +6,7 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -48,7 +49,13 @@
 	KindDrain          Kind = "drain"
 	KindStore          Kind = "store"
 	KindEdit           Kind = "edit"
-	KindTick           Kind = "tick"
+	// KindGroups, KindChoice and KindRelease are what the routing of an entry
+	// instance saw and decided. KindGap marks where events are missing.
+	KindGroups  Kind = "groups"
+	KindChoice  Kind = "choice"
+	KindRelease Kind = "release"
+	KindGap     Kind = "gap"
+	KindTick    Kind = "tick"
 )
 
 // Event is one line of a trace. Exactly the payload that its kind names is set.
@@ -72,6 +79,11 @@
 	Drain  *Drain  `json:"drain,omitempty"`
 	Store  *Store  `json:"store,omitempty"`
 	Edit   *Edit   `json:"edit,omitempty"`
+
+	Groups  *Groups  `json:"groups,omitempty"`
+	Choice  *Choice  `json:"choice,omitempty"`
+	Release *Release `json:"release,omitempty"`
+	Gap     *Gap     `json:"gap,omitempty"`
 }
 
 // At returns the time of the event since the start of the trace.
@@ -118,7 +130,9 @@
 type Member struct {
 	Instance    ident.InstanceID  `json:"instance"`
 	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
-	// Reason is killed, paused, partitioned, crashed or left.
+	// Reason is killed, paused, partitioned, straggling, crashed or left.
+	// Unreachable is what an entry instance records of a loss that it cannot
+	// tell apart from the others.
 	Reason string `json:"reason,omitempty"`
 }
 
@@ -154,7 +168,80 @@
 	Team     ident.Team        `json:"team"`
 	Expected ident.Revision    `json:"expected"`
 	Revision ident.Revision    `json:"revision,omitempty"`
-	Document string            `json:"document,omitempty"`
+	// Document is empty when the document was deleted.
+	Document string `json:"document,omitempty"`
+	// Refused is set when the edit was not accepted.
+	Refused bool `json:"refused,omitempty"`
+}
+
+// Groups is what the routing of a service took over from a new snapshot. Rows
+// that are as they were in the last groups event of the service are left out.
+type Groups struct {
+	Service ident.ServiceName `json:"service"`
+	// Complete is set when Rows are all groups. The state of the random source
+	// before the next choice is in Rand then, and DataCentre and Region are
+	// those of the entry instance.
+	Complete   bool             `json:"complete,omitempty"`
+	Rand       []byte           `json:"rand,omitempty"`
+	DataCentre ident.DataCentre `json:"data_centre,omitempty"`
+	Region     ident.Region     `json:"region,omitempty"`
+	Rows       []GroupRow       `json:"rows,omitempty"`
+	Gone       []ident.GroupID  `json:"gone,omitempty"`
+}
+
+// GroupRow is one group, or a backend server of a plain service, as routing
+// sees it.
+type GroupRow struct {
+	ID         ident.GroupID    `json:"id"`
+	Epoch      ident.Epoch      `json:"epoch,omitempty"`
+	Leader     ident.InstanceID `json:"leader,omitempty"`
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Region     ident.Region     `json:"region,omitempty"`
+	Limit      int              `json:"limit"`
+	Running    int              `json:"running,omitempty"`
+	Queued     int              `json:"queued,omitempty"`
+	// AgeMicros is the time since the poll that confirms the group was sent.
+	AgeMicros int64 `json:"age_us,omitempty"`
+	// Draining groups get no new work.
+	Draining bool `json:"draining,omitempty"`
+	Cold     bool `json:"cold,omitempty"`
+	// Learned is what routing knew at the start of the recording.
+	Learned *routing.Learned `json:"learned,omitempty"`
+}
+
+// Choice is a routing choice for one attempt at a request.
+type Choice struct {
+	// ID is empty for a request that arrived before the recording.
+	ID      string            `json:"id,omitempty"`
+	Service ident.ServiceName `json:"service"`
+	Group   ident.GroupID     `json:"group"`
+	// Blocked are the groups without a free credit.
+	Blocked []ident.GroupID `json:"blocked,omitempty"`
+	// Uncached is the number of prompt tokens that the group is not expected
+	// to hold.
+	Uncached int `json:"uncached,omitempty"`
+	// Refused is set when the group had too few tokens left for the request:
+	// another choice follows.
+	Refused bool `json:"refused,omitempty"`
+	// Alone is set for a suspect, whose group the policy does not choose.
+	Alone bool `json:"alone,omitempty"`
+}
+
+// Release is the end of an attempt.
+type Release struct {
+	ID       string            `json:"id,omitempty"`
+	Service  ident.ServiceName `json:"service"`
+	Group    ident.GroupID     `json:"group"`
+	Uncached int               `json:"uncached,omitempty"`
+	// FirstTokenMicros and HoldMicros are 0 where the attempt failed before.
+	FirstTokenMicros int64 `json:"first_token_us,omitempty"`
+	HoldMicros       int64 `json:"hold_us,omitempty"`
+	Failed           bool  `json:"failed,omitempty"`
+}
+
+// Gap marks where events are missing.
+type Gap struct {
+	Dropped uint64 `json:"dropped"`
 }
 
 // payloads tells which payloads are set, by field name.
@@ -169,6 +256,10 @@
 		{"drain", e.Drain != nil, []Kind{KindDrain}},
 		{"store", e.Store != nil, []Kind{KindStore}},
 		{"edit", e.Edit != nil, []Kind{KindEdit}},
+		{"groups", e.Groups != nil, []Kind{KindGroups}},
+		{"choice", e.Choice != nil, []Kind{KindChoice}},
+		{"release", e.Release != nil, []Kind{KindRelease}},
+		{"gap", e.Gap != nil, []Kind{KindGap}},
 	}
 }
 
--- a/trace/machines/group.go
+++ b/trace/machines/group.go
@@ -48,6 +48,8 @@
 	weights          map[string]bool
 	loads            int
 	members          []engine.Member
+	// lost is the incarnation that was lost last, where the trace tells it.
+	lost ident.Incarnation
 }
 
 // Name implements trace.Machine.
@@ -79,17 +81,28 @@
 	case trace.KindDrain:
 		out = append(out, g.drain(now, e.Drain)...)
 	case trace.KindEdit:
-		doc, err := service.Parse([]byte(e.Edit.Document))
+		doc, err := editedDocument(e.Edit)
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, g.feed(now, group.DocumentChanged{Document: doc})...)
+		if doc.Service == serviceName && !e.Edit.Refused {
+			out = append(out, g.feed(now, group.DocumentChanged{Document: doc})...)
+		}
 	case trace.KindTick:
 		out = append(out, g.tick(now)...)
 	}
 	return append(out, g.observe(now)...), nil
 }
 
+// editedDocument returns the document of an edit. A deleted one asks for no
+// groups.
+func editedDocument(e *trace.Edit) (service.Document, error) {
+	if e.Document == "" {
+		return service.Document{Service: e.Service}, nil
+	}
+	return service.Parse([]byte(e.Document))
+}
+
 func (g *Group) listed(now time.Duration, inst platform.Instance) []trace.Decision {
 	if inst.Kind != platform.KindEngine {
 		return nil
@@ -125,7 +138,7 @@
 	if !ok {
 		return
 	}
-	e.reachable = false
+	e.reachable, e.lost = false, m.Incarnation
 	if m.Reason == "killed" || m.Reason == "crashed" {
 		e.alive = false
 	}
@@ -136,7 +149,7 @@
 	if !ok {
 		return
 	}
-	if !e.alive {
+	if !e.alive || m.Incarnation != e.lost {
 		e.boot()
 	}
 	e.reachable = true
--- a/trace/machines/machines.go
+++ b/trace/machines/machines.go
@@ -27,6 +27,7 @@
 	"credit":     func() trace.Machine { return &Credit{} },
 	"config":     func() trace.Machine { return &Config{} },
 	"routing":    func() trace.Machine { return &Routing{} },
+	"choice":     func() trace.Machine { return &Choice{} },
 }
 
 // Names lists the machines that New knows.
