Merge branch recorder: requests, routing, load and losses in traces

Conflicts in the daemon's and the gateway's options: both lines kept. Tests of control, credit, engine, gateway, trace, settings, the command-line tools and test/integration passed with -race after the merge.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/settings"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -56,6 +57,7 @@
 	syncer   *control.Syncer
 	feed     *gateway.CacheFeed
 	orders   *gateway.OrderParts
+	recorder *trace.Recorder
 }
 
 // dialer opens connections from a local address.
@@ -81,6 +83,7 @@
 		Region:      cfg.Region,
 		Alive:       true,
 	}
+	d.recorder = newRecorder(cfg.Trace, now)
 	mux := wire.NewMux()
 	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
 	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
@@ -112,13 +115,14 @@
 		Scope:      d.metrics.Scope,
 		Now:        now,
 		Documents:  documents,
-		Recorder:   newRecorder(cfg.Trace, now),
+		Recorder:   d.recorder,
 	})
 	d.loop.RegisterSync(mux)
 	d.loop.RegisterInstances(mux)
 	d.balancer = gateway.NewBalancer(self, d.loop.Snapshot, now, d.metrics)
 	d.feed = gateway.NewCacheFeed(d.balancer, d.feeds.CacheEvents, d.metrics)
 	d.loop.RelayCacheEvents(d.feed)
+	d.balancer.Trace(d.recorder)
 	d.syncer = control.NewSyncer(d.loop, d.balancer)
 	d.orders, err = gateway.NewOrderParts(gateway.OrderOptions{
 		Table: store, Objects: store, Node: d.node, Snapshot: d.loop.Snapshot, Now: now, Self: self, Scope: d.metrics.Scope,
@@ -139,6 +143,7 @@
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
 		DialFrom:             cfg.LocalAddr(),
+		Recorder:             d.recorder,
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
 		AccountParkedStreams: int(cfg.Limits.AccountStreamBytes / parkedStreamBytes),
@@ -221,7 +226,8 @@
 		Team:          d.cfg.Team,
 		Status:        d.loop.Status,
 		Known:         d.loop.KnownTargets,
-		Trace:         d.loop.TraceWriter(),
+		Recorder:      d.recorder,
+		TraceHeader:   d.loop.TraceHeader,
 		Now:           time.Now,
 	}))
 	mux.Handle("GET /metrics", d.metrics.Handler())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -50,6 +51,8 @@
 	// DialFrom is the local address of connections to plain backend servers, or
 	// the zero address.
 	DialFrom netip.Addr
+	// Recorder takes events for a trace while it records; nil records none.
+	Recorder *trace.Recorder
 	// LookupTTL is how long callers may keep a lookup answer.
 	LookupTTL time.Duration
 	// MaxBodyBytes bounds a request body.
