--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -68,6 +68,9 @@
 	c       *cluster.Cluster
 	engines []platform.Instance // as the stand-ins listen, not as listed
 	plain   []platform.Instance
+	// scheme and client are how readEvents reaches the entry instances.
+	scheme string
+	client *http.Client
 
 	mu      sync.Mutex
 	history check.History
@@ -90,7 +93,7 @@
 	}
 	doc, err := service.Parse([]byte(cfg.Documents[0]))
 	assert.NilError(t, err)
-	r := &rig{t: t, ctx: t.Context(), doc: doc}
+	r := &rig{t: t, ctx: t.Context(), doc: doc, scheme: "http", client: http.DefaultClient}
 	c, err := cluster.Start(t.Context(), cfg)
 	assert.NilError(t, err)
 	r.c = c
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -250,13 +250,13 @@
 	completion.Stream = true
 	body, err := json.Marshal(completion)
 	assert.NilError(r.t, err)
-	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+e.Callers+"/v1/completions", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, r.scheme+"://"+e.Callers+"/v1/completions", bytes.NewReader(body))
 	assert.NilError(r.t, err)
 	req.Header.Set("Authorization", "Bearer "+cluster.AccountKey(0))
 	if after != "" {
 		req.Header.Set("Last-Event-ID", after)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := r.client.Do(req)
 	assert.NilError(r.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	assert.Equal(r.t, resp.StatusCode, http.StatusOK)
