--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -284,25 +283,6 @@
 // errOutdated gives a credit back unused.
 var errOutdated = errors.New("request became a suspect while it waited for a credit")
 
-// fingerprint identifies a request by what a backend server would run. The
-// order and the spaces of a JSON body do not matter; nor does streaming.
-func fingerprint(r *Request) ident.Fingerprint {
-	if r.Completion == nil {
-		// The body alone does not tell calls of a plain service apart.
-		return ident.NewFingerprint(r.Name, append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
-	}
-	var fields map[string]any
-	if err := json.Unmarshal(r.Body, &fields); err != nil {
-		return ident.NewFingerprint(r.Name, r.Body)
-	}
-	delete(fields, "stream")
-	canonical, err := json.Marshal(fields)
-	if err != nil {
-		return ident.NewFingerprint(r.Name, r.Body)
-	}
-	return ident.NewFingerprint(r.Name, canonical)
-}
-
 // runResult tells what the end of an attempt says about the request.
 func runResult(err error) quarantine.RunResult {
 	switch {
