--- a/engine/conn.go
+++ b/engine/conn.go
@@ -31,11 +31,24 @@
 	headerLeft int
 	head       []byte
 	idleSince  time.Time
+	// raw and probe look at the connection without a wait; open is the result.
+	raw   syscall.RawConn
+	probe func(fd uintptr) bool
+	open  bool
 }
 
 func newDataConn(c net.Conn, key poolKey) *dataConn {
 	d := &dataConn{Conn: c, key: key, headerLeft: -1}
 	d.reader = bufio.NewReaderSize(d, readerBytes)
+	if s, ok := c.(syscall.Conn); ok {
+		d.raw, _ = s.SyscallConn() // nil means that the connection is not reused
+	}
+	var b [1]byte
+	d.probe = func(fd uintptr) bool {
+		n, err := syscall.Read(int(fd), b[:])
+		d.open = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+		return true
+	}
 	return d
 }
 
@@ -55,22 +68,7 @@
 // alive reports whether an idle connection is open and silent. A leader that
 // ended has closed it.
 func (c *dataConn) alive() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.reader.Buffered() > 0 {
-		return false
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, err := syscall.Read(int(fd), b[:])
-		alive = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-		return true // do not wait
-	})
-	return alive && err == nil
+	return c.raw != nil && c.reader.Buffered() == 0 && c.raw.Read(c.probe) == nil && c.open
 }
 
 // postRequest tells http.ReadResponse the method of the requests.
