--- a/credit/ledger.go
+++ b/credit/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -155,6 +156,8 @@
 	gone bool
 
 	accounts map[holderKey]*account
+	// list holds the accounts, because each exchange passes over all of them.
+	list []*account
 	// unknown stands for requests of entry instances that this owner never
 	// heard of; it exists on ledgers that an earlier owner may have used.
 	unknown *account
@@ -163,6 +166,7 @@
 
 	reports []Report
 	order   []*account // scratch
+	scratch scratch
 
 	exclusive      holderKey
 	exclusiveUntil time.Duration
@@ -198,8 +202,8 @@
 // othersCharge sums what everyone but one holder can have in flight.
 func (l *ledger) othersCharge(now time.Duration, self holderKey) Amount {
 	var sum, reserves Amount
-	for key, a := range l.accounts {
-		if key != self {
+	for _, a := range l.list {
+		if a.key != self {
 			sum = sum.add(a.charge(now))
 		}
 		reserves = reserves.add(a.reserved)
@@ -233,12 +237,14 @@
 	if l.unknown != nil && l.unknown.charge(now).Requests == 0 {
 		l.unknown = nil
 	}
-	for key, a := range l.accounts {
-		gone := now-a.lastSync > liveWindow && a.charge(now).Requests == 0
-		if gone || now-a.lastSync > l.longest() {
-			delete(l.accounts, key)
+	l.list = slices.DeleteFunc(l.list, func(a *account) bool {
+		silent := now - a.lastSync
+		gone := silent > liveWindow && (silent > l.longest() || a.charge(now).Requests == 0)
+		if gone {
+			delete(l.accounts, a.key)
 		}
-	}
+		return gone
+	})
 }
 
 // longest is how long a lost entry's requests count without proof.
@@ -255,7 +261,7 @@
 	if now >= until+settleTime {
 		return true
 	}
-	for _, a := range l.accounts {
+	for _, a := range l.list {
 		if now-a.lastSync > liveWindow {
 			continue
 		}
@@ -269,11 +275,11 @@
 func (l *ledger) applyReport(r Report) {
 	from := r.Sent - reportLag
 	rest := r.Running
-	for _, a := range l.accounts {
+	for _, a := range l.list {
 		rest -= a.floorBetween(from, r.Received)
 	}
 	rest = max(0, rest)
-	for _, a := range l.accounts {
+	for _, a := range l.list {
 		if a.lost(from) {
 			a.limitTo(rest)
 		}
@@ -286,8 +292,9 @@
 func (l *ledger) account(key holderKey) *account {
 	a, ok := l.accounts[key]
 	if !ok {
-		a = &account{}
+		a = &account{key: key}
 		l.accounts[key] = a
+		l.list = append(l.list, a)
 	}
 	return a
 }
@@ -304,8 +311,8 @@
 }
 
 func (l *ledger) someoneWaits(self holderKey) bool {
-	for key, a := range l.accounts {
-		if key != self && a.demand.Requests > a.inFlight.Requests {
+	for _, a := range l.list {
+		if a.key != self && a.demand.Requests > a.inFlight.Requests {
 			return true
 		}
 	}
