Count a majority once per end of it, and rank owner candidates once per list

Cause: an owner counted its followers anew and copied their names at each sync; each sync of a follower sorted all entry instances by two hashes a comparison.

Change: the end of a counted majority is kept until it is reached or a follower leaves or restarts; proofs of followers only become later. TestOneOwner compares each answer with a fresh count.

--- a/control/follow.go
+++ b/control/follow.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -22,6 +23,9 @@
 	// syncs and replies leave out what did not change.
 	syncs   *credit.SyncPacker
 	replies credit.ReplyUnpacker
+	// ranked are the live ones of entries.
+	entries []view.Entry
+	ranked  []ident.InstanceID
 	// direct is when the owner is called directly again after it did not answer,
 	// or 0. Until then syncs go through a relay.
 	direct time.Duration
@@ -46,6 +50,20 @@
 	return others[f.relays%len(others)]
 }
 
+// candidates returns the lease holder, if it can be reached as far as membership
+// knows, and the live entry instances in rendezvous order. They are ranked again
+// only when the entry instances change: snapshots share them until then.
+func (f *following) candidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
+	same := len(s.Entries) == len(f.entries) && (len(s.Entries) == 0 || &s.Entries[0] == &f.entries[0])
+	if !same {
+		f.entries, f.ranked = s.Entries, rankedEntries(s, name)
+	}
+	if svc := s.Service(name); svc != nil && slices.Contains(f.ranked, svc.LeaseHolder) {
+		return svc.LeaseHolder, f.ranked
+	}
+	return "", f.ranked
+}
+
 // target is the owner that a sync goes to.
 type target struct {
 	owner ident.InstanceID
@@ -69,7 +87,7 @@
 		s.follow[name] = f
 	}
 	now := s.loop.opts.Now()
-	preferred, candidates := ownerCandidates(snap, name)
+	preferred, candidates := f.candidates(snap, name)
 	owner, ok := f.follower.Choose(now, preferred, candidates)
 	if !ok {
 		return target{}, false
@@ -92,28 +110,24 @@
 	return target{owner: owner, addr: addr, relay: relay, heard: f.heard, sync: sync, sent: now}, true
 }
 
-// ownerCandidates returns the lease holder, if it can be reached as far as
-// membership knows, and the live entry instances in rendezvous order.
-func ownerCandidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
-	var preferred ident.InstanceID
-	var candidates []ident.InstanceID
-	svc := s.Service(name)
-	for _, e := range s.Entries {
-		if !e.Alive || e.Draining {
-			continue
-		}
-		candidates = append(candidates, e.Instance)
-		if svc != nil && e.Instance == svc.LeaseHolder {
-			preferred = e.Instance
-		}
+// rankedEntries returns the live entry instances in rendezvous order.
+func rankedEntries(s *view.Snapshot, name ident.ServiceName) []ident.InstanceID {
+	type scored struct {
+		id    ident.InstanceID
+		score uint64
 	}
-	slices.SortFunc(candidates, func(a, b ident.InstanceID) int {
-		if ident.Score(string(name), a) > ident.Score(string(name), b) {
-			return -1
+	var live []scored
+	for i := range s.Entries {
+		if e := &s.Entries[i]; e.Alive && !e.Draining {
+			live = append(live, scored{e.Instance, ident.Score(string(name), e.Instance)})
 		}
-		return 1
-	})
-	return preferred, candidates
+	}
+	slices.SortFunc(live, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]ident.InstanceID, 0, len(live))
+	for _, e := range live {
+		out = append(out, e.id)
+	}
+	return out
 }
 
 func peerAddress(s *view.Snapshot, id ident.InstanceID) string {
--- a/control/sync.go
+++ b/control/sync.go
@@ -168,6 +168,22 @@
 	// follows holds the last owner that answered this entry instance with a
 	// majority, by service. The syncer writes it.
 	follows sync.Map
+	// names are the names of entries.
+	entries []view.Entry
+	names   []ident.InstanceID
+}
+
+// listed returns the names of the entry instances of a snapshot. They are made
+// once, because snapshots share their entry instances while these do not change.
+func (c *credits) listed(entries []view.Entry) []ident.InstanceID {
+	if len(entries) == len(c.entries) && (len(entries) == 0 || &entries[0] == &c.entries[0]) {
+		return c.names
+	}
+	c.entries, c.names = entries, make([]ident.InstanceID, 0, len(entries))
+	for i := range entries {
+		c.names = append(c.names, entries[i].Instance)
+	}
+	return c.names
 }
 
 // syncReceived is a sync that waits for the control goroutine.
@@ -274,13 +290,8 @@
 // acts reports whether a majority of the listed entry instances follows. An
 // owner that lost its majority starts anew: another one may have acted since.
 func (l *Loop) acts(now time.Duration, o *ownerState) bool {
-	entries := l.snapshot.Load().Entries
-	listed := make([]ident.InstanceID, 0, len(entries))
-	for _, e := range entries {
-		listed = append(listed, e.Instance)
-	}
 	switch {
-	case !o.followers.Majority(now, listed):
+	case !o.followers.Majority(now, l.credits.listed(l.snapshot.Load().Entries)):
 		o.owner = nil
 	case o.owner == nil:
 		o.epoch = o.followers.NextEpoch(o.epoch + 1)
--- a/credit/follow.go
+++ b/credit/follow.go
@@ -166,6 +166,11 @@
 // not a delayed one.
 type Followers struct {
 	followers map[ident.InstanceID]*followed
+	// until is the end of the majority as far as it is proven, among the entry
+	// instances of counted. A follower that left ends the proof.
+	until   time.Duration
+	counted []ident.InstanceID
+	proofs  []time.Duration // scratch
 }
 
 // NewFollowers returns an empty count.
@@ -179,6 +184,7 @@
 func (f *Followers) Heard(now time.Duration, s Sync, heard uint64) {
 	e, ok := f.followers[s.Entry]
 	if !ok || e.incarnation != s.Incarnation {
+		f.until = 0
 		e = &followed{incarnation: s.Incarnation, replies: make(map[uint64]time.Duration), provenAt: -followTime}
 		f.followers[s.Entry] = e
 	}
@@ -195,17 +201,34 @@
 }
 
 // Drop forgets a follower that was refused.
-func (f *Followers) Drop(entry ident.InstanceID) { delete(f.followers, entry) }
+func (f *Followers) Drop(entry ident.InstanceID) {
+	f.until = 0
+	delete(f.followers, entry)
+}
 
 // Majority reports whether more than half of the listed entry instances follow.
+// The owner asks at each sync, so the end of a majority that was counted is kept:
+// proofs of the same followers can only become later. The caller does not write
+// to a list that it passed.
 func (f *Followers) Majority(now time.Duration, listed []ident.InstanceID) bool {
-	n := 0
+	same := len(listed) == len(f.counted) && (len(listed) == 0 || &listed[0] == &f.counted[0])
+	if same && now < f.until {
+		return true
+	}
+	f.counted, f.proofs = listed, f.proofs[:0]
 	for _, id := range listed {
 		if e, ok := f.followers[id]; ok && now-e.provenAt < AllocationTTL {
-			n++
+			f.proofs = append(f.proofs, e.provenAt)
 		}
 	}
-	return 2*n > len(listed)
+	if 2*len(f.proofs) <= len(listed) {
+		f.until = 0
+		return false
+	}
+	// The majority lasts as long as the least number of latest proofs does.
+	slices.Sort(f.proofs)
+	f.until = f.proofs[len(f.proofs)-1-len(listed)/2] + AllocationTTL
+	return true
 }
 
 // NextEpoch returns an epoch above every one that a follower has seen.
--- a/credit/follow_test.go
+++ b/credit/follow_test.go
@@ -50,6 +50,12 @@
 	heard    uint64
 }
 
+// countedAnew is Majority without what is kept between calls.
+func countedAnew(f *Followers, now time.Duration, listed []ident.InstanceID) bool {
+	anew := Followers{followers: f.followers}
+	return anew.Majority(now, listed)
+}
+
 // TestOneOwner guards against two owners that have a majority at the same time,
 // under delays, losses, pauses, restarts, drifting clocks and views that differ.
 func TestOneOwner(t *testing.T) {
@@ -78,7 +84,9 @@
 			wire = stepFollow(rng, nodes, wire, now)
 			acting := 0
 			for _, node := range nodes {
-				if node.followers.Majority(node.clock(now), listed) {
+				majority := node.followers.Majority(node.clock(now), listed)
+				assert.Equal(t, majority, countedAnew(node.followers, node.clock(now), listed))
+				if majority {
 					acting++
 					if last != "" && last != node.id {
 						handovers++
