--- /dev/null
+++ b/test/integration/cacheevents_test.go
@@ -0,0 +1,82 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/cluster"
+	"github.com/bulrushfall/bulrushfall/load"
+)
+
+// counter reads a counter of an entry instance, or 0.
+func (r *rig) counter(e *cluster.Entry, name string) float64 {
+	resp, err := http.Get("http://" + e.Operators + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	sum := 0.0
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if rest, ok := strings.CutPrefix(lines.Text(), "bulrushfall_"+name); ok && strings.IndexAny(rest, " {") == 0 {
+			v, _ := strconv.ParseFloat(rest[strings.LastIndexByte(rest, ' ')+1:], 64)
+			sum += v
+		}
+	}
+	return sum
+}
+
+// TestCacheEventsOwnerKilled guards against cache events that end with the credit
+// owner that reads them: the others read themselves, until another owner passes
+// them on.
+func TestCacheEventsOwnerKilled(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, nil)
+	r.serve()
+	owner := r.leaseHolder()
+	var others []*cluster.Entry
+	for _, e := range r.c.Entries {
+		if e != owner {
+			others = append(others, e)
+		}
+	}
+	prompts := 0
+	// Each round's prompt brings new events to some leader.
+	relayed := func(before map[*cluster.Entry]float64, enough int) func() bool {
+		return func() bool {
+			prompts++
+			prompt := strings.Repeat(fmt.Sprintf("%s prompt %d. ", t.Name(), prompts), 20)
+			if r.stream(others[0], prompt, 2).Outcome != load.Answered {
+				return false
+			}
+			n := 0
+			for _, e := range others {
+				if r.counter(e, "cache_events_relayed_total") > before[e] {
+					n++
+				}
+			}
+			return n >= enough
+		}
+	}
+	r.wait("the owner passes events on to both others", relayed(map[*cluster.Entry]float64{}, 2))
+	before := make(map[*cluster.Entry]float64)
+	reads := make(map[*cluster.Entry]float64)
+	for _, e := range others {
+		before[e], reads[e] = r.counter(e, "cache_events_relayed_total"), r.counter(e, "cache_event_reads_total")
+	}
+	owner.Kill()
+	for _, e := range others {
+		r.wait(string(e.Instance)+" reads itself", func() bool { return r.counter(e, "cache_event_reads_total") > reads[e] })
+	}
+	for _, e := range others {
+		before[e] = r.counter(e, "cache_events_relayed_total")
+	}
+	// Ownership moves twice: to another entry instance, and on to the next holder
+	// of the lease.
+	assert.NilError(t, cluster.Wait(r.ctx, 2*deadline, "another owner passes events on", relayed(before, 1)))
+}
