Publish a changed configuration before the answer to its edit

Change: the control goroutine publishes when the configuration's view changes, which comes before the answer in the machine's actions.

Conclusion: an accepted edit is in force at the accepting entry instance.

--- a/control/loop.go
+++ b/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/membership"
@@ -154,6 +155,8 @@
 
 // Run drives the machines until the context ends.
 func (l *Loop) Run(ctx context.Context) {
+	// A changed configuration is in force here before the answer to its edit.
+	l.config.shell.OnPublish = func(*config.View) { l.publish(l.opts.Now()) }
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	defer l.wg.Wait()
