--- a/control/follow.go
+++ b/control/follow.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -19,6 +20,12 @@
 	owner    ident.InstanceID
 	// heard is the sequence of the last sync that the owner answered.
 	heard uint64
+	// syncs and replies leave out what did not change.
+	syncs   *credit.SyncPacker
+	replies credit.ReplyUnpacker
+	// ranked are the live ones of entries.
+	entries []view.Entry
+	ranked  []ident.InstanceID
 	// direct is when the owner is called directly again after it did not answer,
 	// or 0. Until then syncs go through a relay.
 	direct time.Duration
@@ -43,6 +50,20 @@
 	return others[f.relays%len(others)]
 }
 
+// candidates returns the lease holder, if it can be reached as far as membership
+// knows, and the live entry instances in rendezvous order. They are ranked again
+// only when the entry instances change: snapshots share them until then.
+func (f *following) candidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
+	same := len(s.Entries) == len(f.entries) && (len(s.Entries) == 0 || &s.Entries[0] == &f.entries[0])
+	if !same {
+		f.entries, f.ranked = s.Entries, rankedEntries(s, name)
+	}
+	if svc := s.Service(name); svc != nil && slices.Contains(f.ranked, svc.LeaseHolder) {
+		return svc.LeaseHolder, f.ranked
+	}
+	return "", f.ranked
+}
+
 // target is the owner that a sync goes to.
 type target struct {
 	owner ident.InstanceID
@@ -62,17 +83,19 @@
 	defer s.mu.Unlock()
 	f, ok := s.follow[name]
 	if !ok {
-		f = &following{follower: credit.NewFollower(s.started)}
+		f = &following{follower: credit.NewFollower(s.started), syncs: credit.NewSyncPacker()}
 		s.follow[name] = f
 	}
 	now := s.loop.opts.Now()
-	preferred, candidates := ownerCandidates(snap, name)
+	preferred, candidates := f.candidates(snap, name)
 	owner, ok := f.follower.Choose(now, preferred, candidates)
 	if !ok {
 		return target{}, false
 	}
 	if owner != f.owner {
 		f.owner, f.heard, f.direct = owner, 0, 0
+		f.syncs.Reset()
+		s.learner.forget(name)
 	}
 	relay := f.via(now, s.loop.opts.Self.Instance, candidates)
 	addr := peerAddress(snap, owner)
@@ -80,32 +103,31 @@
 		addr = peerAddress(snap, relay)
 	}
 	sync := s.holders.Sync(now, name)
+	if owner != s.loop.opts.Self.Instance {
+		sync = f.syncs.Pack(sync)
+	}
 	f.follower.Sent(now, sync.Seq)
 	return target{owner: owner, addr: addr, relay: relay, heard: f.heard, sync: sync, sent: now}, true
 }
 
-// ownerCandidates returns the lease holder, if it can be reached as far as
-// membership knows, and the live entry instances in rendezvous order.
-func ownerCandidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
-	var preferred ident.InstanceID
-	var candidates []ident.InstanceID
-	svc := s.Service(name)
-	for _, e := range s.Entries {
-		if !e.Alive || e.Draining {
-			continue
-		}
-		candidates = append(candidates, e.Instance)
-		if svc != nil && e.Instance == svc.LeaseHolder {
-			preferred = e.Instance
-		}
+// rankedEntries returns the live entry instances in rendezvous order.
+func rankedEntries(s *view.Snapshot, name ident.ServiceName) []ident.InstanceID {
+	type scored struct {
+		id    ident.InstanceID
+		score uint64
 	}
-	slices.SortFunc(candidates, func(a, b ident.InstanceID) int {
-		if ident.Score(string(name), a) > ident.Score(string(name), b) {
-			return -1
+	var live []scored
+	for i := range s.Entries {
+		if e := &s.Entries[i]; e.Alive && !e.Draining {
+			live = append(live, scored{e.Instance, ident.Score(string(name), e.Instance)})
 		}
-		return 1
-	})
-	return preferred, candidates
+	}
+	slices.SortFunc(live, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]ident.InstanceID, 0, len(live))
+	for _, e := range live {
+		out = append(out, e.id)
+	}
+	return out
 }
 
 func peerAddress(s *view.Snapshot, id ident.InstanceID) string {
@@ -159,7 +181,30 @@
 		groups := s.learner.learn(name, resp.Confirmations, to.sent)
 		s.loop.post(ctx, groupsLearned{service: name, sent: to.sent, groups: groups})
 	}
-	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, resp.Reply)
+	reply, again := resp.Reply, resp.Resend
+	if resp.Granted && !self {
+		reply, resp.Granted = s.unpack(name, reply)
+	}
+	if resp.Resend {
+		s.resend(name)
+	}
+	return resp.Granted && s.holders.Reply(s.loop.opts.Now(), name, reply) || again
+}
+
+// unpack returns the whole of a reply, unless a later one overtook it.
+func (s *Syncer) unpack(name ident.ServiceName, r credit.Reply) (credit.Reply, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.follow[name]
+	f.syncs.Answered(r)
+	return f.replies.Unpack(r)
+}
+
+// resend makes the next sync a whole one.
+func (s *Syncer) resend(name ident.ServiceName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow[name].syncs.Reset()
 }
 
 // answered notes the answer of an owner and reports whether it was the first
