Send the crash experiment through the balancer

The experiment picked random servers without a limit, which the daemon never does, and a crash broke one connection only. Entry instances now share credits through a credit owner, a crash ends the server, and the experiment also measures bursts of a harmless request and other callers beside a crash.

--- a/experiment/orders_crash.go
+++ b/experiment/orders_crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -9,10 +10,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -26,9 +29,18 @@
 const (
 	crashEntries = 7
 	crashServers = 60
+	crashLimit   = 16
 	crashResends = 50
-	crashBody    = "crash"
 	crashKey     = "bench"
+	// crashBody crashes a server; harmlessBody is a popular question.
+	crashBody    = "crash"
+	harmlessBody = "popular question"
+	// harmlessFirst is the time to the first token at an idle server. It grows
+	// with what runs there. harmlessHold is the time that follows.
+	harmlessFirst = 100 * time.Millisecond
+	harmlessHold  = time.Second
+	// crashSync separates the exchanges with the credit owner.
+	crashSync = 20 * time.Millisecond
 )
 
 // crashOrder is how the copies of the crashing request are sent.
@@ -40,53 +52,172 @@
 	allAtOnce     crashOrder = "first copies at once"
 )
 
+// crashCase is one line of the table.
+type crashCase struct {
+	quarantined bool
+	order       crashOrder
+	after       time.Duration
+	// others is the number of callers that send other requests all the time.
+	others int
+}
+
+var crashCases = []crashCase{
+	{false, oneByOne, 0, 0},
+	{false, resendsAtOnce, 0, 0},
+	{false, allAtOnce, 0, 0},
+	{true, oneByOne, 0, 0},
+	{true, resendsAtOnce, 0, 0},
+	{true, allAtOnce, 0, 0},
+	{true, allAtOnce, 50 * time.Millisecond, 0},
+	{true, allAtOnce, time.Second, 0},
+	{true, allAtOnce, 0, 200},
+	{true, allAtOnce, 50 * time.Millisecond, 200},
+	{true, allAtOnce, time.Second, 200},
+	{true, allAtOnce, 50 * time.Millisecond, 600},
+}
+
 // crashFleet is entry instances in one process, with servers that crash.
 type crashFleet struct {
-	service  *view.Service
-	entries  []view.Entry
-	closers  []func()
+	service *view.Service
+	entries []view.Entry
+	closers []func()
+	begin   time.Time
+	// after is how long the crashing request runs before the crash.
+	after time.Duration
+	http  http.Client
+
 	mu       sync.Mutex
 	crashed  map[int]bool
 	statuses map[int]int
+	// running counts the harmless requests per server, and first holds the
+	// instants of their first tokens.
+	running map[int]int
+	first   []time.Duration
+
+	creditMu sync.Mutex
+	owner    *credit.Owner
+}
+
+func newCrashFleet(after time.Duration) *crashFleet {
+	return &crashFleet{
+		begin: time.Now(), after: after, owner: credit.NewOwner(1, -time.Hour),
+		crashed: make(map[int]bool), statuses: make(map[int]int), running: make(map[int]int),
+		http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: crashResends}},
+	}
+}
+
+func (f *crashFleet) now() time.Duration { return time.Since(f.begin) }
+
+// others sends requests that differ from each other until the returned function
+// is called, which returns how many there were and how many had no answer.
+func (f *crashFleet) others(urls []string, callers int) (stop func() (sent, failed int64)) {
+	var sent, failed atomic.Int64
+	var over atomic.Bool
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				sent.Add(1)
+				if status, err := f.post(urls[i%len(urls)], fmt.Sprintf("question %d of caller %d", n, i)); err != nil || status != http.StatusOK {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	if callers > 0 {
+		time.Sleep(2 * harmlessHold)
+	}
+	return func() (int64, int64) {
+		over.Store(true)
+		wg.Wait()
+		return sent.Load(), failed.Load()
+	}
 }
 
 // crashCosts sends one crashing request again and again through seven entry
 // instances and counts the servers that it takes down.
 func crashCosts(w io.Writer) error {
-	for _, quarantined := range []bool{false, true} {
-		for _, order := range []crashOrder{oneByOne, resendsAtOnce, allAtOnce} {
-			f := &crashFleet{crashed: make(map[int]bool), statuses: make(map[int]int)}
-			begin := time.Now()
-			if err := f.run(quarantined, order); err != nil {
-				return err
-			}
-			_, err := fmt.Fprintf(w, "crashing request, quarantine %t, %s: %d servers lost, answers by status %v, %.2f s\n",
-				quarantined, order, len(f.crashed), f.statuses, time.Since(begin).Seconds())
-			if err != nil {
-				return errors.Wrap(err, "write result")
-			}
+	t := table(w, "quarantine\tcopies\trun before the crash\tother callers\tservers lost\tanswers by status\tothers sent\tothers failed")
+	for _, c := range crashCases {
+		f := newCrashFleet(c.after)
+		sent, failed, err := f.run(c)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(t, "%t\t%s\t%v\t%d\t%d\t%v\t%d\t%d\n",
+			c.quarantined, c.order, c.after, c.others, len(f.crashed), f.statuses, sent, failed)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	return harmlessCopies(w)
+}
+
+// harmlessCopies sends bursts of one harmless request and measures when its
+// copies get their first tokens.
+func harmlessCopies(w io.Writer) error {
+	for _, copies := range []int{10, 50, 200, 500} {
+		f := newCrashFleet(0)
+		urls, stop, err := f.start(true)
+		if err != nil {
+			return err
+		}
+		sent := f.now()
+		var wg sync.WaitGroup
+		for i := range copies {
+			wg.Go(func() { _ = f.send(urls[i%len(urls)], harmlessBody) })
+		}
+		wg.Wait()
+		took := f.now() - sent
+		stop()
+		for i := range f.first {
+			f.first[i] -= sent
+		}
+		_, err = fmt.Fprintf(w, "harmless request, %d copies at once: first token p50 %s ms, p95 %s ms, last %s ms; answers by status %v, %.2f s\n",
+			copies, millis(percentile(f.first, 50)), millis(percentile(f.first, 95)), millis(percentile(f.first, 100)), f.statuses, took.Seconds())
+		if err != nil {
+			return errors.Wrap(err, "write result")
 		}
 	}
 	return nil
 }
 
-func (f *crashFleet) run(quarantined bool, order crashOrder) error {
-	defer func() {
+// start starts servers and entry instances and waits for their credits.
+func (f *crashFleet) start(quarantined bool) (urls []string, stop func(), err error) {
+	stop = func() {
 		for _, c := range f.closers {
 			c()
 		}
-	}()
+	}
 	if err := f.startServers(); err != nil {
-		return err
+		stop()
+		return nil, nil, err
 	}
-	urls, err := f.startEntries(quarantined)
+	if urls, err = f.startEntries(quarantined); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	time.Sleep(10 * crashSync)
+	return urls, stop, nil
+}
+
+func (f *crashFleet) run(c crashCase) (sent, failed int64, err error) {
+	urls, stop, err := f.start(c.quarantined)
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
+	defer stop()
+	stopOthers := f.others(urls, c.others)
+	err = f.sendCopies(urls, c.order)
+	sent, failed = stopOthers()
+	return sent, failed, err
+}
+
+func (f *crashFleet) sendCopies(urls []string, order crashOrder) error {
 	rest := crashResends
 	if order != allAtOnce {
 		rest--
-		if err := f.send(urls[0]); err != nil {
+		if err := f.send(urls[0], crashBody); err != nil {
 			return err
 		}
 	}
@@ -94,10 +225,10 @@
 	var wg sync.WaitGroup
 	for i := range rest {
 		if order == oneByOne {
-			failures <- f.send(urls[i%len(urls)])
+			failures <- f.send(urls[i%len(urls)], crashBody)
 			continue
 		}
-		wg.Go(func() { failures <- f.send(urls[i%len(urls)]) })
+		wg.Go(func() { failures <- f.send(urls[i%len(urls)], crashBody) })
 	}
 	wg.Wait()
 	close(failures)
@@ -109,26 +240,62 @@
 	return nil
 }
 
-func (f *crashFleet) send(url string) error {
-	req, err := http.NewRequest(http.MethodPost, url+"/services/quotes/quote", bytes.NewReader([]byte(crashBody)))
+// send sends a request and counts its status.
+func (f *crashFleet) send(url, body string) error {
+	status, err := f.post(url, body)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statuses[status]++
+	return nil
+}
+
+func (f *crashFleet) post(url, body string) (status int, err error) {
+	req, err := http.NewRequest(http.MethodPost, url+"/services/quotes/quote", bytes.NewReader([]byte(body)))
 	if err != nil {
-		return errors.Wrap(err, "build request")
+		return 0, errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Authorization", "Bearer "+crashKey)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.http.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "send request")
+		return 0, errors.Wrap(err, "send request")
 	}
 	_ = resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// serve runs one request at a server.
+func (f *crashFleet) serve(i int, s *http.Server, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if string(body) == crashBody {
+		time.Sleep(f.after)
+		f.mu.Lock()
+		f.crashed[i] = true
+		f.mu.Unlock()
+		_ = s.Close()
+		panic(http.ErrAbortHandler)
+	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.statuses[resp.StatusCode]++
-	return nil
+	f.running[i]++
+	first := harmlessFirst + harmlessFirst*time.Duration(f.running[i]-1)/crashLimit
+	f.mu.Unlock()
+	time.Sleep(first)
+	f.mu.Lock()
+	f.first = append(f.first, f.now())
+	f.mu.Unlock()
+	time.Sleep(harmlessHold)
+	f.mu.Lock()
+	f.running[i]--
+	f.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
 }
 
 func (f *crashFleet) startServers() error {
 	doc := service.DefaultDocument()
 	doc.Service, doc.Kind = "quotes", service.KindPlain
+	doc.Backend.Requests = crashLimit
 	doc.Methods = []service.Method{{Method: http.MethodPost, PathPrefix: "/quote", Idempotent: true}}
 	sum := sha256.Sum256([]byte(crashKey))
 	doc.Accounts = []service.Account{{Name: "bench", KeySHA256: hex.EncodeToString(sum[:])}}
@@ -138,12 +305,8 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-			f.mu.Lock()
-			f.crashed[i] = true
-			f.mu.Unlock()
-			panic(http.ErrAbortHandler)
-		})}
+		s := &http.Server{ReadHeaderTimeout: time.Second}
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(i, s, w, r) })
 		go func() { _ = s.Serve(l) }()
 		f.closers = append(f.closers, func() { _ = s.Close() })
 		f.service.Backends = append(f.service.Backends, &view.Backend{
@@ -153,6 +316,39 @@
 	return nil
 }
 
+// serveCredits exchanges credits with the owner until the context ends.
+func (f *crashFleet) serveCredits(ctx context.Context, b *gateway.Balancer) {
+	tick := time.NewTicker(crashSync)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-b.Wake():
+		}
+		f.syncCredits(b)
+	}
+}
+
+func (f *crashFleet) syncCredits(b *gateway.Balancer) {
+	name := f.service.Document.Service
+	f.creditMu.Lock()
+	now := f.now()
+	for _, s := range f.service.Backends {
+		f.owner.Step(now, credit.Report{
+			Backend: gateway.ServerBackend(s.Instance), Limits: credit.Limits{Requests: crashLimit, HeldTokens: 1}, Sent: now,
+		})
+	}
+	actions := f.owner.Step(now, b.Sync(now, name))
+	f.creditMu.Unlock()
+	for _, a := range actions {
+		if r, ok := a.(credit.Reply); ok {
+			b.Reply(f.now(), name, r)
+		}
+	}
+}
+
 func (f *crashFleet) startEntries(quarantined bool) ([]string, error) {
 	var peers []net.Listener
 	for i := range crashEntries {
@@ -178,8 +374,7 @@
 }
 
 func (f *crashFleet) startEntry(self view.Entry, snapshot *view.Snapshot, peers net.Listener, quarantined bool) (string, error) {
-	begin := time.Now()
-	now := func() time.Duration { return time.Since(begin) }
+	now := f.now
 	metrics := telemetry.New()
 	mux := wire.NewMux()
 	node := wire.NewNode(wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation}, []byte("bench"), mux)
@@ -195,6 +390,8 @@
 		Snapshot: func() *view.Snapshot { return snapshot }, Now: now, Metrics: metrics,
 		Data: engine.NewData(), Self: self, MaxBodyBytes: 1 << 20,
 	}
+	balancer := gateway.NewBalancer(self, opts.Snapshot, now, metrics)
+	opts.ServerRouter = balancer
 	if quarantined {
 		opts.Quarantine = parts.Quarantine
 	}
@@ -203,9 +400,13 @@
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go balancer.Run(ctx)
+	go f.serveCredits(ctx, balancer)
 	server := g.Server(g.Handler(), 1<<16)
 	go func() { _ = server.Serve(g.Listener(l)) }()
 	f.closers = append(f.closers, func() {
+		cancel()
 		_ = server.Close()
 		_ = peers.Close()
 		node.Close()
