Stand-in engine: run nothing after a crash

A request that passed the check of the members just before a crash was admitted after it, and its first token could leave before the connections closed. The connection of such a request now breaks.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -182,3 +182,19 @@
 }
 
 func engineID(i int) ident.InstanceID { return ident.InstanceID(fmt.Sprintf("w%d", i)) }
+
+// TestDeadEngineRunsNothing guards against a request that arrived just before a
+// crash and is run after it.
+func TestDeadEngineRunsNothing(t *testing.T) {
+	e := startGroup(t, 1, func(c *Config) { c.RestartDelay = time.Hour })[0]
+	e.mu.Lock()
+	e.crash("test")
+	e.mu.Unlock()
+	r := &request{start: make(chan struct{}), end: make(chan struct{}), served: &Served{Group: "g", Epoch: 1}}
+	defer func() {
+		assert.Equal(t, recover(), http.ErrAbortHandler)
+		assert.Equal(t, len(e.Record().Requests), 0)
+	}()
+	e.admit(nil, r)
+	t.Error("a dead engine answered")
+}
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -101,6 +101,10 @@
 	whole := e.check()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.server == nil {
+		// The request arrived before the crash; a dead process answers nothing.
+		panic(http.ErrAbortHandler)
+	}
 	e.refresh()
 	if reason := e.refusal(r); reason != "" {
 		e.event(EventRefused, fmt.Sprintf("attempt %s: %s", r.served.Attempt, reason))
