Keep first copies of a request together until one has ended well

Cause: 50 copies of a crashing request sent at once ran on 36 of 60 servers at the first crash, because each copy drew two random targets; and copies whose target refused connections moved on before the news of the crash had come.

Change: among targets that are about equally good the rendezvous score of the fingerprint decides, so that entry instances agree without messages. Further copies of a running request join it while none has ended well; without room they wait beside the queue for at most 100 ms.

--- a/experiment/orders_crash.go
+++ b/experiment/orders_crash.go
@@ -39,6 +39,9 @@
 	// with what runs there. harmlessHold is the time that follows.
 	harmlessFirst = 100 * time.Millisecond
 	harmlessHold  = time.Second
+	// harmlessTime is the time for which a harmless request is sent again and
+	// again.
+	harmlessTime = 8 * time.Second
 	// crashSync separates the exchanges with the credit owner.
 	crashSync = 20 * time.Millisecond
 )
@@ -154,8 +157,9 @@
 }
 
 // harmlessCopies sends bursts of one harmless request and measures when its
-// copies get their first tokens.
+// copies get their first tokens, and then the same request all the time.
 func harmlessCopies(w io.Writer) error {
+	t := table(w, "copies of a harmless request at once\tfirst token p50 ms\tp95 ms\tlast ms\tanswers by status\tall answered after s")
 	for _, copies := range []int{10, 50, 200, 500} {
 		f := newCrashFleet(0)
 		urls, stop, err := f.start(true)
@@ -173,13 +177,51 @@
 		for i := range f.first {
 			f.first[i] -= sent
 		}
-		_, err = fmt.Fprintf(w, "harmless request, %d copies at once: first token p50 %s ms, p95 %s ms, last %s ms; answers by status %v, %.2f s\n",
-			copies, millis(percentile(f.first, 50)), millis(percentile(f.first, 95)), millis(percentile(f.first, 100)), f.statuses, took.Seconds())
+		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%v\t%.2f\n", copies, millis(percentile(f.first, 50)),
+			millis(percentile(f.first, 95)), millis(percentile(f.first, 100)), f.statuses, took.Seconds())
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	return harmlessLoad(w)
+}
+
+// harmlessLoad measures answers a second while callers send one harmless request
+// all the time, after a first second.
+func harmlessLoad(w io.Writer) error {
+	t := table(w, "callers of one harmless request\tanswers/s\twhole answer p50 ms\tp95 ms\tfailed")
+	for _, callers := range []int{100, 400, 800} {
+		f := newCrashFleet(0)
+		urls, stop, err := f.start(true)
 		if err != nil {
-			return errors.Wrap(err, "write result")
+			return err
+		}
+		var mu sync.Mutex
+		var times []time.Duration
+		failed := 0
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				for f.now() < harmlessTime {
+					sent := f.now()
+					status, err := f.post(urls[i%len(urls)], harmlessBody)
+					mu.Lock()
+					if err != nil || status != http.StatusOK {
+						failed++
+					} else if sent >= harmlessHold {
+						times = append(times, f.now()-sent)
+					}
+					mu.Unlock()
+				}
+			})
 		}
+		wg.Wait()
+		took := f.now() - harmlessHold
+		stop()
+		_, _ = fmt.Fprintf(t, "%d\t%.0f\t%s\t%s\t%d\n", callers, float64(len(times))/took.Seconds(),
+			millis(percentile(times, 50)), millis(percentile(times, 95)), failed)
 	}
-	return nil
+	return errors.Wrap(t.Flush(), "write table")
 }
 
 // start starts servers and entry instances and waits for their credits.
--- a/experiment/routing.go
+++ b/experiment/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -35,6 +36,18 @@
 	prompt   int // tokens
 	prefixes []uint64
 	answer   int // tokens
+	// fingerprint differs between all requests.
+	fingerprint ident.Fingerprint
+}
+
+// randomChoice hides the fingerprint from a policy, as if it had none.
+type randomChoice struct{ routing.Policy }
+
+// Pick implements routing.Policy.
+func (p randomChoice) Pick(now time.Duration, t *routing.Table, r *routing.Request) int {
+	q := *r
+	q.Fingerprint = 0
+	return p.Policy.Pick(now, t, &q)
 }
 
 // routeTrace generates conversations: each starts with one of its account's
@@ -67,6 +80,7 @@
 		out = append(out, routeRequest{
 			at: now, entry: c.entry, prompt: len(prefixes)*engine.PrefixBlockTokens + r.IntN(engine.PrefixBlockTokens),
 			prefixes: prefixes, answer: 10 + int(r.ExpFloat64()*40),
+			fingerprint: ident.NewFingerprint("route", binary.AppendUvarint(nil, uint64(len(out)))),
 		})
 	}
 	return out
@@ -162,7 +176,7 @@
 func (m *routeModel) dispatch(r *routeRequest) {
 	t := m.tables[r.entry]
 	short := r.prefixes[:min(len(r.prefixes), 128)]
-	req := &routing.Request{PromptTokens: r.prompt, Prefixes: short}
+	req := &routing.Request{PromptTokens: r.prompt, Prefixes: short, Fingerprint: r.fingerprint}
 	i := m.policies[r.entry].Pick(m.now, t, req)
 	uncached := t.Uncached(i, req)
 	e := m.engines[i]
--- a/experiment/traffic.go
+++ b/experiment/traffic.go
@@ -36,6 +36,7 @@
 	{"round robin", func(*rand.Rand) routing.Policy { return &routing.RoundRobin{} }},
 	{"least outstanding", func(r *rand.Rand) routing.Policy { return routing.LeastOutstanding{Rand: r} }},
 	{"expected delay", func(r *rand.Rand) routing.Policy { return routing.ExpectedDelay{Rand: r} }},
+	{"expected delay, random", func(r *rand.Rand) routing.Policy { return randomChoice{routing.ExpectedDelay{Rand: r}} }},
 }
 
 // Parameters of the printed comparisons.
--- a/gateway/credit.go
+++ b/gateway/credit.go
@@ -72,7 +72,10 @@
 	if part.Requests > 0 {
 		part.Tokens = max(l.largestTokens, (l.waitingTokens+n-1)/n)
 	}
+	apart := l.demandBeside()
 	for i := range l.targets {
-		l.holder.SetWaiting(l.targets[i].backend, part, l.isolating[l.targets[i].backend] > 0)
+		b := l.targets[i].backend
+		all := credit.Amount{Requests: part.Requests + apart[b].Requests, Tokens: part.Tokens + apart[b].Tokens}
+		l.holder.SetWaiting(b, all, l.isolating[b] > 0)
 	}
 }
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -97,6 +97,7 @@
 	p := &permit{lane: l, ticket: t, target: target, credit: c, started: now, uncached: l.table.Uncached(i, &t.route), alone: true}
 	l.traceAlone(now, p)
 	l.table.Start(now, ident.GroupID(target.backend), t.route.Prefixes)
+	l.copies.Start(t.request.Fingerprint, ident.GroupID(target.backend))
 	l.b.counters.granted.Inc(1)
 	return p
 }
--- a/gateway/lane.go
+++ b/gateway/lane.go
@@ -50,6 +50,10 @@
 	retry    bool // an earlier attempt failed
 	route    routing.Request
 	result   chan outcome
+	// apartUntil is when the wait for a place beside the other copies of the
+	// request ends, and apart marks a ticket that has to leave the queue for it.
+	apartUntil time.Duration
+	apart      bool
 }
 
 // permit is a granted credit.
@@ -82,6 +86,10 @@
 	table   *routing.Table
 	policy  routing.Policy
 	waiting map[*admission.Waiter]*ticket
+	// copies knows where copies of a request run, and apart holds the tickets
+	// that wait outside the queue for a place there.
+	copies *routing.Copies
+	apart  []*ticket
 	// isolating counts the suspects that wait or run at a target.
 	isolating     map[credit.BackendID]int
 	waitingTokens int
@@ -94,6 +102,8 @@
 	heldLimit int // context tokens that one backend server bears
 	// free is the number of credits left at each target during a dispatch.
 	free []int
+	// beside is the part of free at the targets where copies of a request run.
+	beside []int
 	// granted is when the owner of the credits answered last, or when this
 	// process went on after a pause: its credits have ended then, and the owner
 	// has had no time to answer.
@@ -177,7 +187,7 @@
 func (l *lane) leave(t *ticket) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.queue.Cancel(l.b.now(), t.waiter) {
+	if !l.leaveApart(t) && !l.queue.Cancel(l.b.now(), t.waiter) {
 		return false
 	}
 	l.forget(t.waiter)
@@ -212,7 +222,7 @@
 		l.refuseWaiting(now)
 	}
 	l.dispatch(now)
-	if waits := l.queue.Len() > 0 || len(l.isolating) > 0; waits && now-l.woken >= starvedSync {
+	if waits := l.queue.Len() > 0 || len(l.apart) > 0 || len(l.isolating) > 0; waits && now-l.woken >= starvedSync {
 		l.woken = now
 		l.wakeSync()
 	}
@@ -278,7 +288,7 @@
 	l.traceGroups(now)
 	l.observe(svc.Groups)
 	l.setSlots(now)
-	l.free = make([]int, len(l.targets))
+	l.free, l.beside = make([]int, len(l.targets)), make([]int, len(l.targets))
 }
 
 // dropGone ends the syncs about targets that left, once nothing runs there.
@@ -327,12 +337,28 @@
 
 // dispatch starts waiting requests in fair order while credits are free.
 func (l *lane) dispatch(now time.Duration) {
-	if l.queue.Len() == 0 || !l.countFree(now) {
+	if l.queue.Len()+len(l.apart) == 0 {
 		return
 	}
-	for l.queue.Len() > 0 {
-		if l.queue.Next(now, func(w *admission.Waiter) bool { return l.try(now, l.waiting[w]) }) == nil {
+	free := l.countFree(now)
+	l.rejoin(now)
+	for free && l.queue.Len() > 0 {
+		var parted *ticket
+		started := l.queue.Next(now, func(w *admission.Waiter) bool {
+			t := l.waiting[w]
+			if l.try(now, t) {
+				return true
+			}
+			if t.apart {
+				parted = t
+			}
+			return false
+		})
+		switch {
+		case started == nil && parted == nil:
 			return
+		case parted != nil:
+			l.part(now, parted)
 		}
 	}
 }
@@ -354,6 +380,7 @@
 // try takes a credit for a ticket at the best target that has one. A target
 // that has credits but too few tokens is passed over for this ticket.
 func (l *lane) try(now time.Duration, t *ticket) bool {
+	t.apart = false
 	var hidden hiddenTargets
 	defer hidden.restore(l.free)
 	for i := range l.targets {
@@ -363,6 +390,12 @@
 	}
 	t.route.Free = l.free
 	l.traced(now)
+	t.route.Fingerprint = l.copies.Meeting(t.request.Fingerprint)
+	if l.copies.Together(t.request.Fingerprint) {
+		if done, started := l.join(now, t); done {
+			return started
+		}
+	}
 	for range maxPicks {
 		i := l.policy.Pick(now, l.table, &t.route)
 		if i < 0 {
@@ -407,6 +440,7 @@
 		uncached: l.table.Uncached(i, &t.route),
 	}
 	l.table.Start(now, ident.GroupID(p.target.backend), t.route.Prefixes)
+	l.copies.Start(t.request.Fingerprint, ident.GroupID(p.target.backend))
 	l.b.counters.granted.Inc(1)
 	l.forget(t.waiter).result <- outcome{permit: p}
 }
@@ -432,5 +466,6 @@
 	}
 	l.traceRelease(now, p, r.FirstToken, hold, r.Err != nil)
 	l.table.Done(now, ident.GroupID(p.target.backend), p.uncached, r.FirstToken, hold)
+	l.endCopy(p, r.Err)
 	l.dispatch(now)
 }
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -60,6 +60,7 @@
 type balancerCounters struct {
 	granted      tally.Counter
 	waited       tally.Counter
+	apart        tally.Counter
 	retryRefused tally.Counter
 }
 
@@ -72,6 +73,7 @@
 		counters: balancerCounters{
 			granted:      m.Scope.Counter("credits_granted_total"),
 			waited:       m.Scope.Counter("credit_waits_total"),
+			apart:        m.Scope.Counter("copy_waits_total"),
 			retryRefused: m.Scope.Counter("retry_budget_refused_total"),
 		},
 		wake:  make(chan ident.ServiceName, 64),
@@ -209,6 +211,7 @@
 		policy:  routing.ExpectedDelay{Rand: rand.New(random)},
 		random:  random,
 		waiting: make(map[*admission.Waiter]*ticket),
+		copies:  routing.NewCopies(),
 
 		isolating: make(map[credit.BackendID]int),
 		failedAt:  make(map[credit.BackendID]time.Duration),
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -190,17 +190,17 @@
 	}
 	c := &trace.Choice{
 		ID: t.request.trace.id, Service: l.name, Group: ident.GroupID(l.targets[i].backend),
-		Uncached: l.table.Uncached(i, &t.route), Refused: refused,
+		Uncached: l.table.Uncached(i, &t.route), Refused: refused, Fingerprint: t.route.Fingerprint,
 	}
 	blocked := 0
-	for _, free := range l.free {
+	for _, free := range t.route.Free {
 		if free <= 0 {
 			blocked++
 		}
 	}
 	c.Blocked = slices.Grow(c.Blocked, blocked)
-	for j := range l.free {
-		if l.free[j] <= 0 {
+	for j, free := range t.route.Free {
+		if free <= 0 {
 			c.Blocked = append(c.Blocked, ident.GroupID(l.targets[j].backend))
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -216,6 +216,64 @@
 	})
 }
 
+// TestSimultaneousFirstCopies guards against first copies of a crashing request,
+// sent through all entry instances before anything is known, that cost more than
+// the backend servers on which they run at the first crash and one for the run
+// alone; and against a copy that begins after the crash of another one.
+func TestSimultaneousFirstCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fl := newFleet(7)
+		entry := rapid.SampledFrom(fl.names)
+		servers := make([]Server, rapid.IntRange(1, 4).Draw(t, "servers"))
+		for i := range servers {
+			servers[i] = fl.server()
+		}
+		var running []*task
+		for range 50 {
+			k, _ := fl.start(entry.Draw(t, "entry"), poison, &servers[rapid.IntRange(0, len(servers)-1).Draw(t, "server")])
+			running = append(running, k)
+		}
+		innocent, _ := fl.start(entry.Draw(t, "innocent"), 1, &servers[0])
+		ran := make(map[Server]bool)
+		for _, k := range running {
+			ran[k.server] = true
+		}
+		late := Server{Instance: "late"}
+		var retries []*task
+		for len(running) > 0 {
+			// A crash breaks the connections of all copies on the server.
+			down := running[rapid.IntRange(0, len(running)-1).Draw(t, "down")].server
+			var rest []*task
+			for _, k := range running {
+				if k.server == down {
+					fl.finish(k, &late)
+				} else {
+					rest = append(rest, k)
+				}
+			}
+			running = rest
+			if k, _ := fl.start(entry.Draw(t, "resend"), poison, &late); k != nil {
+				assert.Assert(t, k.alone, "a copy of a suspect began with others")
+				retries = append(retries, k)
+			}
+		}
+		for range 50 {
+			if k, _ := fl.start(entry.Draw(t, "resend"), poison, &late); k != nil {
+				retries = append(retries, k)
+			}
+			for _, k := range retries {
+				fl.finish(k, &late)
+			}
+			retries = nil
+		}
+		assert.Assert(t, len(fl.crashed) <= len(ran)+1, "copies on %d backend servers cost %d", len(ran), len(fl.crashed))
+		fl.trackers[innocent.entry].End(fl.now, servers[0], 1, false)
+		again, standing := fl.start(entry.Draw(t, "again"), 1, &late)
+		assert.Equal(t, standing, Free, "another request was refused")
+		fl.finish(again, &late)
+	})
+}
+
 // TestExpiry guards against a refusal that lasts for ever, against a record
 // that a delayed message makes young again, and against an owner that loses
 // track of a run whose holder is gone.
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -30,4 +30,9 @@
 	// choiceSlack is added to the spread, because differences of less than a
 	// few milliseconds are below the error of the estimate.
 	choiceSlack = 2 * time.Millisecond
+	// meetSlack is the same for the choice by rendezvous score. It is wider than
+	// the difference that a few requests make, so that entry instances with
+	// reports of different age mostly agree. Up to 15 ms it did not change the
+	// first-token times in the routing model.
+	meetSlack = 10 * time.Millisecond
 )
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -3,12 +3,17 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
 )
 
 // Request is what a choice depends on.
 type Request struct {
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
+	// Fingerprint lets all entry instances choose the same group for copies of a
+	// request among groups that are equally good. 0 chooses at random.
+	Fingerprint ident.Fingerprint
 	// Prefixes are the hashes of its block-aligned prefixes, shortest first.
 	Prefixes []uint64
 	// Free is the number of free credits by index of the table's groups. Groups
@@ -79,8 +84,10 @@
 }
 
 // ExpectedDelay chooses by the expected delay of the first token. Of the groups
-// close to the best it draws two and takes the better one, so that entry
-// instances with the same reports do not all choose the same group.
+// close to the best it takes the one with the highest rendezvous score for the
+// request: different requests spread, and copies of one request meet, through
+// whichever entry instance they come. Without a fingerprint it draws two and
+// takes the better one.
 type ExpectedDelay struct{ Rand *rand.Rand }
 
 // Pick implements Policy.
@@ -98,7 +105,35 @@
 	if best == noScore {
 		return -1
 	}
-	return p.draw(t, best+time.Duration(float64(best)*choiceSpread)+choiceSlack)
+	bound := best + time.Duration(float64(best)*choiceSpread)
+	if r.Fingerprint != 0 {
+		return meet(t, r.Fingerprint, bound+meetSlack)
+	}
+	return p.draw(t, bound+choiceSlack)
+}
+
+// meet returns the group with the highest rendezvous score for a request among
+// those that score within the bound.
+func meet(t *Table, f ident.Fingerprint, bound time.Duration) int {
+	chosen, highest := -1, uint64(0)
+	for i, s := range t.scores {
+		if s > bound {
+			continue
+		}
+		if w := weight(f, t.terms[i].key); chosen < 0 || w > highest {
+			chosen, highest = i, w
+		}
+	}
+	return chosen
+}
+
+// weight mixes a fingerprint with the key of a group. Both are hashes already;
+// the multiplications are those of splitmix64.
+func weight(f ident.Fingerprint, key uint32) uint64 {
+	x := uint64(f) ^ uint64(key)<<32 ^ uint64(key)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // draw returns the better of two random groups that score within the bound.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -122,7 +122,7 @@
 func loaded() (*Table, *Request) {
 	tab := newTable(300)
 	tab.Update(0, groups(300, 0, func(i int) int { return i % 16 }))
-	r := &Request{PromptTokens: 1024, Free: make([]int, 300)}
+	r := &Request{PromptTokens: 1024, Fingerprint: 1, Free: make([]int, 300)}
 	for i := range r.Free {
 		r.Free[i] = i % 10
 	}
@@ -162,3 +162,54 @@
 		})
 	}
 }
+
+// TestCopiesMeet guards against copies of one request that go to different
+// groups through entry instances whose reports differ a little, and against
+// different requests that all go to the same group.
+func TestCopiesMeet(t *testing.T) {
+	const entries, n, requests = 7, 60, 600
+	tables := make([]*Table, entries)
+	for e := range tables {
+		tables[e] = newTable(n)
+		tables[e].Start(ms, ident.GroupID(fmt.Sprint("g", e)), nil) // the others learn of it later
+	}
+	chosen := make(map[int]int)
+	for f := range ident.Fingerprint(requests) {
+		r := &Request{PromptTokens: 200, Fingerprint: ident.NewFingerprint("s", []byte(fmt.Sprint(f)))}
+		first := ExpectedDelay{}.Pick(2*ms, tables[0], r)
+		for e, tab := range tables {
+			assert.Equal(t, ExpectedDelay{}.Pick(2*ms, tab, r), first, "request %d at entry instance %d", f, e)
+		}
+		chosen[first]++
+	}
+	assert.Equal(t, len(chosen), n)
+	for g, count := range chosen {
+		assert.Assert(t, count <= 3*requests/n, "group %d was chosen %d times", g, count)
+	}
+}
+
+// TestCopies guards against copies of an unproven request that may run
+// anywhere, against a proof that outlives a crash, and against memory that grows
+// with the number of requests.
+func TestCopies(t *testing.T) {
+	c := NewCopies()
+	c.Start(7, "a")
+	c.Start(7, "a")
+	c.Start(7, "b")
+	assert.Assert(t, c.Together(7) && c.At(7, "a") && c.At(7, "b") && !c.At(7, "c") && !c.Together(8))
+	c.End(7, "a", false)
+	c.End(7, "b", false)
+	assert.Assert(t, c.Together(7) && c.At(7, "a") && !c.At(7, "b"))
+	c.Start(7, "b")
+	c.End(7, "b", true)
+	assert.Assert(t, !c.Together(7) && c.Meeting(7) == 0, "one copy ended well")
+	c.Doubt(7)
+	assert.Assert(t, c.Together(7) && c.Meeting(7) == 7)
+	c.End(7, "a", false)
+	for f := range ident.Fingerprint(10 * maxProven) {
+		c.Start(f, "a")
+		c.End(f, "a", true)
+	}
+	assert.Equal(t, c.Running(), 0)
+	assert.Assert(t, len(c.young)+len(c.old) <= 2*maxProven)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -40,6 +40,7 @@
 	index     int32
 	locality  time.Duration
 	pos       int // index in the table's groups, or -1
+	key       uint32
 	own       int
 	samples   [ownSamples]sample
 	next      int
@@ -125,7 +126,7 @@
 		own = old.own
 		t.drop(old)
 	}
-	s := &state{own: own, pos: -1, hold: defaultHold, slow: straggler{perToken: defaultPrefill}}
+	s := &state{own: own, pos: -1, key: uint32(ident.Score("", ident.InstanceID(g.ID))), hold: defaultHold, slow: straggler{perToken: defaultPrefill}}
 	if n := len(t.free); n > 0 {
 		s.index = t.free[n-1]
 		t.free = t.free[:n-1]
@@ -250,6 +251,8 @@
 type terms struct {
 	fixed, perToken float64
 	index           int32
+	// key is the group's part of a rendezvous score.
+	key uint32
 }
 
 // settle computes the terms of a group after a change.
@@ -268,7 +271,7 @@
 	if s.slow.is {
 		fixed, perToken = fixed*stragglerFactor+hold, perToken*stragglerFactor
 	}
-	t.terms[s.pos] = terms{fixed + float64(s.locality), perToken, s.index}
+	t.terms[s.pos] = terms{fixed + float64(s.locality), perToken, s.index, s.key}
 }
 
 // score is the expected delay of the first token at a group.
--- a/test/integration/crash_test.go
+++ b/test/integration/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -41,15 +42,54 @@
 	}
 	assert.Assert(t, convicted)
 	stopLoad()
+	r.crashesOf(poison, 1, 2)
+	r.judge()
+}
+
+// TestFirstCopiesAtOnce guards against first copies of a crashing request, sent
+// at once through all entry instances before anything is known, that cost more
+// than two backend servers, and against other requests that suffer from it.
+func TestFirstCopiesAtOnce(t *testing.T) {
+	t.Parallel()
+	const poison, copies = "crash marker", 50
+	r := startRig(t, func(c *cluster.Config) { c.EngineFlags = append(c.EngineFlags, "--poison", poison) })
+	r.serve()
+	var n atomic.Int64
+	stopLoad := background(t, 2, func(_ context.Context, worker int) {
+		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 20)
+		assert.Check(t, res.Outcome == load.Answered, "%s %s", res.Outcome, res.Detail)
+	})
+	defer stopLoad()
+	results := make([]load.Result, copies)
+	var wg sync.WaitGroup
+	for i := range copies {
+		wg.Go(func() {
+			c := load.NewCaller(cluster.AccountKey(0), []string{r.c.Entries[i%3].Callers})
+			defer c.Close()
+			results[i] = c.StreamAt(r.ctx, r.c.Entries[i%3].Callers, request(poison, 10), deadline)
+		})
+	}
+	wg.Wait()
+	stopLoad()
+	for i, res := range results {
+		assert.Assert(t, strings.Contains(res.Detail, "request-crashes-backends"), "copy %d: %s %s", i, res.Outcome, res.Detail)
+	}
+	r.crashesOf(poison, 2, 2)
+	r.judge()
+}
+
+// crashesOf asserts how many backend servers a request crashed, and that none
+// died for another reason.
+func (r *rig) crashesOf(poison string, least, most int) {
+	r.t.Helper()
 	crashes := 0
 	for _, e := range r.engines {
 		for _, ev := range r.engineRecord(e).Events {
 			if ev.Kind == standinengine.EventCrash {
-				assert.Assert(t, strings.Contains(ev.Detail, "request crashes the engine"), "%s died: %s", e.ID, ev.Detail)
+				assert.Assert(r.t, strings.Contains(ev.Detail, "request crashes the engine"), "%s died: %s", e.ID, ev.Detail)
 				crashes++
 			}
 		}
 	}
-	assert.Assert(t, crashes >= 1 && crashes <= 2, "%d backend servers died", crashes)
-	r.judge()
+	assert.Assert(r.t, crashes >= least && crashes <= most, "%d backend servers died of %q", crashes, poison)
 }
--- a/trace/event.go
+++ b/trace/event.go
@@ -216,8 +216,11 @@
 	ID      string            `json:"id,omitempty"`
 	Service ident.ServiceName `json:"service"`
 	Group   ident.GroupID     `json:"group"`
-	// Blocked are the groups without a free credit.
+	// Blocked are the groups without a free credit, or all that run no copy of
+	// a request whose copies stay together.
 	Blocked []ident.GroupID `json:"blocked,omitempty"`
+	// Fingerprint is set for a choice by rendezvous score, and 0 for a random one.
+	Fingerprint ident.Fingerprint `json:"fingerprint,omitempty"`
 	// Uncached is the number of prompt tokens that the group is not expected
 	// to hold.
 	Uncached int `json:"uncached,omitempty"`
--- a/trace/machines/choice.go
+++ b/trace/machines/choice.go
@@ -213,7 +213,7 @@
 		return []trace.Decision{decide("unknown", string(x.Group), "%s: no groups of %s are recorded", x.ID, x.Service)}
 	}
 	out := c.allowed(now, l, x)
-	ask := routing.Request{Free: make([]int, len(l.rows))}
+	ask := routing.Request{Free: make([]int, len(l.rows)), Fingerprint: x.Fingerprint}
 	req := c.requests[requestKey{e.Node, x.ID}]
 	if req != nil {
 		ask.PromptTokens, ask.Prefixes = req.PromptTokens, req.Prefixes
