Encode requests to engines with net/http

Cause: the data connection and the poller, which replaced net/http's transport, put the request header together by hand. Protocols towards backend servers are the library's to encode. Change: both write a http.Request; responses were read with http.ReadResponse already. The refusal of values that would add a header field stays.

--- a/engine/conn.go
+++ b/engine/conn.go
@@ -2,19 +2,29 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// maxResponseHeader bounds the header of an engine's response.
-const maxResponseHeader = 64 << 10
+const (
+	// maxResponseHeader bounds the header of an engine's response.
+	maxResponseHeader = 64 << 10
+	// writerBytes holds the header of a request and most bodies.
+	writerBytes = 2 << 10
+	// requestHeaders is the number of header fields of a request.
+	requestHeaders = 7
+	userAgent      = "bulrushfall"
+)
 
 // errHeaderTooLarge ends a response whose header does not end.
 var errHeaderTooLarge = errors.New("response header exceeds " + strconv.Itoa(maxResponseHeader) + " bytes")
@@ -29,7 +39,7 @@
 	reader *bufio.Reader
 	// headerLeft bounds what is read of a header, or is negative in a body.
 	headerLeft int
-	head       []byte
+	writer     *bufio.Writer
 	idleSince  time.Time
 	// raw and probe look at the connection without a wait; open is the result.
 	raw   syscall.RawConn
@@ -40,6 +50,7 @@
 func newDataConn(c net.Conn, key poolKey) *dataConn {
 	d := &dataConn{Conn: c, key: key, headerLeft: -1}
 	d.reader = bufio.NewReaderSize(d, readerBytes)
+	d.writer = bufio.NewWriterSize(c, writerBytes)
 	if s, ok := c.(syscall.Conn); ok {
 		d.raw, _ = s.SyscallConn() // nil means that the connection is not reused
 	}
@@ -76,13 +87,8 @@
 
 // roundTrip sends a request and reads the header of its response.
 func (c *dataConn) roundTrip(r *Request) (*http.Response, error) {
-	var err error
-	if c.head, err = appendHead(c.head[:0], r); err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
-	}
-	parts := net.Buffers{c.head, r.Body}
-	if _, err := parts.WriteTo(c.Conn); err != nil {
-		return nil, errors.Wrap(ErrBroken, err.Error())
+	if err := c.write(r); err != nil {
+		return nil, err
 	}
 	c.headerLeft = maxResponseHeader
 	defer func() { c.headerLeft = -1 }()
@@ -98,27 +104,35 @@
 	}
 }
 
-// appendHead encodes the request line and the header.
-func appendHead(b []byte, r *Request) ([]byte, error) {
+// write sends a request. net/http encodes it.
+func (c *dataConn) write(r *Request) error {
 	for _, v := range []string{r.Path, r.Target.Address, string(r.Target.Group), string(r.Attempt)} {
-		for i := range len(v) {
-			if v[i] <= ' ' || v[i] == 0x7f {
-				return b, errors.Errorf("%q cannot be sent in a request header", v)
-			}
+		if strings.ContainsFunc(v, func(x rune) bool { return x <= ' ' || x == 0x7f }) {
+			return errors.Wrapf(ErrNotSent, "%q cannot be sent in a request header", v)
 		}
 	}
-	b = append(append(b, "POST "...), r.Path...)
-	b = append(append(b, " HTTP/1.1\r\nHost: "...), r.Target.Address...)
-	b = append(b, "\r\nContent-Type: application/json"...)
-	b = append(append(b, "\r\n"+HeaderGroup+": "...), r.Target.Group...)
-	b = strconv.AppendUint(append(b, "\r\n"+HeaderEpoch+": "...), uint64(r.Target.Epoch), 10)
-	b = append(append(b, "\r\n"+HeaderAttempt+": "...), r.Attempt...)
-	b = strconv.AppendInt(append(b, "\r\n"+HeaderPriority+": "...), int64(r.Priority), 10)
+	h := make(http.Header, requestHeaders)
+	h.Set("Content-Type", "application/json")
+	h.Set("User-Agent", userAgent)
+	h.Set(HeaderGroup, string(r.Target.Group))
+	h.Set(HeaderEpoch, strconv.FormatUint(uint64(r.Target.Epoch), 10))
+	h.Set(HeaderAttempt, string(r.Attempt))
+	h.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	if r.ResumeOffset > 0 {
-		b = strconv.AppendInt(append(b, "\r\n"+HeaderResumeOffset+": "...), int64(r.ResumeOffset), 10)
+		h.Set(HeaderResumeOffset, strconv.Itoa(r.ResumeOffset))
+	}
+	req := http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: r.Path}, Host: r.Target.Address, Header: h,
+		Body: io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body)),
+	}
+	err := req.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
 	}
-	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(r.Body)), 10)
-	return append(b, "\r\n\r\n"...), nil
+	return nil
 }
 
 // dialChecked opens a connection and reads the engine's status on it before any
--- a/engine/poll.go
+++ b/engine/poll.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"sync"
 	"time"
 
@@ -73,10 +74,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pollConn{
-		Conn: conn, reader: bufio.NewReaderSize(conn, 2<<10),
-		request: []byte("GET /status HTTP/1.1\r\nHost: " + addr + "\r\n\r\n"),
-	}, nil
+	var request bytes.Buffer
+	req := http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: "/status"}, Host: addr, Header: http.Header{"User-Agent": {userAgent}},
+	}
+	if err := req.Write(&request); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &pollConn{Conn: conn, reader: bufio.NewReaderSize(conn, 2<<10), request: request.Bytes()}, nil
 }
 
 // take returns the idle connection to an engine, if there is one.
