Keep new work from a group after an attempt that was given up

Cause: since the end of a request's context makes no suspects, it did not pause the group either. The engine can hold such a request until it notices that the connection is closed, while its credit goes to the next request: in a cold start that is one request more than the limit. Change: the pause until the next poll is back as it was before.

--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,7 +26,10 @@
 		// not charged to the retry budget.
 		l.retries.Refund()
 	}
-	if notRun || retryable(err) || errors.Is(err, ErrBackendOutcomeUnknown) {
+	// After an attempt that was given up, the backend server may hold the request
+	// until it notices that the connection is closed.
+	givenUp := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	if notRun || givenUp || retryable(err) || errors.Is(err, ErrBackendOutcomeUnknown) {
 		l.failedAt[b] = now
 	}
 }
