--- a/experiment/outage.go
+++ b/experiment/outage.go
@@ -108,6 +108,12 @@
 			return err
 		}
 	}
+	return judgeOutcomes(ctx, w, c, traffic)
+}
+
+// judgeOutcomes prints what became of the orders and of the promises. It fails
+// when an outcome is wrong.
+func judgeOutcomes(ctx context.Context, w io.Writer, c *cluster.Cluster, traffic *openLoad) error {
 	summary := traffic.summary()
 	runs, err := c.OrderRuns()
 	if err != nil {
--- a/experiment/partition.go
+++ b/experiment/partition.go
@@ -8,8 +8,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
@@ -163,21 +161,7 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	summary := traffic.summary()
-	runs, err := c.OrderRuns()
-	if err != nil {
-		return err
-	}
-	summary.countOrders(traffic.answeredOrders(), runs)
-	violations, err := judge(ctx, w, c, traffic)
-	if err != nil {
-		return err
-	}
-	_, _ = fmt.Fprintf(w, "answered orders %d, lost %d, doubled %d\n", summary.orders, summary.lost, summary.doubled)
-	if violations > 0 || summary.wrong() {
-		return errors.New("an outcome is wrong")
-	}
-	return nil
+	return judgeOutcomes(ctx, w, c, traffic)
 }
 
 func sideName(cutOff bool) string {
