--- a/gateway/fingerprint_test.go
+++ b/gateway/fingerprint_test.go
@@ -89,4 +89,5 @@
 		seen[print] = string(canonical)
 	}
 	assert.Assert(t, len(seen) > 1000, "%d different bodies", len(seen))
+	assert.Equal(t, printOf("{ \"a\":1, \"a\":2, \"b\":\"\xff\", \"stream\":true }"), printOf("{\"b\":\"\xff\",\"a\":1,\"a\":2}"), "doubled names")
 }
