Read all responses of engines through one bounded connection

Cause: the data connection, its status check and the poller each wrote GET /status and read responses in their own way. Only the data connection bounded headers: since polls left net/http's transport, an engine could make the poller read a header without an end. Change: responseConn reads responses with headers of at most 64 KiB for all three; statusRequest is the one request; the status check uses the reader of the connection that it checks. TestHeaderBounds has a case for polls, which fails with the former poller.

--- a/engine/conn.go
+++ b/engine/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -17,30 +18,20 @@
 )
 
 const (
-	// maxResponseHeader bounds the header of an engine's response.
-	maxResponseHeader = 64 << 10
 	// writerBytes holds the header of a request and most bodies.
 	writerBytes = 2 << 10
 	// requestHeaders is the number of header fields of a request.
 	requestHeaders = 7
-	userAgent      = "bulrushfall"
 )
 
-// errHeaderTooLarge ends a response whose header does not end.
-var errHeaderTooLarge = errors.New("response header exceeds " + strconv.Itoa(maxResponseHeader) + " bytes")
-
-// dataConn is a connection to a group leader. One goroutine at a time writes
-// requests to it and reads the responses: net/http's transport has a reading and
-// a writing goroutine per connection, and each hand-over to them delayed the
-// first token.
+// dataConn is a connection to a group leader. The goroutine of a request uses it
+// alone: net/http's transport has a reading and a writing goroutine per
+// connection, and each hand-over to them delayed the first token.
 type dataConn struct {
-	net.Conn
-	key    poolKey
-	reader *bufio.Reader
-	// headerLeft bounds what is read of a header, or is negative in a body.
-	headerLeft int
-	writer     *bufio.Writer
-	idleSince  time.Time
+	*responseConn
+	key       poolKey
+	writer    *bufio.Writer
+	idleSince time.Time
 	// raw and probe look at the connection without a wait; open is the result.
 	raw   syscall.RawConn
 	probe func(fd uintptr) bool
@@ -48,9 +39,9 @@
 }
 
 func newDataConn(c net.Conn, key poolKey) *dataConn {
-	d := &dataConn{Conn: c, key: key, headerLeft: -1}
-	d.reader = bufio.NewReaderSize(d, readerBytes)
-	d.writer = bufio.NewWriterSize(c, writerBytes)
+	d := &dataConn{
+		responseConn: newResponseConn(c, readerBytes), key: key, writer: bufio.NewWriterSize(c, writerBytes),
+	}
 	if s, ok := c.(syscall.Conn); ok {
 		d.raw, _ = s.SyscallConn() // nil means that the connection is not reused
 	}
@@ -63,19 +54,6 @@
 	return d
 }
 
-// Read implements net.Conn.
-func (c *dataConn) Read(b []byte) (int, error) {
-	if c.headerLeft < 0 {
-		return c.Conn.Read(b)
-	}
-	if c.headerLeft == 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.headerLeft)])
-	c.headerLeft -= n
-	return n, err
-}
-
 // alive reports whether an idle connection is open and silent. A leader that
 // ended has closed it.
 func (c *dataConn) alive() bool {
@@ -90,18 +68,11 @@
 	if err := c.write(r); err != nil {
 		return nil, err
 	}
-	c.headerLeft = maxResponseHeader
-	defer func() { c.headerLeft = -1 }()
-	for {
-		resp, err := http.ReadResponse(c.reader, postRequest)
-		switch {
-		case err != nil:
-			return nil, errors.Wrap(ErrBroken, err.Error())
-		case resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols:
-			continue // informational
-		}
-		return resp, nil
+	resp, err := c.response(postRequest)
+	if err != nil {
+		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
+	return resp, nil
 }
 
 // write sends a request. net/http encodes it.
@@ -137,23 +108,56 @@
 
 // dialChecked opens a connection and reads the engine's status on it before any
 // request uses it.
-func (d *Data) dialChecked(ctx context.Context, target Target) (net.Conn, error) {
-	c, err := d.dial(ctx, "tcp", target.Address)
+func (d *Data) dialChecked(ctx context.Context, target Target, key poolKey) (*dataConn, error) {
+	conn, err := d.dial(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	c := newDataConn(conn, key)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	err = checkStatus(c, target)
+	err = c.checkStatus(target)
 	if !stop() && err == nil {
-		err = errors.Wrap(ErrNotSent, ctx.Err().Error())
+		err = ctx.Err()
 	}
 	if err != nil {
 		_ = c.Close()
-		return nil, err
+		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	return c, nil
 }
 
+// checkStatus fails unless the engine is the confirmed one in the confirmed
+// state.
+func (c *dataConn) checkStatus(target Target) error {
+	if err := c.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return err
+	}
+	request, err := statusRequest(target.Address)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Write(request); err != nil {
+		return err
+	}
+	resp, err := c.response(nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var s Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&s); err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	switch {
+	case s.Incarnation != target.Incarnation:
+		return ErrIncarnationChanged
+	case s.Cold && !target.Cold:
+		return ErrTurnedCold
+	}
+	return c.SetDeadline(time.Time{})
+}
+
 // finish reads the rest of a response and reports whether the connection can
 // carry another request.
 func (c *dataConn) finish(resp *http.Response) bool {
--- a/engine/conn_test.go
+++ b/engine/conn_test.go
@@ -102,6 +102,12 @@
 	_, err := d.Open(t.Context(), l.request())
 	assert.ErrorIs(t, err, ErrBroken)
 	assert.ErrorContains(t, err, errHeaderTooLarge.Error())
+	status := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Long", strings.Repeat("x", 2*maxResponseHeader))
+	}))
+	defer status.Close()
+	_, err = NewControl().Status(t.Context(), status.Listener.Addr().String())
+	assert.ErrorContains(t, err, errHeaderTooLarge.Error())
 	r := l.request()
 	r.Attempt = "a\r\nInjected: 1"
 	_, err = d.Open(t.Context(), r)
--- a/engine/data.go
+++ b/engine/data.go
@@ -1,13 +1,10 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -103,37 +100,7 @@
 		}
 		_ = c.Close()
 	}
-	c, err := d.dialChecked(ctx, t)
-	if err != nil {
-		return nil, err
-	}
-	return newDataConn(c, key), nil
-}
-
-func checkStatus(c net.Conn, target Target) error {
-	if err := c.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	if _, err := io.WriteString(c, "GET /status HTTP/1.1\r\nHost: "+target.Address+"\r\n\r\n"); err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var s Status
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&s); err != nil {
-		return errors.Wrap(ErrNotSent, err.Error())
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	switch {
-	case s.Incarnation != target.Incarnation:
-		return errors.Wrap(ErrNotSent, ErrIncarnationChanged.Error())
-	case s.Cold && !target.Cold:
-		return errors.Wrap(ErrNotSent, ErrTurnedCold.Error())
-	}
-	return errors.Wrap(c.SetDeadline(time.Time{}), "clear deadline")
+	return d.dialChecked(ctx, t, key)
 }
 
 // Open sends a request and returns its stream. The context bounds the whole
--- a/engine/poll.go
+++ b/engine/poll.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"time"
 
@@ -33,8 +31,7 @@
 
 // pollConn is a connection to one engine. One poll at a time uses it.
 type pollConn struct {
-	net.Conn
-	reader  *bufio.Reader
+	*responseConn
 	request []byte
 	// body is the last report as it came, and status what it says.
 	body   []byte
@@ -74,15 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	var request bytes.Buffer
-	req := http.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: "/status"}, Host: addr, Header: http.Header{"User-Agent": {userAgent}},
-	}
-	if err := req.Write(&request); err != nil {
+	request, err := statusRequest(addr)
+	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return &pollConn{Conn: conn, reader: bufio.NewReaderSize(conn, 2<<10), request: request.Bytes()}, nil
+	return &pollConn{responseConn: newResponseConn(conn, 2<<10), request: request}, nil
 }
 
 // take returns the idle connection to an engine, if there is one.
@@ -152,7 +146,7 @@
 	if _, err = c.reader.Peek(1); err != nil {
 		return false, false, err
 	}
-	resp, err := http.ReadResponse(c.reader, nil)
+	resp, err := c.response(nil)
 	if err != nil {
 		return true, false, err
 	}
