--- a/cmd/bulrush-bench/experiments.go
+++ b/cmd/bulrush-bench/experiments.go
@@ -17,6 +17,13 @@
 	return runner{sub: sub, run: func(context.Context, string) error { return run(os.Stdout) }}
 }
 
+// processRunner is a subcommand for an experiment that starts processes.
+func processRunner(name, description string, run func(ctx context.Context, w io.Writer, binDir string) error) runner {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	return runner{sub: sub, run: func(ctx context.Context, binDir string) error { return run(ctx, os.Stdout, binDir) }}
+}
+
 // defaultReaders is the number of stopped readers in the measure.
 const defaultReaders = 8000
 
@@ -43,14 +50,6 @@
 	}}
 }
 
-func idleRunner() runner {
-	sub := flaggy.NewSubcommand("idle")
-	sub.Description = "processor time, memory and store use of control without requests"
-	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
-		return experiment.Idle(ctx, os.Stdout, binDir)
-	}}
-}
-
 func outageRunner() runner {
 	length := experiment.DefaultOutage
 	sub := flaggy.NewSubcommand("outage")
@@ -60,11 +59,3 @@
 		return experiment.Outage(ctx, os.Stdout, binDir, length)
 	}}
 }
-
-func partitionRunner() runner {
-	sub := flaggy.NewSubcommand("partition")
-	sub.Description = "service on both sides while a data centre is cut off for longer than the reserves last"
-	return runner{sub: sub, run: func(ctx context.Context, binDir string) error {
-		return experiment.Partition(ctx, os.Stdout, binDir)
-	}}
-}
--- a/control/confirm.go
+++ b/control/confirm.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/slicecmp"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -138,7 +139,7 @@
 
 // current reports whether the table was made from these groups.
 func (t *factTable) current(groups []*view.Group) bool {
-	return len(groups) == len(t.groups) && (len(groups) == 0 || &groups[0] == &t.groups[0])
+	return slicecmp.Identical(groups, t.groups)
 }
 
 // since returns what a peer does not have. A group that it leaves out is
--- a/control/follow.go
+++ b/control/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/slicecmp"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -54,8 +55,7 @@
 // knows, and the live entry instances in rendezvous order. They are ranked again
 // only when the entry instances change: snapshots share them until then.
 func (f *following) candidates(s *view.Snapshot, name ident.ServiceName) (ident.InstanceID, []ident.InstanceID) {
-	same := len(s.Entries) == len(f.entries) && (len(s.Entries) == 0 || &s.Entries[0] == &f.entries[0])
-	if !same {
+	if !slicecmp.Identical(s.Entries, f.entries) {
 		f.entries, f.ranked = s.Entries, rankedEntries(s, name)
 	}
 	if svc := s.Service(name); svc != nil && slices.Contains(f.ranked, svc.LeaseHolder) {
--- a/control/sync.go
+++ b/control/sync.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/slicecmp"
 	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
@@ -93,7 +94,7 @@
 // listed returns the names of the entry instances of a snapshot. They are made
 // once, because snapshots share their entry instances while these do not change.
 func (c *credits) listed(entries []view.Entry) []ident.InstanceID {
-	if len(entries) == len(c.entries) && (len(entries) == 0 || &entries[0] == &c.entries[0]) {
+	if slicecmp.Identical(entries, c.entries) {
 		return c.names
 	}
 	c.entries, c.names = entries, make([]ident.InstanceID, 0, len(entries))
--- a/credit/delta.go
+++ b/credit/delta.go
@@ -38,6 +38,16 @@
 	return slices.BinarySearchFunc(r.list, b, func(x row[T], b BackendID) int { return strings.Compare(string(x.backend), string(b)) })
 }
 
+// set replaces or adds an element.
+func (r *rows[T]) set(b BackendID, v T) {
+	x := row[T]{backend: b, value: v}
+	if i, ok := r.find(b); ok {
+		r.list[i] = x
+	} else {
+		r.list = slices.Insert(r.list, i, x)
+	}
+}
+
 // next moves on to message seq with n elements, and returns those that a receiver
 // of message base does not have, and whether these are only a part. Equal tells
 // whether a receiver makes element i of the message from a value; pack makes the
@@ -179,12 +189,7 @@
 	}
 	p.seq = s.Seq
 	for _, u := range s.Usage {
-		r := row[usageRow]{backend: u.Backend, value: packUsage(u, &s)}
-		if i, ok := p.rows.find(u.Backend); ok {
-			p.rows.list[i] = r
-		} else {
-			p.rows.list = slices.Insert(p.rows.list, i, r)
-		}
+		p.rows.set(u.Backend, packUsage(u, &s))
 	}
 	s.Partial, s.Usage = false, make([]Usage, 0, len(p.rows.list))
 	for i := range p.rows.list {
@@ -234,12 +239,7 @@
 	}
 	p.epoch, p.seq = r.Epoch, r.Seq
 	for _, a := range r.Allocations {
-		x := row[Allocation]{backend: a.Backend, value: a}
-		if i, ok := p.rows.find(a.Backend); ok {
-			p.rows.list[i] = x
-		} else {
-			p.rows.list = slices.Insert(p.rows.list, i, x)
-		}
+		p.rows.set(a.Backend, a)
 	}
 	r.Partial, r.Allocations = false, make([]Allocation, 0, len(p.rows.list))
 	for i := range p.rows.list {
--- a/credit/follow.go
+++ b/credit/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/slicecmp"
 )
 
 // Ownership of credits does not rest on the store: an owner acts only while a
@@ -112,8 +113,7 @@
 	case follows != owner:
 		f.named = follows
 	}
-	f.avoid(now, owner)
-	f.avoided[owner] = now + pendingAvoid
+	f.avoid(now, owner, pendingAvoid)
 }
 
 // Failed notes that an owner did not answer.
@@ -123,20 +123,20 @@
 	case !ok:
 		f.failing[owner] = now
 	case now-since >= failTime:
-		f.avoid(now, owner)
+		f.avoid(now, owner, avoidTime)
 	}
 }
 
 // Refused notes that an owner dropped this follower when it got a sync. That ends
 // the promise if the sync was the last one: the owner may count a later one.
 func (f *Follower) Refused(now time.Duration, owner ident.InstanceID, seq uint64) {
-	f.avoid(now, owner)
+	f.avoid(now, owner, avoidTime)
 	if owner == f.current && seq == f.lastSeq {
 		f.current, f.lastSent = "", now-followTime
 	}
 }
 
-func (f *Follower) avoid(now time.Duration, owner ident.InstanceID) {
+func (f *Follower) avoid(now time.Duration, owner ident.InstanceID, length time.Duration) {
 	delete(f.failing, owner)
 	delete(f.pending, owner)
 	if f.named == owner {
@@ -147,7 +147,7 @@
 			delete(f.avoided, id)
 		}
 	}
-	f.avoided[owner] = now + avoidTime
+	f.avoided[owner] = now + length
 }
 
 // followed is what an owner knows about one follower.
@@ -211,8 +211,7 @@
 // proofs of the same followers can only become later. The caller does not write
 // to a list that it passed.
 func (f *Followers) Majority(now time.Duration, listed []ident.InstanceID) bool {
-	same := len(listed) == len(f.counted) && (len(listed) == 0 || &listed[0] == &f.counted[0])
-	if same && now < f.until {
+	if now < f.until && slicecmp.Identical(listed, f.counted) {
 		return true
 	}
 	f.counted, f.proofs = listed, f.proofs[:0]
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -73,14 +73,20 @@
 	h := newHarness(t, 1, cfg, func(o *Options) { o.ParkAfter = 50 * time.Millisecond })
 	const tokens = 20_000
 	req, body := completionBody(tokens, true)
-	conn := slowReader(t, h.addr, body)
+	h.parkedAnswer(slowReader(t, h.addr, body), standin.Answer(&req, tokens))
+}
+
+// parkedAnswer waits until the reader of an answer is parked, reads the answer
+// then, and compares it.
+func (h *harness) parkedAnswer(conn net.Conn, want string) {
+	h.t.Helper()
 	h.waitFor("the reader is parked", func() bool { return h.gateway.parked.count() == 1 })
 	h.waitFor("the engine holds nothing", func() bool { return h.engines[0].Record().Running == 0 })
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	assert.NilError(t, err)
+	assert.NilError(h.t, err)
 	text, lastID, done := readText(resp.Body)
-	assert.Assert(t, done, lastID)
-	assert.Equal(t, text, standin.Answer(&req, tokens))
+	assert.Assert(h.t, done, lastID)
+	assert.Equal(h.t, text, want)
 	h.waitFor("the parked stream is gone", func() bool { return h.gateway.parked.count() == 0 })
 }
 
@@ -91,10 +97,16 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+	sendCompletion(t, conn, body)
+	return conn
+}
+
+// sendCompletion writes a request.
+func sendCompletion(t testing.TB, conn net.Conn, body []byte) {
+	t.Helper()
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		completionPath, testKey, len(body), body)
 	assert.NilError(t, err)
-	return conn
 }
 
 // TestParkLimit guards against an account that parks more streams than its
--- a/gateway/tls_test.go
+++ b/gateway/tls_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"crypto/tls"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -53,17 +52,8 @@
 	const tokens = 20_000
 	req, body := completionBody(tokens, true)
 	conn := h.dialTLS(h.serveTLS())
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		completionPath, testKey, len(body), body)
-	assert.NilError(t, err)
-	h.waitFor("the reader is parked", func() bool { return h.gateway.parked.count() == 1 })
-	h.waitFor("the engine holds nothing", func() bool { return h.engines[0].Record().Running == 0 })
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	assert.NilError(t, err)
-	text, lastID, done := readText(resp.Body)
-	assert.Assert(t, done, lastID)
-	assert.Equal(t, text, standin.Answer(&req, tokens))
-	h.waitFor("the parked stream is gone", func() bool { return h.gateway.parked.count() == 0 })
+	sendCompletion(t, conn, body)
+	h.parkedAnswer(conn, standin.Answer(&req, tokens))
 }
 
 // TestRefusalsUnderTLS guards against refusals that lose their type under TLS,
--- a/group/plan.go
+++ b/group/plan.go
@@ -298,6 +298,9 @@
 
 // hasStandby reports whether a whole group's weights are in memory somewhere.
 func (p *Planner) hasStandby(now time.Duration) bool {
+	if p.standbyGroups() == 0 {
+		return false
+	}
 	d := p.chooseDomain(now)
 	return d != nil && d.standby
 }
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -71,21 +71,21 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (y *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// The body is read first: the server closes it when the answer starts.
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	i := int(y.next.Add(1)) % len(y.targets)
-	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+y.targets[i]+r.URL.Path, bytes.NewReader(body))
+	i := int(h.next.Add(1)) % len(h.targets)
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+h.targets[i]+r.URL.Path, bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	req.Header = r.Header
-	resp, err := y.transport.RoundTrip(req)
+	resp, err := h.transport.RoundTrip(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
--- a/test/integration/crash_test.go
+++ b/test/integration/crash_test.go
@@ -1,11 +1,8 @@
 package integration
 
 import (
-	"context"
-	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -23,11 +20,7 @@
 	const poison = "crash marker"
 	r := startRig(t, func(c *cluster.Config) { c.EngineFlags = append(c.EngineFlags, "--poison", poison) })
 	r.serve()
-	var n atomic.Int64
-	stopLoad := background(t, 4, func(_ context.Context, worker int) {
-		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 20)
-		assert.Check(t, res.Outcome == load.Answered, "%s %s", res.Outcome, res.Detail)
-	})
+	stopLoad := r.backgroundStreams(4, 20, load.Answered)
 	defer stopLoad()
 	c := load.NewCaller(cluster.AccountKey(0), []string{r.c.Entries[0].Callers})
 	defer c.Close()
@@ -54,11 +47,7 @@
 	const poison, copies = "crash marker", 50
 	r := startRig(t, func(c *cluster.Config) { c.EngineFlags = append(c.EngineFlags, "--poison", poison) })
 	r.serve()
-	var n atomic.Int64
-	stopLoad := background(t, 2, func(_ context.Context, worker int) {
-		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 20)
-		assert.Check(t, res.Outcome == load.Answered, "%s %s", res.Outcome, res.Detail)
-	})
+	stopLoad := r.backgroundStreams(2, 20, load.Answered)
 	defer stopLoad()
 	results := make([]load.Result, copies)
 	var wg sync.WaitGroup
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -196,11 +193,7 @@
 		c.EngineFlags = append(c.EngineFlags, "--cold-time", "3s", "--cold-limit", "2")
 	})
 	r.serve()
-	var n atomic.Int64
-	stopLoad := background(t, 12, func(_ context.Context, worker int) {
-		res := r.stream(r.c.Entries[worker%3], fmt.Sprintf("%s %d", t.Name(), n.Add(1)), 10)
-		assert.Check(t, res.Outcome == load.Answered || res.Outcome == load.NotRun, "%s %s", res.Outcome, res.Detail)
-	})
+	stopLoad := r.backgroundStreams(12, 10, load.Answered, load.NotRun)
 	defer stopLoad()
 	leader := r.leaders()[0]
 	r.wait("work at the engine", func() bool { return r.engineRecord(leader).MaxRunning > 2 })
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -106,61 +106,58 @@
 	return r.current.Swap(nil) != nil
 }
 
-// On reports whether a recording runs. Callers ask before they build an event.
-func (r *Recorder) On() bool { return r != nil && r.current.Load() != nil }
+// running returns the running recording, or nil.
+func (r *Recorder) running() *recording {
+	if r == nil {
+		return nil
+	}
+	return r.current.Load()
+}
+
+// On reports whether a recording runs. It spares the work for an event that
+// nothing would keep.
+func (r *Recorder) On() bool { return r.running() != nil }
 
 // Generation numbers the running recording; it is 0 when none runs. Whoever
 // records only changes starts again with the whole state when it changes.
 func (r *Recorder) Generation() uint64 {
-	if r == nil {
-		return 0
-	}
-	c := r.current.Load()
-	if c == nil {
-		return 0
+	if c := r.running(); c != nil {
+		return c.generation
 	}
-	return c.generation
+	return 0
 }
 
 // NextID returns a name for a request in the running recording, or "" when none
 // runs. It says nothing about the caller.
 func (r *Recorder) NextID() string {
-	if r == nil {
-		return ""
-	}
-	c := r.current.Load()
-	if c == nil {
-		return ""
+	if c := r.running(); c != nil {
+		return "r" + strconv.FormatUint(c.ids.Add(1), 36)
 	}
-	return "r" + strconv.FormatUint(c.ids.Add(1), 36)
+	return ""
 }
 
 // Record keeps an event of the running recording, stamped with the current time.
 // When the memory is used up, the oldest events are dropped. The event's payload
 // must not change afterwards.
 func (r *Recorder) Record(e Event) {
-	if r != nil {
-		if c := r.current.Load(); c != nil {
-			c.add(e, r.now().Microseconds())
-		}
+	if c := r.running(); c != nil {
+		c.add(e, r.now())
 	}
 }
 
 // RecordAt is Record with the time that the event's machine worked with.
 func (r *Recorder) RecordAt(now time.Duration, e Event) {
-	if r != nil {
-		if c := r.current.Load(); c != nil {
-			c.add(e, now.Microseconds())
-		}
+	if c := r.running(); c != nil {
+		c.add(e, now)
 	}
 }
 
-func (c *recording) add(e Event, at int64) {
+func (c *recording) add(e Event, at time.Duration) {
 	size := e.size()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A goroutine may have read the clock before another one that came first.
-	c.at = max(c.at, at)
+	c.at = max(c.at, at.Microseconds())
 	e.AtMicros = c.at
 	c.events++
 	if size > c.max/2 {
@@ -214,7 +211,7 @@
 func (r *Recorder) Stats() Stats {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := Stats{Recording: r.current.Load() != nil, MaxBytes: r.max}
+	s := Stats{Recording: r.On(), MaxBytes: r.max}
 	if c := r.last; c != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
