--- a/claim/batch.go
+++ b/claim/batch.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // BatchConfig bounds group commit.
@@ -51,7 +51,7 @@
 // RowWrite is a conditional write of one row; version 0 requires its absence.
 type RowWrite struct {
 	ID      uint64
-	Key     platform.RowKey
+	Key     infra.RowKey
 	Version uint64
 	Value   []byte
 	Delete  bool
@@ -65,7 +65,7 @@
 	Status  StoreStatus
 	Version uint64
 	// Row is the current row of a conflict; its version is 0 if it is absent.
-	Row platform.Row
+	Row infra.Row
 }
 
 // BatchEvent is an input of Batcher.
@@ -97,7 +97,7 @@
 	// Commit asks for a transaction.
 	Commit struct {
 		ID  uint64
-		Txn platform.Txn
+		Txn infra.Txn
 	}
 	// Complete reports the result of one write.
 	Complete struct{ Result RowResult }
@@ -120,7 +120,7 @@
 	cfg      BatchConfig
 	queue    []queued
 	inFlight map[uint64][]RowWrite
-	busy     map[platform.RowKey]bool
+	busy     map[infra.RowKey]bool
 	lastID   uint64
 	last     time.Duration // of the last commit
 	gap      time.Duration // between commits, 0 unless the store throttles
@@ -131,7 +131,7 @@
 	return &Batcher{
 		cfg:      cfg,
 		inFlight: make(map[uint64][]RowWrite),
-		busy:     make(map[platform.RowKey]bool),
+		busy:     make(map[infra.RowKey]bool),
 	}
 }
 
@@ -199,7 +199,7 @@
 func (b *Batcher) take() (Commit, bool) {
 	b.lastID++
 	var (
-		txn   platform.Txn
+		txn   infra.Txn
 		batch []RowWrite
 		kept  []queued
 		bytes int
@@ -213,8 +213,8 @@
 		b.busy[q.Key] = true
 		bytes += len(q.Value)
 		batch = append(batch, q.RowWrite)
-		txn.Conditions = append(txn.Conditions, platform.Condition{RowKey: q.Key, Version: q.Version})
-		txn.Writes = append(txn.Writes, platform.Write{RowKey: q.Key, Value: q.Value, Delete: q.Delete})
+		txn.Conditions = append(txn.Conditions, infra.Condition{RowKey: q.Key, Version: q.Version})
+		txn.Writes = append(txn.Writes, infra.Write{RowKey: q.Key, Value: q.Value, Delete: q.Delete})
 	}
 	b.queue = kept
 	if len(batch) == 0 {
@@ -231,7 +231,7 @@
 	for _, w := range batch {
 		delete(b.busy, w.Key)
 	}
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case e.Err == nil:
 		if b.gap -= b.gap / gapDecay; b.gap < b.cfg.MinGap/2 {
@@ -240,12 +240,12 @@
 		return complete(batch, RowResult{Status: StoreApplied, Version: e.Version})
 	case errors.As(e.Err, &conflict):
 		return b.conflicted(now, batch, conflict.Rows)
-	case errors.Is(e.Err, platform.ErrThrottled):
+	case errors.Is(e.Err, infra.ErrThrottled):
 		b.gap = min(max(2*b.gap, b.cfg.MinGap), b.cfg.MaxGap)
 		b.last = now
 		b.requeue(now, batch)
 		return nil
-	case errors.Is(e.Err, platform.ErrUnavailable):
+	case errors.Is(e.Err, infra.ErrUnavailable):
 		return complete(batch, RowResult{Status: StoreNotApplied})
 	default:
 		return complete(batch, RowResult{Status: StoreUnknown})
@@ -253,8 +253,8 @@
 }
 
 // conflicted reports the rows that conflict and sends the others again.
-func (b *Batcher) conflicted(now time.Duration, batch []RowWrite, rows []platform.Row) []BatchAction {
-	current := make(map[platform.RowKey]platform.Row, len(rows))
+func (b *Batcher) conflicted(now time.Duration, batch []RowWrite, rows []infra.Row) []BatchAction {
+	current := make(map[infra.RowKey]infra.Row, len(rows))
 	for _, row := range rows {
 		current[row.RowKey] = row
 	}
--- a/claim/batch_test.go
+++ b/claim/batch_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // TestBatcher guards against a write that is lost, reported twice or reported
@@ -19,7 +19,7 @@
 		cfg := DefaultBatchConfig()
 		cfg.MaxRows, cfg.MaxInFlight = 4, 2
 		b := NewBatcher(cfg)
-		rows := map[platform.RowKey]platform.Row{}
+		rows := map[infra.RowKey]infra.Row{}
 		writes := map[uint64]RowWrite{}
 		applied := map[uint64]bool{}
 		done := map[uint64]StoreStatus{}
@@ -51,7 +51,7 @@
 			}
 		}
 		commit := func(c Commit) Committed {
-			conflict := &platform.ConflictError{}
+			conflict := &infra.ConflictError{}
 			for _, cond := range c.Txn.Conditions {
 				if row := rows[cond.RowKey]; row.Version != cond.Version {
 					row.RowKey = cond.RowKey
@@ -63,7 +63,7 @@
 			}
 			version++
 			for _, w := range c.Txn.Writes {
-				rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: version, Value: w.Value}
+				rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: version, Value: w.Value}
 				for id, rw := range writes {
 					if string(rw.Value) == string(w.Value) {
 						applied[id] = true
@@ -78,14 +78,14 @@
 			}
 			c := open[0]
 			open = open[1:]
-			e := Committed{ID: c.ID, Err: platform.ErrThrottled}
+			e := Committed{ID: c.ID, Err: infra.ErrThrottled}
 			switch rapid.IntRange(0, 4).Draw(t, "answer") {
 			case 0:
 			case 1:
-				e.Err = platform.ErrUnavailable
+				e.Err = infra.ErrUnavailable
 			case 2:
 				if commit(c).Err == nil {
-					e.Err = platform.ErrOutcomeUnknown
+					e.Err = infra.ErrOutcomeUnknown
 				}
 			default:
 				e = commit(c)
@@ -147,17 +147,17 @@
 	cfg := DefaultSweepConfig()
 	cfg.Page = 2
 	s := NewSweeper(cfg)
-	row := func(key string, expires int64) platform.Row {
+	row := func(key string, expires int64) infra.Row {
 		r := Record{State: StateDone, Expires: expires, Answer: &Answer{Object: "object-" + key}}
 		b, err := r.Encode()
 		assert.NilError(t, err)
-		return platform.Row{RowKey: Key(key).Row(), Version: 9, Value: b}
+		return infra.Row{RowKey: Key(key).Row(), Version: 9, Value: b}
 	}
 	wall := time.Unix(10_000, 0)
 	old := wall.Add(-cfg.Margin).Unix()
-	txn, objects, delay := s.Page(wall, []platform.Row{row("a", old), row("b", old+1)})
-	assert.DeepEqual(t, txn.Writes, []platform.Write{{RowKey: Key("a").Row(), Delete: true}})
-	assert.DeepEqual(t, txn.Conditions, []platform.Condition{{RowKey: Key("a").Row(), Version: 9}})
+	txn, objects, delay := s.Page(wall, []infra.Row{row("a", old), row("b", old+1)})
+	assert.DeepEqual(t, txn.Writes, []infra.Write{{RowKey: Key("a").Row(), Delete: true}})
+	assert.DeepEqual(t, txn.Conditions, []infra.Condition{{RowKey: Key("a").Row(), Version: 9}})
 	assert.DeepEqual(t, objects, []string{"object-a"})
 	assert.Equal(t, delay, cfg.Interval)
 	after, _ := s.Next()
--- a/claim/record.go
+++ b/claim/record.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Table is the name of the table that holds claims.
@@ -30,8 +30,8 @@
 }
 
 // Row returns the platform address of the claim.
-func (k Key) Row() platform.RowKey {
-	return platform.RowKey{Table: Table, Key: string(k)}
+func (k Key) Row() infra.RowKey {
+	return infra.RowKey{Table: Table, Key: string(k)}
 }
 
 // Digest identifies what a request asks for: method, path and body.
@@ -103,7 +103,7 @@
 }
 
 // Decode reads a claim row.
-func Decode(row platform.Row) (Stored, error) {
+func Decode(row infra.Row) (Stored, error) {
 	s := Stored{Version: row.Version}
 	if err := json.Unmarshal(row.Value, &s.Record); err != nil {
 		return Stored{}, errors.Wrapf(err, "decode claim row %s: delete it if it was written by hand", row.Key)
--- a/claim/runner/runner.go
+++ b/claim/runner/runner.go
@@ -13,7 +13,7 @@
 
 	"github.com/bulrushfall/bulrushfall/claim"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Parameters of the runner.
@@ -39,8 +39,8 @@
 type Options struct {
 	Instance    ident.InstanceID
 	Incarnation ident.Incarnation
-	Table       platform.Table
-	Objects     platform.ObjectStore
+	Table       infra.Table
+	Objects     infra.ObjectStore
 	// Ask asks another incarnation for the state of an attempt. It reports
 	// StateGone when that incarnation cannot be reached.
 	Ask func(ctx context.Context, o claim.Owner) claim.Report
--- a/claim/runner/runner_test.go
+++ b/claim/runner/runner_test.go
@@ -13,21 +13,21 @@
 
 	"github.com/bulrushfall/bulrushfall/claim"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // memoryStore is a table and an object store with switched faults.
 type memoryStore struct {
 	mu      sync.Mutex
 	version uint64
-	rows    map[platform.RowKey]platform.Row
+	rows    map[infra.RowKey]infra.Row
 	objects map[string][]byte
 	fault   error
 	hang    bool
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{rows: map[platform.RowKey]platform.Row{}, objects: map[string][]byte{}}
+	return &memoryStore{rows: map[infra.RowKey]infra.Row{}, objects: map[string][]byte{}}
 }
 
 func (s *memoryStore) set(fault error, hang bool) {
@@ -50,17 +50,17 @@
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
-		return platform.ErrOutcomeUnknown
+		return infra.ErrOutcomeUnknown
 	}
 	return s.fault
 }
 
-func (s *memoryStore) Txn(ctx context.Context, t platform.Txn) (uint64, error) {
+func (s *memoryStore) Txn(ctx context.Context, t infra.Txn) (uint64, error) {
 	defer s.mu.Unlock()
 	if err := s.begin(ctx); err != nil {
 		return 0, err
 	}
-	conflict := &platform.ConflictError{}
+	conflict := &infra.ConflictError{}
 	for _, c := range t.Conditions {
 		if row := s.rows[c.RowKey]; row.Version != c.Version {
 			row.RowKey = c.RowKey
@@ -74,28 +74,28 @@
 	for _, w := range t.Writes {
 		delete(s.rows, w.RowKey)
 		if !w.Delete {
-			s.rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: s.version, Value: w.Value}
+			s.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: s.version, Value: w.Value}
 		}
 	}
 	return s.version, nil
 }
 
-func (s *memoryStore) Get(ctx context.Context, key platform.RowKey) (platform.Row, error) {
+func (s *memoryStore) Get(ctx context.Context, key infra.RowKey) (infra.Row, error) {
 	defer s.mu.Unlock()
 	if err := s.begin(ctx); err != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	row, ok := s.rows[key]
 	if !ok {
-		return row, platform.ErrRowNotFound
+		return row, infra.ErrRowNotFound
 	}
 	return row, nil
 }
 
-func (s *memoryStore) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+func (s *memoryStore) Scan(context.Context, string, string, int) ([]infra.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Row
+	var out []infra.Row
 	for _, row := range s.rows {
 		out = append(out, row)
 	}
@@ -115,7 +115,7 @@
 	if b, ok := s.objects[key]; ok {
 		return b, s.fault
 	}
-	return nil, platform.ErrObjectNotFound
+	return nil, infra.ErrObjectNotFound
 }
 
 func (s *memoryStore) DeleteObject(_ context.Context, key string) error {
@@ -159,7 +159,7 @@
 		s := newMemoryStore()
 		r := newTestRunner(t, s, "e1")
 		for _, hang := range []bool{true, false} {
-			s.set(platform.ErrThrottled, hang)
+			s.set(infra.ErrThrottled, hang)
 			begin := r.Now()
 			v := order(r, "k", answer(nil))
 			assert.Equal(t, v.Kind, claim.VerdictUnknown)
@@ -170,7 +170,7 @@
 		}
 		s.set(nil, false)
 		v := order(r, "k", func(context.Context, ident.AttemptID) claim.DispatchDone {
-			s.set(platform.ErrUnavailable, false)
+			s.set(infra.ErrUnavailable, false)
 			return claim.DispatchDone{Status: claim.DispatchAnswered, Answer: &claim.Answer{Status: 201, Body: []byte("late")}}
 		})
 		assert.Equal(t, v.Kind, claim.VerdictAnswer)
--- a/claim/runner/store.go
+++ b/claim/runner/store.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/claim"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // commitTimeout bounds one transaction. It is shorter than the deadlines of
@@ -15,7 +15,7 @@
 
 // store drives the group commit of row writes.
 type store struct {
-	table platform.Table
+	table infra.Table
 	now   func() time.Duration
 	m     *metrics
 	wg    sync.WaitGroup
@@ -28,7 +28,7 @@
 	wake    time.Duration // when the timer fires, 0 if it does not
 }
 
-func newStore(table platform.Table, now func() time.Duration, cfg claim.BatchConfig, m *metrics) *store {
+func newStore(table infra.Table, now func() time.Duration, cfg claim.BatchConfig, m *metrics) *store {
 	return &store{
 		table:   table,
 		now:     now,
--- a/claim/runner/task.go
+++ b/claim/runner/task.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/claim"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // task drives the machine of one request.
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	row, err := t.runner.opts.Table.Get(ctx, t.claim.Key.Row())
-	if errors.Is(err, platform.ErrRowNotFound) {
+	if errors.Is(err, infra.ErrRowNotFound) {
 		return claim.ReadDone{}
 	}
 	if err != nil {
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // SweepConfig bounds the deletion of old rows.
@@ -43,15 +43,15 @@
 // Page handles the rows of a scan at a wall clock time. It returns a
 // transaction of deletions, the objects to delete after it applied, and the
 // delay before the next scan.
-func (s *Sweeper) Page(wall time.Time, rows []platform.Row) (txn platform.Txn, objects []string, delay time.Duration) {
+func (s *Sweeper) Page(wall time.Time, rows []infra.Row) (txn infra.Txn, objects []string, delay time.Duration) {
 	for _, row := range rows {
 		s.after = row.Key
 		stored, err := Decode(row)
 		if err != nil || wall.Before(time.Unix(stored.Expires, 0).Add(s.cfg.Margin)) {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{RowKey: row.RowKey, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{RowKey: row.RowKey, Delete: true})
+		txn.Conditions = append(txn.Conditions, infra.Condition{RowKey: row.RowKey, Version: row.Version})
+		txn.Writes = append(txn.Writes, infra.Write{RowKey: row.RowKey, Delete: true})
 		if stored.Answer != nil && stored.Answer.Object != "" {
 			objects = append(objects, stored.Answer.Object)
 		}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/faultproxy"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
@@ -53,7 +53,7 @@
 	documents   []string
 	network     *network
 	// Backends are the backend servers as they listen, before a proxy.
-	Backends []platform.Instance
+	Backends []infra.Instance
 	// Proxy is the fault proxy of a Proxied cluster, or nil.
 	Proxy *faultproxy.Proxy
 }
@@ -136,7 +136,7 @@
 	}
 	c.PlatformURL = "http://" + address
 	return Wait(ctx, startTimeout, "the platform stand-in answers", func() bool {
-		_, err := platform.NewClient(c.PlatformURL).Instances(ctx)
+		_, err := infra.NewClient(c.PlatformURL).Instances(ctx)
 		return err == nil
 	})
 }
@@ -188,7 +188,7 @@
 }
 
 func (c *Cluster) startEntries() error {
-	var listed []platform.Instance
+	var listed []infra.Instance
 	for _, e := range c.Entries {
 		listed = append(listed, c.listing(e))
 	}
@@ -203,9 +203,9 @@
 	return nil
 }
 
-func (c *Cluster) listing(e *Entry) platform.Instance {
-	return platform.Instance{
-		ID: e.Instance, Kind: platform.KindEntry, State: platform.StateLive,
+func (c *Cluster) listing(e *Entry) infra.Instance {
+	return infra.Instance{
+		ID: e.Instance, Kind: infra.KindEntry, State: infra.StateLive,
 		Address: e.Callers, PeerAddress: e.Advertised, Region: c.cfg.Region, DataCentre: e.DataCentre,
 	}
 }
@@ -300,8 +300,8 @@
 }
 
 // Instances returns the platform's instance list.
-func (c *Cluster) Instances(ctx context.Context) ([]platform.Instance, error) {
-	return platform.NewClient(c.PlatformURL).Instances(ctx)
+func (c *Cluster) Instances(ctx context.Context) ([]infra.Instance, error) {
+	return infra.NewClient(c.PlatformURL).Instances(ctx)
 }
 
 // Logs returns the end of each process's log.
--- a/cluster/groups.go
+++ b/cluster/groups.go
@@ -6,7 +6,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -33,7 +33,7 @@
 	control := engine.NewControl()
 	var seen []group.Observed
 	for _, inst := range instances {
-		if inst.Kind != platform.KindEngine {
+		if inst.Kind != infra.KindEngine {
 			continue
 		}
 		s, err := control.Status(ctx, inst.Address)
--- a/cmd/bulrush-standin/engine.go
+++ b/cmd/bulrush-standin/engine.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/engine"
 )
 
@@ -70,7 +70,7 @@
 		return nil, errors.Wrap(err, "parse port of --listen")
 	}
 	engines := engine.NewRegistry()
-	instances := make([]platform.Instance, 0, c.count)
+	instances := make([]infra.Instance, 0, c.count)
 	for i := range c.count {
 		address := host + ":0"
 		if first != 0 {
@@ -90,7 +90,7 @@
 	return engines.Close, nil
 }
 
-func (c *engineCommand) startOne(engines *engine.Registry, i int, address string) (platform.Instance, error) {
+func (c *engineCommand) startOne(engines *engine.Registry, i int, address string) (infra.Instance, error) {
 	cfg := c.cfg
 	id := fmt.Sprintf("%s-%d", c.register.prefix, i)
 	if c.count == 1 {
@@ -104,10 +104,10 @@
 	cfg.ChecksFencing = !c.ignoreFencing
 	e, err := engines.Start(cfg)
 	if err != nil {
-		return platform.Instance{}, err
+		return infra.Instance{}, err
 	}
 	note("engine %s listens on %s", id, e.Addr())
-	instance := c.register.instance(id, e.Addr(), platform.KindEngine)
+	instance := c.register.instance(id, e.Addr(), infra.KindEngine)
 	instance.Domain, instance.Accelerators, instance.ChecksFencing = cfg.Domain, c.accelerators, cfg.ChecksFencing
 	return instance, nil
 }
--- a/cmd/bulrush-standin/register.go
+++ b/cmd/bulrush-standin/register.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -34,22 +34,22 @@
 	s.String(&g.partner, "", "partner", "partner firm that runs the instances")
 }
 
-func (g *registration) instance(id, address string, kind platform.InstanceKind) platform.Instance {
-	return platform.Instance{
-		ID: ident.InstanceID(id), Kind: kind, State: platform.StateLive, Address: address,
+func (g *registration) instance(id, address string, kind infra.InstanceKind) infra.Instance {
+	return infra.Instance{
+		ID: ident.InstanceID(id), Kind: kind, State: infra.StateLive, Address: address,
 		Region: ident.Region(g.region), DataCentre: ident.DataCentre(g.dataCentre),
 		Domain: ident.Domain(g.domain), Partner: ident.Partner(g.partner),
 	}
 }
 
 func (g *registration) plain(address string) error {
-	i := g.instance(g.prefix, address, platform.KindPlain)
+	i := g.instance(g.prefix, address, infra.KindPlain)
 	i.Service = ident.ServiceName(g.service)
-	return g.put([]platform.Instance{i})
+	return g.put([]infra.Instance{i})
 }
 
 // put registers instances, if a platform is named.
-func (g *registration) put(instances []platform.Instance) error {
+func (g *registration) put(instances []infra.Instance) error {
 	if g.platformURL == "" {
 		return nil
 	}
--- a/cmd/bulrushctl/main_test.go
+++ b/cmd/bulrushctl/main_test.go
@@ -16,8 +16,8 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/settings"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
@@ -49,7 +49,7 @@
 	set.EditTimeout = editTimeout
 	machine := config.New("self", set, rand.New(rand.NewPCG(1, 1)))
 	p := &part{store: store}
-	p.Shell = configshell.New(ctx, machine, configshell.NewStore(platform.NewClient(store.URL())), nil, loop.Post)
+	p.Shell = configshell.New(ctx, machine, configshell.NewStore(infra.NewClient(store.URL())), nil, loop.Post)
 	ready := make(chan struct{})
 	p.OnPublish = func(v *config.View) {
 		if v.Ready && v.Revision == 0 {
--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -18,9 +18,9 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/internal/dial"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/settings"
 	"github.com/bulrushfall/bulrushfall/telemetry"
@@ -87,7 +87,7 @@
 	mux := wire.NewMux()
 	peer := wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: self.DataCentre}
 	d.node = wire.NewNode(peer, []byte(cfg.Peers.Secret), mux)
-	store := platform.NewClient(cfg.Platform.URL)
+	store := infra.NewClient(cfg.Platform.URL)
 	if local := cfg.LocalAddr(); local.IsValid() {
 		for _, c := range []dialer{d.node, d.data, d.engines, d.feeds, store} {
 			c.DialFrom(local)
--- a/config/configshell/store.go
+++ b/config/configshell/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Tables and keys of configuration rows.
@@ -27,22 +27,22 @@
 
 // Store reads and writes the configuration rows of the platform's table.
 type Store struct {
-	table platform.Table
+	table infra.Table
 	// Parallel bounds the reads of one batch of edits that run at a time.
 	Parallel int
 }
 
 // NewStore returns a Store over a table.
-func NewStore(t platform.Table) *Store { return &Store{table: t, Parallel: defaultParallel} }
+func NewStore(t infra.Table) *Store { return &Store{table: t, Parallel: defaultParallel} }
 
-var headRow = platform.RowKey{Table: tableHead, Key: headKey}
+var headRow = infra.RowKey{Table: tableHead, Key: headKey}
 
-func recordRow(k config.Key) platform.RowKey {
-	return platform.RowKey{Table: tableConfig, Key: k.String()}
+func recordRow(k config.Key) infra.RowKey {
+	return infra.RowKey{Table: tableConfig, Key: k.String()}
 }
 
-func auditRow(r ident.Revision) platform.RowKey {
-	return platform.RowKey{Table: tableAudit, Key: fmt.Sprintf("%020d", r)}
+func auditRow(r ident.Revision) infra.RowKey {
+	return infra.RowKey{Table: tableAudit, Key: fmt.Sprintf("%020d", r)}
 }
 
 // Head reads the highest accepted revision.
@@ -121,9 +121,9 @@
 }
 
 // read decodes a row and returns its version, which is 0 for an absent row.
-func (s *Store) read(ctx context.Context, key platform.RowKey, out any) (uint64, error) {
+func (s *Store) read(ctx context.Context, key infra.RowKey, out any) (uint64, error) {
 	row, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrRowNotFound) {
+	if errors.Is(err, infra.ErrRowNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -139,13 +139,13 @@
 		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
 	}
 	_, err = s.table.Txn(ctx, txn)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case err == nil:
 		return config.Committed{Commit: c, Outcome: config.OutcomeApplied}
 	case errors.As(err, &conflict):
 		return s.conflict(ctx, c, conflict.Rows)
-	case errors.Is(err, platform.ErrThrottled), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrThrottled), errors.Is(err, infra.ErrUnavailable):
 		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
 	default:
 		return config.Committed{Commit: c, Outcome: config.OutcomeUnknown, Err: err}
@@ -154,7 +154,7 @@
 
 // conflict tells a lost race from a repetition of a commit that had applied:
 // then the audit row of its revision carries its attempt id.
-func (s *Store) conflict(ctx context.Context, c config.Commit, current []platform.Row) config.Committed {
+func (s *Store) conflict(ctx context.Context, c config.Commit, current []infra.Row) config.Committed {
 	if c.Again {
 		first := c.Writes[0]
 		a, version, err := s.Audit(ctx, first.Audit.After)
@@ -180,9 +180,9 @@
 
 // overlay returns the rows of a commit with the ones that a conflict reported.
 // The others are unchanged.
-func overlay(c config.Commit, current []platform.Row) (config.EditRows, error) {
+func overlay(c config.Commit, current []infra.Row) (config.EditRows, error) {
 	rows := config.EditRows{Head: c.Head, HeadVersion: c.HeadVersion}
-	changed := make(map[platform.RowKey]platform.Row, len(current))
+	changed := make(map[infra.RowKey]infra.Row, len(current))
 	for _, row := range current {
 		changed[row.RowKey] = row
 	}
@@ -206,7 +206,7 @@
 }
 
 // decodeRow decodes the value of a row; an absent row leaves out as it is.
-func decodeRow(row platform.Row, out any) error {
+func decodeRow(row infra.Row, out any) error {
 	if row.Version == 0 {
 		return nil
 	}
@@ -214,16 +214,16 @@
 }
 
 // transaction builds the rows of a commit.
-func transaction(c config.Commit) (platform.Txn, error) {
-	t := platform.Txn{Conditions: []platform.Condition{{RowKey: headRow, Version: c.HeadVersion}}}
-	write := func(key platform.RowKey, value any) error {
+func transaction(c config.Commit) (infra.Txn, error) {
+	t := infra.Txn{Conditions: []infra.Condition{{RowKey: headRow, Version: c.HeadVersion}}}
+	write := func(key infra.RowKey, value any) error {
 		b, err := json.Marshal(value)
-		t.Writes = append(t.Writes, platform.Write{RowKey: key, Value: b})
+		t.Writes = append(t.Writes, infra.Write{RowKey: key, Value: b})
 		return errors.Wrapf(err, "encode row %s", key.Table)
 	}
 	for _, w := range c.Writes {
 		key := recordRow(w.Record.Key)
-		t.Conditions = append(t.Conditions, platform.Condition{RowKey: key, Version: w.Replaces.Version})
+		t.Conditions = append(t.Conditions, infra.Condition{RowKey: key, Version: w.Replaces.Version})
 		if err := write(key, w.Record); err != nil {
 			return t, err
 		}
--- a/config/sim_test.go
+++ b/config/sim_test.go
@@ -16,13 +16,13 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // table is an in-memory table with faults.
 type table struct {
-	rows    map[platform.RowKey]platform.Row
-	old     map[platform.RowKey]platform.Row // an earlier state, for stale reads
+	rows    map[infra.RowKey]infra.Row
+	old     map[infra.RowKey]infra.Row // an earlier state, for stale reads
 	version uint64
 	down    bool
 	stale   bool
@@ -32,8 +32,8 @@
 	s    *sim
 }
 
-func (t *table) apply(x platform.Txn) (uint64, error) {
-	var failed []platform.Row
+func (t *table) apply(x infra.Txn) (uint64, error) {
+	var failed []infra.Row
 	for _, c := range x.Conditions {
 		if r := t.rows[c.RowKey]; r.Version != c.Version {
 			r.RowKey = c.RowKey
@@ -41,57 +41,57 @@
 		}
 	}
 	if len(failed) > 0 {
-		return 0, &platform.ConflictError{Rows: failed}
+		return 0, &infra.ConflictError{Rows: failed}
 	}
 	t.version++
 	for _, w := range x.Writes {
-		t.rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
+		t.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
 	}
 	return t.version, nil
 }
 
-func (t *table) Txn(_ context.Context, x platform.Txn) (uint64, error) {
+func (t *table) Txn(_ context.Context, x infra.Txn) (uint64, error) {
 	switch {
 	case t.down:
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	case t.lose == "applied":
 		_, _ = t.apply(x)
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	case t.lose == "late":
 		t.s.after(t.s.upTo(4*time.Second), func() { _, _ = t.apply(x) })
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 	return t.apply(x)
 }
 
-func (t *table) state() map[platform.RowKey]platform.Row {
+func (t *table) state() map[infra.RowKey]infra.Row {
 	if t.stale && t.s.rng.IntN(2) == 0 {
 		return t.old
 	}
 	return t.rows
 }
 
-func (t *table) Get(_ context.Context, k platform.RowKey) (platform.Row, error) {
+func (t *table) Get(_ context.Context, k infra.RowKey) (infra.Row, error) {
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	if r, ok := t.state()[k]; ok {
 		return r, nil
 	}
-	return platform.Row{}, platform.ErrRowNotFound
+	return infra.Row{}, infra.ErrRowNotFound
 }
 
-func (t *table) Scan(_ context.Context, name, after string, limit int) ([]platform.Row, error) {
+func (t *table) Scan(_ context.Context, name, after string, limit int) ([]infra.Row, error) {
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	var out []platform.Row
+	var out []infra.Row
 	for k, r := range t.state() {
 		if k.Table == name && k.Key > after {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b infra.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return out[:min(len(out), limit)], nil
 }
 
@@ -148,7 +148,7 @@
 
 func newSim(seed uint64, n int, fail func(string, ...any)) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), answers: make(map[ident.AttemptID]config.AnswerEdit), fail: fail}
-	s.table = &table{rows: make(map[platform.RowKey]platform.Row), s: s}
+	s.table = &table{rows: make(map[infra.RowKey]infra.Row), s: s}
 	s.store = configshell.NewStore(s.table)
 	s.store.Parallel = 1 // Keeps the order of reads the same in each run.
 	for i := range n {
--- a/control/config.go
+++ b/control/config.go
@@ -11,8 +11,8 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -26,7 +26,7 @@
 	cancel   context.CancelFunc
 	counters []configCounter
 	// listed is the last instance list, for the operators' interface.
-	listed atomic.Pointer[[]platform.Instance]
+	listed atomic.Pointer[[]infra.Instance]
 	logged bool
 	// documents are the documents in force as of the view they were made from.
 	documents     []service.Document
@@ -84,7 +84,7 @@
 	l.config.listed.Store(&listed)
 	var peers []string
 	for _, inst := range l.instances {
-		if inst.Kind == platform.KindEntry && inst.PeerAddress != "" && inst.ID != l.opts.Self.Instance {
+		if inst.Kind == infra.KindEntry && inst.PeerAddress != "" && inst.ID != l.opts.Self.Instance {
 			peers = append(peers, inst.PeerAddress)
 		}
 	}
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -18,7 +18,7 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 	"github.com/bulrushfall/bulrushfall/trace"
@@ -36,7 +36,7 @@
 	node := wire.NewNode(peer, []byte("shared secret of 16"), mux)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	client := platform.NewClient(store.URL())
+	client := infra.NewClient(store.URL())
 	start := time.Now()
 	recorder := trace.NewRecorder(1<<20, func() time.Duration { return time.Since(start) })
 	recorder.Start()
@@ -84,14 +84,14 @@
 	t.Cleanup(store.Close)
 	a := startLoop(t, "entry-a", "dc-a", store)
 	b := startLoop(t, "entry-b", "dc-b", store)
-	list := []platform.Instance{
-		{ID: "orders-a", Kind: platform.KindPlain, State: platform.StateLive, Service: "orders", DataCentre: "dc-a"},
-		{ID: "orders-b", Kind: platform.KindPlain, State: platform.StateLive, Service: "orders", DataCentre: "dc-b", Partner: "firm"},
+	list := []infra.Instance{
+		{ID: "orders-a", Kind: infra.KindPlain, State: infra.StateLive, Service: "orders", DataCentre: "dc-a"},
+		{ID: "orders-b", Kind: infra.KindPlain, State: infra.StateLive, Service: "orders", DataCentre: "dc-b", Partner: "firm"},
 	}
 	for _, l := range []*Loop{a, b} {
 		self := l.opts.Self
-		list = append(list, platform.Instance{
-			ID: self.Instance, Kind: platform.KindEntry, State: platform.StateLive,
+		list = append(list, infra.Instance{
+			ID: self.Instance, Kind: infra.KindEntry, State: infra.StateLive,
 			DataCentre: self.DataCentre, PeerAddress: self.PeerAddress,
 		})
 	}
--- a/control/groups.go
+++ b/control/groups.go
@@ -13,8 +13,8 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -269,8 +269,8 @@
 }
 
 // scanRows reads all rows of a table with a key prefix.
-func scanRows(ctx context.Context, table platform.Table, name, prefix string) ([]platform.Row, error) {
-	var out []platform.Row
+func scanRows(ctx context.Context, table infra.Table, name, prefix string) ([]infra.Row, error) {
+	var out []infra.Row
 	for after := prefix; ; {
 		rows, err := table.Scan(ctx, name, after, scanLimit)
 		if err != nil {
@@ -292,7 +292,7 @@
 // transact sends a transaction unless its deadline has passed, for instance
 // because the process was paused.
 func (l *Loop) transact(a group.Transact) group.Committed {
-	out := group.Committed{Attempt: a.Attempt, Outcome: platform.OutcomeNotApplied}
+	out := group.Committed{Attempt: a.Attempt, Outcome: infra.OutcomeNotApplied}
 	left := a.Deadline - l.opts.Now()
 	if left <= 0 {
 		return out
@@ -301,8 +301,8 @@
 	defer cancel()
 	l.groups.counters.transactions.Inc(1)
 	version, err := l.opts.Table.Txn(ctx, a.Txn)
-	out.Version, out.Outcome = version, platform.OutcomeOf(err)
-	var conflict *platform.ConflictError
+	out.Version, out.Outcome = version, infra.OutcomeOf(err)
+	var conflict *infra.ConflictError
 	if errors.As(err, &conflict) {
 		out.Rows = conflict.Rows
 	}
--- a/control/groups_test.go
+++ b/control/groups_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // Guards against a holder that wakes from a pause past its lease and still
@@ -28,7 +28,7 @@
 	t.Cleanup(server.Close)
 	now := time.Second
 	l := &Loop{opts: Options{
-		Table: platform.NewClient(server.URL), Engines: engine.NewControl(), Scope: tally.NoopScope,
+		Table: infra.NewClient(server.URL), Engines: engine.NewControl(), Scope: tally.NoopScope,
 		Now: func() time.Duration { return now },
 	}}
 	l.startGroups()
@@ -39,11 +39,11 @@
 	}
 	txn := group.Transact{Attempt: "a", Deadline: 2 * time.Second}
 	assert.Equal(t, l.command(cmd).Outcome, group.CommandDone)
-	assert.Equal(t, l.transact(txn).Outcome, platform.OutcomeApplied)
+	assert.Equal(t, l.transact(txn).Outcome, infra.OutcomeApplied)
 	assert.Equal(t, hits.Load(), int32(2))
 	now = 2 * time.Second
 	assert.Equal(t, l.command(cmd).Outcome, group.CommandRefused)
-	assert.Equal(t, l.transact(txn).Outcome, platform.OutcomeNotApplied)
+	assert.Equal(t, l.transact(txn).Outcome, infra.OutcomeNotApplied)
 	assert.Equal(t, hits.Load(), int32(2))
 }
 
--- a/control/instances.go
+++ b/control/instances.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
 
@@ -25,7 +25,7 @@
 
 // InstancesAnswer is the list that a peer read last.
 type InstancesAnswer struct {
-	Instances []platform.Instance `msgpack:"i"`
+	Instances []infra.Instance `msgpack:"i"`
 }
 
 // RegisterInstances adds the handler. Call it before the node serves.
@@ -50,13 +50,13 @@
 	for _, addr := range l.opts.Seeds {
 		if list, peerErr := l.askInstances(ctx, addr); peerErr == nil {
 			l.counters.listsFromPeers.Inc(1)
-			return instancesListed{list: platform.Listing{Instances: list}}
+			return instancesListed{list: infra.Listing{Instances: list}}
 		}
 	}
 	return instancesListed{err: err}
 }
 
-func (l *Loop) askInstances(ctx context.Context, addr string) ([]platform.Instance, error) {
+func (l *Loop) askInstances(ctx context.Context, addr string) ([]infra.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, instancesTimeout)
 	defer cancel()
 	var answer InstancesAnswer
--- a/control/learned.go
+++ b/control/learned.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -124,7 +124,7 @@
 }
 
 // due reports whether an instance is polled now.
-func (s pollScope) due(l *Loop, inst platform.Instance, now time.Duration) bool {
+func (s pollScope) due(l *Loop, inst infra.Instance, now time.Duration) bool {
 	m, ok := l.statuses[inst.ID]
 	switch {
 	case !s.held && !s.stale:
--- a/control/lease.go
+++ b/control/lease.go
@@ -8,9 +8,9 @@
 
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // storeTimeout bounds one call of the table.
@@ -87,15 +87,15 @@
 		defer cancel()
 		version, err := l.opts.Table.Txn(ctx, w.Txn)
 		l.groups.counters.leaseWrites.Inc(1)
-		return leaseEvent{c.name, lease.Written{Attempt: w.Attempt, Outcome: platform.OutcomeOf(err), Version: version}}
+		return leaseEvent{c.name, lease.Written{Attempt: w.Attempt, Outcome: infra.OutcomeOf(err), Version: version}}
 	})
 }
 
 // getRow reads one row; an absent one has version 0.
-func getRow(ctx context.Context, table platform.Table, key platform.RowKey) (platform.Row, error) {
+func getRow(ctx context.Context, table infra.Table, key infra.RowKey) (infra.Row, error) {
 	row, err := table.Get(ctx, key)
-	if errors.Is(err, platform.ErrRowNotFound) {
-		return platform.Row{RowKey: key}, nil
+	if errors.Is(err, infra.ErrRowNotFound) {
+		return infra.Row{RowKey: key}, nil
 	}
 	row.RowKey = key
 	return row, err
--- a/control/listed.go
+++ b/control/listed.go
@@ -7,8 +7,8 @@
 
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -17,9 +17,9 @@
 // is published several times a second.
 type listedPart struct {
 	// entries are the entry instances, this one included, sorted by name.
-	entries []platform.Instance
+	entries []infra.Instance
 	// plain are the backend servers of plain services.
-	plain map[ident.ServiceName][]platform.Instance
+	plain map[ident.ServiceName][]infra.Instance
 	// out are the instances that get no new work, as of the view outFrom.
 	out     map[ident.InstanceID]bool
 	outFrom *config.View
@@ -32,17 +32,17 @@
 // index derives the parts from a new list.
 func (l *Loop) index() {
 	p := &l.listed
-	p.entries, p.plain, p.outFrom = nil, make(map[ident.ServiceName][]platform.Instance), nil
+	p.entries, p.plain, p.outFrom = nil, make(map[ident.ServiceName][]infra.Instance), nil
 	for _, inst := range l.instances {
 		switch {
-		case inst.Kind == platform.KindEntry && inst.ID != l.opts.Self.Instance:
+		case inst.Kind == infra.KindEntry && inst.ID != l.opts.Self.Instance:
 			p.entries = append(p.entries, inst)
-		case inst.Kind == platform.KindPlain:
+		case inst.Kind == infra.KindPlain:
 			p.plain[inst.Service] = append(p.plain[inst.Service], inst)
 		}
 	}
-	p.entries = append(p.entries, platform.Instance{ID: l.opts.Self.Instance})
-	slices.SortFunc(p.entries, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	p.entries = append(p.entries, infra.Instance{ID: l.opts.Self.Instance})
+	slices.SortFunc(p.entries, func(a, b infra.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // outOfService returns the listed instances that get no new work.
@@ -53,7 +53,7 @@
 	}
 	p.out, p.outFrom = make(map[ident.InstanceID]bool), v
 	for _, inst := range l.instances {
-		if inst.State == platform.StateLeaving || v.Drains.Covers(inst.ID, inst.DataCentre, inst.Partner) {
+		if inst.State == infra.StateLeaving || v.Drains.Covers(inst.ID, inst.DataCentre, inst.Partner) {
 			p.out[inst.ID] = true
 		}
 	}
@@ -62,7 +62,7 @@
 
 // drained tells whether an instance gets no new work: it leaves, or operators
 // took it, its data centre or its partner out of service.
-func (l *Loop) drained(inst platform.Instance) bool { return l.outOfService()[inst.ID] }
+func (l *Loop) drained(inst infra.Instance) bool { return l.outOfService()[inst.ID] }
 
 // entries lists the entry instances, this one included.
 func (l *Loop) entries() []view.Entry {
@@ -88,7 +88,7 @@
 	return p.published
 }
 
-func (l *Loop) entry(inst *platform.Instance, own bool, out map[ident.InstanceID]bool, state func(ident.InstanceID) membership.State) view.Entry {
+func (l *Loop) entry(inst *infra.Instance, own bool, out map[ident.InstanceID]bool, state func(ident.InstanceID) membership.State) view.Entry {
 	if inst.ID == l.opts.Self.Instance {
 		self := l.opts.Self
 		self.Draining = self.Draining || own
--- a/control/loop.go
+++ b/control/loop.go
@@ -17,8 +17,8 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -43,9 +43,9 @@
 // Options are the parts that the control loop works with.
 type Options struct {
 	Self      view.Entry
-	Table     platform.Table
-	Objects   platform.ObjectStore
-	Instances platform.InstanceList
+	Table     infra.Table
+	Objects   infra.ObjectStore
+	Instances infra.InstanceList
 	Engines   *engine.Control
 	Node      *wire.Node
 	// Mux takes the handlers for peers' messages. It is the one of Node.
@@ -93,8 +93,8 @@
 
 	// The fields below belong to the control goroutine.
 	documents   []service.Document
-	instances   []platform.Instance
-	byID        map[ident.InstanceID]platform.Instance
+	instances   []infra.Instance
+	byID        map[ident.InstanceID]infra.Instance
 	listVersion string
 	listed      listedPart
 	// lastReport is when the newest answered poll was sent.
--- a/control/membership.go
+++ b/control/membership.go
@@ -11,8 +11,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // Format of membership datagrams: a truncated HMAC-SHA256 over the shared
@@ -177,7 +177,7 @@
 func (l *Loop) membershipInstances(now time.Duration) {
 	var nodes []membership.Node
 	for _, inst := range l.instances {
-		if inst.Kind == platform.KindEntry && inst.PeerAddress != "" {
+		if inst.Kind == infra.KindEntry && inst.PeerAddress != "" {
 			nodes = append(nodes, membership.Node{Instance: inst.ID, Address: inst.PeerAddress})
 		}
 	}
--- a/control/poll.go
+++ b/control/poll.go
@@ -7,12 +7,12 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // instancesListed carries the platform's instance list.
 type instancesListed struct {
-	list platform.Listing
+	list infra.Listing
 	err  error
 }
 
@@ -40,7 +40,7 @@
 
 // forgetGone indexes the list and drops the statuses of instances that left the list.
 func (l *Loop) forgetGone() {
-	l.byID = make(map[ident.InstanceID]platform.Instance, len(l.instances))
+	l.byID = make(map[ident.InstanceID]infra.Instance, len(l.instances))
 	for _, inst := range l.instances {
 		l.byID[inst.ID] = inst
 	}
@@ -95,7 +95,7 @@
 		return
 	}
 	for _, inst := range l.instances {
-		if inst.Kind != platform.KindEngine || l.polling[inst.ID] || !scope.due(l, inst, now) {
+		if inst.Kind != infra.KindEngine || l.polling[inst.ID] || !scope.due(l, inst, now) {
 			continue
 		}
 		l.polling[inst.ID] = true
--- a/control/publish.go
+++ b/control/publish.go
@@ -10,7 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -51,7 +51,7 @@
 	return out
 }
 
-func (l *Loop) backendOf(inst platform.Instance) view.Backend {
+func (l *Loop) backendOf(inst infra.Instance) view.Backend {
 	return view.Backend{
 		Instance:   inst.ID,
 		Address:    inst.Address,
@@ -74,7 +74,7 @@
 
 // member is a listed instance with its last report.
 type member struct {
-	inst   *platform.Instance
+	inst   *infra.Instance
 	report *memberStatus
 }
 
@@ -145,7 +145,7 @@
 }
 
 // fillLeader sets what the member with rank 0 decides.
-func (l *Loop) fillLeader(g *view.Group, inst *platform.Instance, status *engine.Status) {
+func (l *Loop) fillLeader(g *view.Group, inst *infra.Instance, status *engine.Status) {
 	g.Leader = l.backendOf(*inst)
 	g.Leader.Incarnation = status.Incarnation
 	g.Role = status.Role
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
@@ -38,19 +38,19 @@
 		Log:  log, Scope: tally.NoopScope, Documents: []service.Document{doc},
 		Now: func() time.Duration { return now },
 	})
-	var list []platform.Instance
+	var list []infra.Instance
 	for i := range sizeEntries {
-		list = append(list, platform.Instance{
-			ID: ident.InstanceID(fmt.Sprintf("entry-%04d", i)), Kind: platform.KindEntry, State: platform.StateLive,
+		list = append(list, infra.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("entry-%04d", i)), Kind: infra.KindEntry, State: infra.StateLive,
 			PeerAddress: fmt.Sprintf("10.1.%d.%d:7200", i/250, i%250), DataCentre: "dc-a",
 		})
 	}
 	for i := range sizeGroups * sizeMembers {
-		list = append(list, platform.Instance{
-			ID: ident.InstanceID(fmt.Sprintf("worker-%05d", i)), Kind: platform.KindEngine, State: platform.StateLive, DataCentre: "dc-a",
+		list = append(list, infra.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("worker-%05d", i)), Kind: infra.KindEngine, State: infra.StateLive, DataCentre: "dc-a",
 		})
 	}
-	instancesListed{list: platform.Listing{Instances: list, Version: "1"}}.apply(l, now)
+	instancesListed{list: infra.Listing{Instances: list, Version: "1"}}.apply(l, now)
 	l.learned["quotes"] = groupsLearned{service: "quotes", sent: now, groups: testGroups(sizeGroups, sizeMembers, now)}
 	return l
 }
@@ -88,7 +88,7 @@
 		b.Run(name+"/unchanged", func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				instancesListed{list: platform.Listing{Unchanged: true}}.apply(l, now)
+				instancesListed{list: infra.Listing{Unchanged: true}}.apply(l, now)
 			}
 		})
 	}
--- a/control/trace.go
+++ b/control/trace.go
@@ -14,8 +14,8 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/membership"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -39,7 +39,7 @@
 	node     ident.InstanceID
 	// generation is the recording that the state below was recorded in.
 	generation uint64
-	instances  map[ident.InstanceID]platform.Instance
+	instances  map[ident.InstanceID]infra.Instance
 	reports    map[ident.InstanceID]engine.Status
 	members    map[ident.InstanceID]*memberTrace
 	documents  map[ident.ServiceName]service.Document
@@ -96,7 +96,7 @@
 // reset forgets what was recorded.
 func (t *loopTrace) reset(generation uint64) {
 	t.generation = generation
-	t.instances = make(map[ident.InstanceID]platform.Instance)
+	t.instances = make(map[ident.InstanceID]infra.Instance)
 	t.reports = make(map[ident.InstanceID]engine.Status)
 	t.members = make(map[ident.InstanceID]*memberTrace)
 	t.documents = make(map[ident.ServiceName]service.Document)
@@ -129,7 +129,7 @@
 	}
 }
 
-func (t *loopTrace) listed(instances []platform.Instance) {
+func (t *loopTrace) listed(instances []infra.Instance) {
 	here := make(map[ident.InstanceID]bool, len(instances))
 	for _, inst := range instances {
 		here[inst.ID] = true
--- a/control/trace_test.go
+++ b/control/trace_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -61,7 +61,7 @@
 	status := func(incarnation ident.Incarnation, running int) engine.Status {
 		return engine.Status{Instance: "w", Incarnation: incarnation, Running: running}
 	}
-	list := []platform.Instance{{ID: "w", Kind: platform.KindEngine}}
+	list := []infra.Instance{{ID: "w", Kind: infra.KindEngine}}
 	x.listed(list)
 	x.listed(list)
 	x.failed(time.Second, "w", syscall.ECONNREFUSED) // never answered
--- a/experiment/cold_processes.go
+++ b/experiment/cold_processes.go
@@ -14,8 +14,8 @@
 
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/load"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -117,7 +117,7 @@
 	}
 	var addresses []string
 	for _, inst := range instances {
-		if inst.Kind == platform.KindEngine {
+		if inst.Kind == infra.KindEngine {
 			addresses = append(addresses, inst.Address)
 		}
 	}
--- a/experiment/config_nodes.go
+++ b/experiment/config_nodes.go
@@ -16,7 +16,7 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 	"github.com/bulrushfall/bulrushfall/wire"
@@ -154,7 +154,7 @@
 	}
 	loop := configshell.NewLoop(ctx)
 	machine := config.New(addr, config.DefaultSettings(), rand.New(rand.NewPCG(rand.Uint64(), 1)))
-	store := configshell.NewStore(platform.NewClient(c.store.URL()))
+	store := configshell.NewStore(infra.NewClient(c.store.URL()))
 	n.shell = configshell.New(ctx, machine, store, configPushDropper{n.node, &c.dropPush}, loop.Post)
 	n.shell.Register(mux)
 	seen := make(map[ident.Revision]bool)
--- a/experiment/config_read.go
+++ b/experiment/config_read.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/config/configshell"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -32,7 +32,7 @@
 	var traffic configTraffic
 	go configRelay(&configListener{Listener: l, traffic: &traffic}, strings.TrimPrefix(store.URL(), "http://"))
 	defer func() { _ = l.Close() }()
-	s := configshell.NewStore(platform.NewClient("http://" + l.Addr().String()))
+	s := configshell.NewStore(infra.NewClient("http://" + l.Addr().String()))
 	for range configReads {
 		if _, err := s.Head(context.Background()); err != nil {
 			return err
--- a/experiment/groups_cost.go
+++ b/experiment/groups_cost.go
@@ -11,8 +11,8 @@
 
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // Layout of the cost measure: domains of 50 instances with three groups of 16.
@@ -110,7 +110,7 @@
 	now           time.Duration
 	nodes         []*lease.Machine
 	dead          []bool
-	rows          map[platform.RowKey]platform.Row
+	rows          map[infra.RowKey]infra.Row
 	version       uint64
 	events        eventHeap
 	order         uint64
@@ -121,7 +121,7 @@
 const leaseService = ident.ServiceName("quotes")
 
 func newLeaseMesh(nodes int) *leaseMesh {
-	m := &leaseMesh{rows: make(map[platform.RowKey]platform.Row), dead: make([]bool, nodes)}
+	m := &leaseMesh{rows: make(map[infra.RowKey]infra.Row), dead: make([]bool, nodes)}
 	ids := make([]ident.InstanceID, nodes)
 	for i := range ids {
 		ids[i] = ident.InstanceID(fmt.Sprintf("entry-%03d", i))
@@ -176,7 +176,7 @@
 	}
 }
 
-func (m *leaseMesh) get(k platform.RowKey) platform.Row {
+func (m *leaseMesh) get(k infra.RowKey) infra.Row {
 	r := m.rows[k]
 	r.RowKey = k
 	return r
@@ -187,14 +187,14 @@
 	for _, c := range a.Txn.Conditions {
 		if m.rows[c.RowKey].Version != c.Version {
 			m.conflicts++
-			return lease.Written{Attempt: a.Attempt, Outcome: platform.OutcomeConflict}
+			return lease.Written{Attempt: a.Attempt, Outcome: infra.OutcomeConflict}
 		}
 	}
 	m.version++
 	for _, w := range a.Txn.Writes {
-		m.rows[w.RowKey] = platform.Row{Version: m.version, Value: w.Value}
+		m.rows[w.RowKey] = infra.Row{Version: m.version, Value: w.Value}
 	}
-	return lease.Written{Attempt: a.Attempt, Outcome: platform.OutcomeApplied, Version: m.version}
+	return lease.Written{Attempt: a.Attempt, Outcome: infra.OutcomeApplied, Version: m.version}
 }
 
 // holder returns the index of the holder, or -1.
--- a/experiment/model.go
+++ b/experiment/model.go
@@ -12,7 +12,7 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -83,7 +83,7 @@
 	events    eventHeap
 	order     uint64
 	version   uint64
-	rows      map[platform.RowKey]platform.Row
+	rows      map[infra.RowKey]infra.Row
 	byID      map[ident.InstanceID]*ModelEngine
 	storeFree time.Duration
 	drains    group.DrainsChanged
@@ -94,7 +94,7 @@
 	m := &Model{
 		Config: cfg,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
-		rows:   make(map[platform.RowKey]platform.Row),
+		rows:   make(map[infra.RowKey]infra.Row),
 		byID:   make(map[ident.InstanceID]*ModelEngine),
 	}
 	for d := range cfg.Domains {
@@ -113,10 +113,10 @@
 func (m *Model) addEngine(domain, n int) {
 	count := len(m.Engines) + 1
 	checks := m.Config.IgnoresFencing == 0 || count%m.Config.IgnoresFencing != 0
-	e := &ModelEngine{m: m, Info: platform.Instance{
+	e := &ModelEngine{m: m, Info: infra.Instance{
 		ID:            ident.InstanceID(fmt.Sprintf("i%02d-%02d", domain, n)),
-		Kind:          platform.KindEngine,
-		State:         platform.StateLive,
+		Kind:          infra.KindEngine,
+		State:         infra.StateLive,
 		DataCentre:    ident.DataCentre(fmt.Sprintf("dc%d", domain%3)),
 		Domain:        ident.Domain(fmt.Sprintf("d%02d", domain)),
 		Accelerators:  m.Config.Accelerators,
@@ -156,14 +156,14 @@
 }
 
 // get returns a row; an absent one has version 0.
-func (m *Model) get(k platform.RowKey) platform.Row {
+func (m *Model) get(k infra.RowKey) infra.Row {
 	r := m.rows[k]
 	r.RowKey = k
 	return r
 }
 
-func (m *Model) scan(table, prefix string) []platform.Row {
-	var out []platform.Row
+func (m *Model) scan(table, prefix string) []infra.Row {
+	var out []infra.Row
 	for k, r := range m.rows {
 		if k.Table == table && strings.HasPrefix(k.Key, prefix) {
 			r.RowKey = k
@@ -175,18 +175,18 @@
 }
 
 // txn applies a transaction.
-func (m *Model) txn(t platform.Txn) group.Committed {
+func (m *Model) txn(t infra.Txn) group.Committed {
 	if m.Now < m.StoreDown {
-		return group.Committed{Outcome: platform.OutcomeNotApplied}
+		return group.Committed{Outcome: infra.OutcomeNotApplied}
 	}
-	var failed []platform.Row
+	var failed []infra.Row
 	for _, c := range t.Conditions {
 		if r := m.get(c.RowKey); r.Version != c.Version {
 			failed = append(failed, r)
 		}
 	}
 	if len(failed) > 0 {
-		return group.Committed{Outcome: platform.OutcomeConflict, Rows: failed}
+		return group.Committed{Outcome: infra.OutcomeConflict, Rows: failed}
 	}
 	m.version++
 	for _, w := range t.Writes {
@@ -194,10 +194,10 @@
 			delete(m.rows, w.RowKey)
 			continue
 		}
-		m.rows[w.RowKey] = platform.Row{Version: m.version, Value: w.Value}
+		m.rows[w.RowKey] = infra.Row{Version: m.version, Value: w.Value}
 	}
 	m.checkTable()
-	return group.Committed{Outcome: platform.OutcomeApplied, Version: m.version}
+	return group.Committed{Outcome: infra.OutcomeApplied, Version: m.version}
 }
 
 // checkTable records an instance that two groups of the table hold.
--- a/experiment/model_engine.go
+++ b/experiment/model_engine.go
@@ -8,12 +8,12 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // ModelEngine is one engine instance.
 type ModelEngine struct {
-	Info platform.Instance
+	Info infra.Instance
 
 	m       *Model
 	run     int
--- a/experiment/model_entry.go
+++ b/experiment/model_entry.go
@@ -7,8 +7,8 @@
 
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -33,7 +33,7 @@
 	paused  time.Duration
 	inbox   []func()
 	// listed is the instance list that was read last.
-	listed []platform.Instance
+	listed []infra.Instance
 }
 
 func newModelEntry(m *Model, doc service.Document, n int) *ModelEntry {
@@ -96,7 +96,7 @@
 }
 
 func (e *ModelEntry) list() {
-	out := make([]platform.Instance, 0, len(e.m.Engines))
+	out := make([]infra.Instance, 0, len(e.m.Engines))
 	for _, g := range e.m.Engines {
 		out = append(out, g.Info)
 	}
@@ -156,14 +156,14 @@
 
 // transact carries a transaction to the store. It may apply late, and its
 // answer may be lost.
-func (e *ModelEntry) transact(t platform.Txn, answer func(group.Committed)) {
+func (e *ModelEntry) transact(t infra.Txn, answer func(group.Committed)) {
 	delay := modelRTT
 	if e.m.chance(e.m.Config.LateCommands) {
 		delay = e.m.between(0, 3*time.Second)
 	}
 	lost := delay > 2*time.Second || e.m.chance(e.m.Config.LostAnswers)
 	if lost {
-		e.reply(2*time.Second, func() { answer(group.Committed{Outcome: platform.OutcomeUnknown}) })
+		e.reply(2*time.Second, func() { answer(group.Committed{Outcome: infra.OutcomeUnknown}) })
 	}
 	e.m.At(e.m.Now+delay, func() {
 		c := e.m.txn(t)
--- a/experiment/open_load.go
+++ b/experiment/open_load.go
@@ -15,8 +15,8 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/load"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/standin/history"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
 )
@@ -356,10 +356,10 @@
 }
 
 // backendsOf returns the instances that serve requests.
-func backendsOf(instances []platform.Instance) []platform.Instance {
-	var out []platform.Instance
+func backendsOf(instances []infra.Instance) []infra.Instance {
+	var out []infra.Instance
 	for _, inst := range instances {
-		if inst.Kind != platform.KindEntry {
+		if inst.Kind != infra.KindEntry {
 			out = append(out, inst)
 		}
 	}
--- a/experiment/orders.go
+++ b/experiment/orders.go
@@ -18,7 +18,7 @@
 	"github.com/bulrushfall/bulrushfall/claim"
 	"github.com/bulrushfall/bulrushfall/claim/runner"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	storesim "github.com/bulrushfall/bulrushfall/standin/platform"
 )
 
@@ -73,7 +73,7 @@
 	begin := time.Now()
 	var out []*runner.Runner
 	for i := range l.entries {
-		client := platform.NewClient(url)
+		client := infra.NewClient(url)
 		r, err := runner.New(runner.Options{
 			Instance:    ident.InstanceID(fmt.Sprintf("entry-%d", i)),
 			Incarnation: ident.Incarnation(uuid.NewString()),
--- a/gateway/order_test.go
+++ b/gateway/order_test.go
@@ -21,7 +21,7 @@
 	"github.com/bulrushfall/bulrushfall/claim/runner"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
@@ -101,7 +101,7 @@
 	metrics := telemetry.New()
 	mux := wire.NewMux()
 	node := wire.NewNode(wire.Peer{Instance: self.Instance, Incarnation: self.Incarnation}, []byte("secret"), mux)
-	client := platform.NewClient(f.store.URL())
+	client := infra.NewClient(f.store.URL())
 	parts, err := NewOrderParts(OrderOptions{
 		Node: node, Snapshot: snapshot, Now: now, Self: self, Scope: metrics.Scope, Table: client, Objects: client,
 	})
@@ -305,7 +305,7 @@
 	assert.Equal(t, len(f.order(0, "k1", "o1").body), len(big))
 	assert.Equal(t, f.order(1, "k1", "o1").body, string(big), "from the object store or its owner")
 	assert.NilError(t, f.entries[0].runner.Wait(t.Context()))
-	row, err := platform.NewClient(f.store.URL()).Scan(context.Background(), claim.Table, "", 1)
+	row, err := infra.NewClient(f.store.URL()).Scan(context.Background(), claim.Table, "", 1)
 	assert.NilError(t, err)
 	owner, err := claim.Decode(row[0])
 	assert.NilError(t, err)
--- a/gateway/orderparts.go
+++ b/gateway/orderparts.go
@@ -10,7 +10,7 @@
 	"github.com/bulrushfall/bulrushfall/claim"
 	"github.com/bulrushfall/bulrushfall/claim/runner"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
@@ -19,8 +19,8 @@
 // OrderOptions are the parts that at-most-once calls and the quarantine work
 // with.
 type OrderOptions struct {
-	Table    platform.Table
-	Objects  platform.ObjectStore
+	Table    infra.Table
+	Objects  infra.ObjectStore
 	Node     *wire.Node
 	Snapshot func() *view.Snapshot
 	// Now is the local monotonic clock.
--- a/group/confirm.go
+++ b/group/confirm.go
@@ -7,14 +7,14 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
 // Observed is an instance of the platform's list with its last poll.
 type Observed struct {
-	Info   platform.Instance
+	Info   infra.Instance
 	Report Report
 }
 
--- a/group/events.go
+++ b/group/events.go
@@ -5,8 +5,8 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -18,7 +18,7 @@
 type DocumentChanged struct{ Document service.Document }
 
 // InstancesListed carries the platform's lagging instance list.
-type InstancesListed struct{ Instances []platform.Instance }
+type InstancesListed struct{ Instances []infra.Instance }
 
 // InstancesUnchanged tells that a further read brought the same list.
 type InstancesUnchanged struct{}
@@ -49,26 +49,26 @@
 // Committed answers Transact.
 type Committed struct {
 	Attempt string
-	Outcome platform.Outcome
+	Outcome infra.Outcome
 	Version uint64
 	// Rows holds the current rows of failed conditions.
-	Rows []platform.Row
+	Rows []infra.Row
 }
 
 // RowRead answers ReadRow. An absent row has version 0.
 type RowRead struct {
 	Attempt string
 	OK      bool
-	Row     platform.Row
+	Row     infra.Row
 }
 
 // AllRead answers ReadAll. The head row is read first; an absent one has
 // version 0.
 type AllRead struct {
 	OK          bool
-	Head        platform.Row
-	Groups      []platform.Row
-	Assignments []platform.Row
+	Head        infra.Row
+	Groups      []infra.Row
+	Assignments []infra.Row
 }
 
 // CommandOutcome tells what became of a command.
@@ -115,13 +115,13 @@
 // ReadRow asks for the head row to settle a transaction with an unknown outcome.
 type ReadRow struct {
 	Attempt string
-	Key     platform.RowKey
+	Key     infra.RowKey
 }
 
 // Transact asks for one transaction. It must not be sent after Deadline.
 type Transact struct {
 	Attempt  string
-	Txn      platform.Txn
+	Txn      infra.Txn
 	Deadline time.Duration
 }
 
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -7,7 +7,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -224,6 +224,6 @@
 }
 
 // condition requires the known version of an instance's assignment row.
-func (i *instance) condition() platform.Condition {
-	return platform.Condition{RowKey: AssignmentKey(i.info.ID), Version: i.version}
+func (i *instance) condition() infra.Condition {
+	return infra.Condition{RowKey: AssignmentKey(i.info.ID), Version: i.version}
 }
--- a/group/list_test.go
+++ b/group/list_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // TestUnchangedList guards against instances that never count as gone because
@@ -16,9 +16,9 @@
 func TestUnchangedList(t *testing.T) {
 	p := New(DefaultConfig(), "quotes")
 	listed := func(ids ...ident.InstanceID) Event {
-		var out []platform.Instance
+		var out []infra.Instance
 		for _, id := range ids {
-			out = append(out, platform.Instance{ID: id, Kind: platform.KindEngine})
+			out = append(out, infra.Instance{ID: id, Kind: infra.KindEngine})
 		}
 		return InstancesListed{Instances: out}
 	}
--- a/group/place.go
+++ b/group/place.go
@@ -8,7 +8,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // free reports whether an instance can join a group.
@@ -188,18 +188,18 @@
 	row.Adapters = slices.Clone(p.doc.Model.Adapters)
 	row.Members = make([]Member, len(members))
 	key := Key(p.service, row.ID)
-	conds := []platform.Condition{{RowKey: key, Version: g.version}}
+	conds := []infra.Condition{{RowKey: key, Version: g.version}}
 	for rank, i := range members {
 		row.Members[rank] = Member{i.info.ID, i.report.Status.Incarnation, i.info.Address}
 		conds = append(conds, i.condition())
 	}
 	gone, conds, deletes := p.removals(g, leavers, conds)
-	build := func(attempt string) []platform.Write {
+	build := func(attempt string) []infra.Write {
 		row.Attempt = attempt
-		writes := []platform.Write{{RowKey: key, Value: encode(row)}}
+		writes := []infra.Write{{RowKey: key, Value: encode(row)}}
 		for _, m := range row.Members {
 			a := Assignment{row.ID, row.Epoch, p.service, m.Incarnation, attempt}
-			writes = append(writes, platform.Write{RowKey: AssignmentKey(m.Instance), Value: encode(a)})
+			writes = append(writes, infra.Write{RowKey: AssignmentKey(m.Instance), Value: encode(a)})
 		}
 		return append(writes, deletes...)
 	}
@@ -226,9 +226,9 @@
 			members = append(members, i)
 		}
 	}
-	gone, conds, deletes := p.removals(g, members, []platform.Condition{{RowKey: key, Version: g.version}})
-	p.begin(conds, func(string) []platform.Write {
-		return append([]platform.Write{{RowKey: key, Delete: true}}, deletes...)
+	gone, conds, deletes := p.removals(g, members, []infra.Condition{{RowKey: key, Version: g.version}})
+	p.begin(conds, func(string) []infra.Write {
+		return append([]infra.Write{{RowKey: key, Delete: true}}, deletes...)
 	}, func(uint64) {
 		delete(p.groups, g.row.ID)
 		p.removed(gone, members)
@@ -236,15 +236,15 @@
 }
 
 // removals picks the leavers whose rows can be deleted.
-func (p *Planner) removals(g *group, leavers []*instance, conds []platform.Condition) ([]*instance, []platform.Condition, []platform.Write) {
+func (p *Planner) removals(g *group, leavers []*instance, conds []infra.Condition) ([]*instance, []infra.Condition, []infra.Write) {
 	var gone []*instance
-	var deletes []platform.Write
+	var deletes []infra.Write
 	k := groupKey{g.row.ID, g.row.Epoch}
 	for _, i := range leavers {
 		if p.stopped(i, k, g.since) {
 			gone = append(gone, i)
 			conds = append(conds, i.condition())
-			deletes = append(deletes, platform.Write{RowKey: AssignmentKey(i.info.ID), Delete: true})
+			deletes = append(deletes, infra.Write{RowKey: AssignmentKey(i.info.ID), Delete: true})
 		}
 	}
 	return gone, conds, deletes
@@ -270,8 +270,8 @@
 		if !i.stray() || !p.stopped(i, i.assignedKey(), i.strayFrom) {
 			continue
 		}
-		p.begin([]platform.Condition{i.condition()}, func(string) []platform.Write {
-			return []platform.Write{{RowKey: AssignmentKey(i.info.ID), Delete: true}}
+		p.begin([]infra.Condition{i.condition()}, func(string) []infra.Write {
+			return []infra.Write{{RowKey: AssignmentKey(i.info.ID), Delete: true}}
 		}, func(uint64) { i.assigned, i.version = nil, 0 })
 		return true
 	}
--- a/group/plan.go
+++ b/group/plan.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/engine"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -122,10 +122,10 @@
 	row := g.row
 	row.State = StateStopping
 	key := Key(p.service, row.ID)
-	p.begin([]platform.Condition{{RowKey: key, Version: g.version}},
-		func(attempt string) []platform.Write {
+	p.begin([]infra.Condition{{RowKey: key, Version: g.version}},
+		func(attempt string) []infra.Write {
 			row.Attempt = attempt
-			return []platform.Write{{RowKey: key, Value: encode(row)}}
+			return []infra.Write{{RowKey: key, Value: encode(row)}}
 		},
 		func(version uint64) {
 			g.row, g.version = row, version
--- a/group/planner.go
+++ b/group/planner.go
@@ -7,8 +7,8 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -34,7 +34,7 @@
 
 // instance is what the planner knows of one engine instance.
 type instance struct {
-	info platform.Instance
+	info infra.Instance
 	// listed tells whether the last list names the instance, and missed how many
 	// reads in a row did not.
 	listed bool
@@ -263,13 +263,13 @@
 
 // list takes a new instance list. An instance that left stays known while it
 // has an assignment row.
-func (p *Planner) list(list []platform.Instance) {
+func (p *Planner) list(list []infra.Instance) {
 	for _, i := range p.instances {
 		i.listed = false
 		i.missed++
 	}
 	for _, info := range list {
-		if info.Kind != platform.KindEngine {
+		if info.Kind != infra.KindEngine {
 			continue
 		}
 		i := p.instance(info.ID)
@@ -315,7 +315,7 @@
 	if !ok {
 		// Two missed lists are needed before an instance that only a row
 		// names counts as gone.
-		i = &instance{info: platform.Instance{ID: id}}
+		i = &instance{info: infra.Instance{ID: id}}
 		p.instances[id] = i
 		p.allListed = false
 		p.order = append(p.order, i)
@@ -349,7 +349,7 @@
 
 // drained reports whether an instance may get no new work.
 func (p *Planner) drained(i *instance) bool {
-	if i.info.State == platform.StateLeaving || p.drains.instances[i.info.ID] ||
+	if i.info.State == infra.StateLeaving || p.drains.instances[i.info.ID] ||
 		p.drains.dataCentres[i.info.DataCentre] || (i.info.Partner != "" && p.drains.partners[i.info.Partner]) {
 		return true
 	}
--- a/group/planner_test.go
+++ b/group/planner_test.go
@@ -13,7 +13,7 @@
 	"github.com/bulrushfall/bulrushfall/experiment"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -320,7 +320,7 @@
 		out := make([]group.Observed, 3)
 		for rank := range out {
 			id := ident.InstanceID(fmt.Sprint(rank))
-			out[rank] = group.Observed{Info: platform.Instance{ID: id}, Report: group.Report{
+			out[rank] = group.Observed{Info: infra.Instance{ID: id}, Report: group.Report{
 				Instance: id, OK: true, Sent: now - time.Second,
 				Status: engine.Status{
 					State: engine.StateReady, Group: "g", Epoch: 2, Service: doc.Service,
--- a/group/rows.go
+++ b/group/rows.go
@@ -5,7 +5,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Tables of group and assignment rows.
@@ -64,13 +64,13 @@
 }
 
 // Key returns the address of a group row.
-func Key(s ident.ServiceName, g ident.GroupID) platform.RowKey {
-	return platform.RowKey{Table: Table, Key: string(s) + "/" + string(g)}
+func Key(s ident.ServiceName, g ident.GroupID) infra.RowKey {
+	return infra.RowKey{Table: Table, Key: string(s) + "/" + string(g)}
 }
 
 // AssignmentKey returns the address of an assignment row.
-func AssignmentKey(id ident.InstanceID) platform.RowKey {
-	return platform.RowKey{Table: AssignmentTable, Key: string(id)}
+func AssignmentKey(id ident.InstanceID) infra.RowKey {
+	return infra.RowKey{Table: AssignmentTable, Key: string(id)}
 }
 
 // Head is a head row. It names the last transaction.
@@ -79,19 +79,19 @@
 }
 
 // HeadKey returns the address of the head row of a service.
-func HeadKey(s ident.ServiceName) platform.RowKey {
-	return platform.RowKey{Table: HeadTable, Key: string(s)}
+func HeadKey(s ident.ServiceName) infra.RowKey {
+	return infra.RowKey{Table: HeadTable, Key: string(s)}
 }
 
 // DecodeRow reads a group row.
-func DecodeRow(r platform.Row) (Row, bool) {
+func DecodeRow(r infra.Row) (Row, bool) {
 	var out Row
 	ok := r.Version != 0 && json.Unmarshal(r.Value, &out) == nil && len(out.Members) > 0
 	return out, ok
 }
 
 // DecodeAssignment reads an assignment row.
-func DecodeAssignment(r platform.Row) (Assignment, bool) {
+func DecodeAssignment(r infra.Row) (Assignment, bool) {
 	var out Assignment
 	ok := r.Version != 0 && json.Unmarshal(r.Value, &out) == nil && out.Group != ""
 	return out, ok
--- a/group/txn.go
+++ b/group/txn.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 )
 
 // pendingTxn is the one transaction under way.
 type pendingTxn struct {
 	id   string
-	txn  platform.Txn
+	txn  infra.Txn
 	done func(version uint64)
 	// sent means that an answer is awaited; retry is when it may be sent again.
 	sent  bool
@@ -26,19 +26,19 @@
 
 // begin starts a transaction on the condition that neither the lease nor the
 // head moved. build gets the attempt id that the rows carry.
-func (p *Planner) begin(conds []platform.Condition, build func(attempt string) []platform.Write, done func(version uint64)) {
+func (p *Planner) begin(conds []infra.Condition, build func(attempt string) []infra.Write, done func(version uint64)) {
 	p.attempts++
 	id := fmt.Sprintf("%s/%d/%d", p.service, p.grant.Epoch, p.attempts)
-	guards := []platform.Condition{
+	guards := []infra.Condition{
 		{RowKey: lease.EpochKey(p.service), Version: p.grant.EpochVersion},
 		{RowKey: HeadKey(p.service), Version: p.head},
 	}
-	head := platform.Write{RowKey: HeadKey(p.service), Value: encode(Head{Attempt: id})}
+	head := infra.Write{RowKey: HeadKey(p.service), Value: encode(Head{Attempt: id})}
 	p.txn = &pendingTxn{
 		id: id,
-		txn: platform.Txn{
+		txn: infra.Txn{
 			Conditions: append(guards, conds...),
-			Writes:     append([]platform.Write{head}, build(id)...),
+			Writes:     append([]infra.Write{head}, build(id)...),
 		},
 		done: done,
 	}
@@ -66,15 +66,15 @@
 	}
 	t.sent = false
 	switch e.Outcome {
-	case platform.OutcomeApplied:
+	case infra.OutcomeApplied:
 		p.finish(e.Version)
-	case platform.OutcomeNotApplied:
+	case infra.OutcomeNotApplied:
 		t.retry = now + p.cfg.TxnRetry
 		if !t.unknown {
 			// The plan is made anew when the store is back.
 			p.txn, p.retry = nil, t.retry
 		}
-	case platform.OutcomeConflict:
+	case infra.OutcomeConflict:
 		p.conflicted(now, t, e.Rows)
 	default:
 		p.Counters.Unknown++
@@ -111,7 +111,7 @@
 }
 
 // appliedBy reports whether a row is the head row as the transaction wrote it.
-func (t *pendingTxn) appliedBy(r platform.Row) (uint64, bool) {
+func (t *pendingTxn) appliedBy(r infra.Row) (uint64, bool) {
 	var head Head
 	if r.Table != HeadTable || r.Version == 0 || json.Unmarshal(r.Value, &head) != nil {
 		return 0, false
@@ -120,7 +120,7 @@
 }
 
 // conflicted learns from the rows that failed their conditions.
-func (p *Planner) conflicted(now time.Duration, t *pendingTxn, rows []platform.Row) {
+func (p *Planner) conflicted(now time.Duration, t *pendingTxn, rows []infra.Row) {
 	for _, r := range rows {
 		if version, ok := t.appliedBy(r); ok {
 			p.finish(version)
@@ -190,7 +190,7 @@
 	}
 }
 
-func (p *Planner) readAssignments(now time.Duration, rows []platform.Row) {
+func (p *Planner) readAssignments(now time.Duration, rows []infra.Row) {
 	for _, i := range p.instances {
 		i.assigned, i.version, i.member = nil, 0, nil
 	}
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,8 +1,8 @@
-// Package platform holds the interfaces of the platform's services (the
+// Package infra holds the interfaces of the platform's services (the
 // transactional table, the object store and the instance list) and an HTTP
 // client for them. The platform's real protocol may differ from the one of
 // the stand-in: only this package knows it.
-package platform
+package infra
 
 import (
 	"context"
--- a/lease/events.go
+++ b/lease/events.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Event is an input of the machine.
@@ -15,8 +15,8 @@
 
 // RowsRead answers ReadRows. An absent row has version 0.
 type RowsRead struct {
-	Lease platform.Row
-	Epoch platform.Row
+	Lease infra.Row
+	Epoch infra.Row
 }
 
 // ReadFailed answers ReadRows when the store did not answer.
@@ -25,7 +25,7 @@
 // Written answers WriteRows.
 type Written struct {
 	Attempt string
-	Outcome platform.Outcome
+	Outcome infra.Outcome
 	// Version is set when the outcome is applied.
 	Version uint64
 }
@@ -54,7 +54,7 @@
 // WriteRows asks for one transaction.
 type WriteRows struct {
 	Attempt string
-	Txn     platform.Txn
+	Txn     infra.Txn
 }
 
 // Acquired tells that this entry became the holder.
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Config holds the times of a lease.
@@ -185,7 +185,7 @@
 		return out
 	}
 	switch e.Outcome {
-	case platform.OutcomeApplied:
+	case infra.OutcomeApplied:
 		row, epoch := m.rowOf(a)
 		epochVersion := m.seen.epochVersion
 		if a.acquire {
@@ -193,7 +193,7 @@
 		}
 		m.see(now, e.Version, epochVersion, row, epoch)
 		return m.apply(now, a, out)
-	case platform.OutcomeNotApplied:
+	case infra.OutcomeNotApplied:
 		m.nextTry = now + m.cfg.Retry
 	default:
 		// Nothing else is written before the rows were read back.
@@ -324,19 +324,19 @@
 	return row, row.Epoch
 }
 
-func (m *Machine) txn(a attempt) platform.Txn {
+func (m *Machine) txn(a attempt) infra.Txn {
 	key, epochKey := Key(m.service), EpochKey(m.service)
 	row, epoch := m.rowOf(a)
-	t := platform.Txn{
-		Conditions: []platform.Condition{
+	t := infra.Txn{
+		Conditions: []infra.Condition{
 			{RowKey: key, Version: m.seen.version},
 			{RowKey: epochKey, Version: m.seen.epochVersion},
 		},
-		Writes: []platform.Write{{RowKey: key, Value: encode(row)}},
+		Writes: []infra.Write{{RowKey: key, Value: encode(row)}},
 	}
 	if a.acquire {
 		epochRow := EpochRow{Holder: m.self, Epoch: epoch, Attempt: a.id}
-		t.Writes = append(t.Writes, platform.Write{RowKey: epochKey, Value: encode(epochRow)})
+		t.Writes = append(t.Writes, infra.Write{RowKey: epochKey, Value: encode(epochRow)})
 	}
 	return t
 }
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -10,32 +10,32 @@
 	"pgregory.net/rapid"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // store is a table of two rows.
 type store struct {
 	version uint64
-	rows    map[platform.RowKey]platform.Row
+	rows    map[infra.RowKey]infra.Row
 }
 
-func (s *store) get(k platform.RowKey) platform.Row {
+func (s *store) get(k infra.RowKey) infra.Row {
 	r := s.rows[k]
 	r.RowKey = k
 	return r
 }
 
-func (s *store) txn(t platform.Txn) (uint64, platform.Outcome) {
+func (s *store) txn(t infra.Txn) (uint64, infra.Outcome) {
 	for _, c := range t.Conditions {
 		if s.rows[c.RowKey].Version != c.Version {
-			return 0, platform.OutcomeConflict
+			return 0, infra.OutcomeConflict
 		}
 	}
 	s.version++
 	for _, w := range t.Writes {
-		s.rows[w.RowKey] = platform.Row{Version: s.version, Value: w.Value}
+		s.rows[w.RowKey] = infra.Row{Version: s.version, Value: w.Value}
 	}
-	return s.version, platform.OutcomeApplied
+	return s.version, infra.OutcomeApplied
 }
 
 // node is a contender with a drifting clock; messages to it wait while it is
@@ -70,7 +70,7 @@
 const service = ident.ServiceName("quotes")
 
 func newWorld(t *rapid.T, nodes int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), s: &store{rows: map[platform.RowKey]platform.Row{}}}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), s: &store{rows: map[infra.RowKey]infra.Row{}}}
 	for i := range nodes {
 		self := Identity{Instance: ident.InstanceID(fmt.Sprintf("e%d", i)), Incarnation: "1"}
 		m := New(DefaultConfig(), self, service)
@@ -112,10 +112,10 @@
 func (w *world) write(now time.Duration, n *node, a WriteRows) {
 	lost := w.rng.IntN(5) == 0
 	if lost {
-		w.reply(n, now+2*time.Second, Written{Attempt: a.Attempt, Outcome: platform.OutcomeUnknown})
+		w.reply(n, now+2*time.Second, Written{Attempt: a.Attempt, Outcome: infra.OutcomeUnknown})
 	}
 	w.at(now+w.delay(), func(at time.Duration) {
-		ev := Written{Attempt: a.Attempt, Outcome: platform.OutcomeNotApplied}
+		ev := Written{Attempt: a.Attempt, Outcome: infra.OutcomeNotApplied}
 		if at >= w.down {
 			ev.Version, ev.Outcome = w.s.txn(a.Txn)
 		}
@@ -211,7 +211,7 @@
 // Guards against a leaving entry that makes the others wait out its lease, and
 // against a holder that acts after it released.
 func TestLeaveReleasesToPreferred(t *testing.T) {
-	s := &store{rows: map[platform.RowKey]platform.Row{}}
+	s := &store{rows: map[infra.RowKey]infra.Row{}}
 	a := New(DefaultConfig(), Identity{"a", "1"}, service)
 	b := New(DefaultConfig(), Identity{"b", "1"}, service)
 	serve := func(m *Machine, now time.Duration, acts []Action) {
--- a/lease/rows.go
+++ b/lease/rows.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // Tables of the two rows. Their key is the service.
@@ -38,18 +38,18 @@
 }
 
 // Key returns the address of the lease row of a service.
-func Key(s ident.ServiceName) platform.RowKey {
-	return platform.RowKey{Table: Table, Key: string(s)}
+func Key(s ident.ServiceName) infra.RowKey {
+	return infra.RowKey{Table: Table, Key: string(s)}
 }
 
 // EpochKey returns the address of the epoch row of a service.
-func EpochKey(s ident.ServiceName) platform.RowKey {
-	return platform.RowKey{Table: EpochTable, Key: string(s)}
+func EpochKey(s ident.ServiceName) infra.RowKey {
+	return infra.RowKey{Table: EpochTable, Key: string(s)}
 }
 
 // decodeRow reads a lease row. A malformed row counts as released, because no
 // process of this version holds it; its version still guards the takeover.
-func decodeRow(r platform.Row) Row {
+func decodeRow(r infra.Row) Row {
 	var out Row
 	if r.Version != 0 && json.Unmarshal(r.Value, &out) != nil {
 		return Row{}
@@ -57,7 +57,7 @@
 	return out
 }
 
-func decodeEpoch(r platform.Row) EpochRow {
+func decodeEpoch(r infra.Row) EpochRow {
 	var out EpochRow
 	if r.Version != 0 && json.Unmarshal(r.Value, &out) != nil {
 		return EpochRow{}
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -13,7 +13,7 @@
 
 	"github.com/bulrushfall/bulrushfall/check"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/engine"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
@@ -33,7 +33,7 @@
 func promptName(sum uint64) string { return fmt.Sprintf("prompt-%016x", sum) }
 
 // FromEngine converts the record of an engine.
-func FromEngine(r engine.Record, inst platform.Instance) check.History {
+func FromEngine(r engine.Record, inst infra.Instance) check.History {
 	var h check.History
 	turned := turnedCold(r.Events)
 	for _, s := range r.Requests {
@@ -58,7 +58,7 @@
 	return h
 }
 
-func served(r engine.Record, s engine.Served, inst platform.Instance, turned []time.Time) check.Served {
+func served(r engine.Record, s engine.Served, inst infra.Instance, turned []time.Time) check.Served {
 	out := check.Served{
 		Request: promptName(s.PromptSum), Attempt: s.Attempt, Instance: r.Instance, Incarnation: s.Incarnation,
 		DataCentre: inst.DataCentre, Partner: inst.Partner, Start: s.Start, End: s.End,
@@ -89,7 +89,7 @@
 }
 
 // FromOrders converts the record of an order system.
-func FromOrders(r orders.Record, inst platform.Instance) check.History {
+func FromOrders(r orders.Record, inst infra.Instance) check.History {
 	var h check.History
 	for _, run := range r.Runs {
 		h.Served = append(h.Served, check.Served{
@@ -127,7 +127,7 @@
 
 // Collect reads the records of the platform and of the backend servers that
 // are given. Those that do not answer are returned as missing.
-func Collect(ctx context.Context, platformURL string, backends []platform.Instance) (check.History, []ident.InstanceID, error) {
+func Collect(ctx context.Context, platformURL string, backends []infra.Instance) (check.History, []ident.InstanceID, error) {
 	var h check.History
 	var record standin.Record
 	if err := get(ctx, platformURL+"/debug/record?table="+groupTable, &record); err != nil {
@@ -146,13 +146,13 @@
 	return h, missing, nil
 }
 
-func collectOne(ctx context.Context, inst platform.Instance) (check.History, error) {
+func collectOne(ctx context.Context, inst infra.Instance) (check.History, error) {
 	switch inst.Kind {
-	case platform.KindEngine:
+	case infra.KindEngine:
 		var r engine.Record
 		err := get(ctx, "http://"+inst.Address+"/debug/record", &r)
 		return FromEngine(r, inst), err
-	case platform.KindPlain:
+	case infra.KindPlain:
 		var r orders.Record
 		err := get(ctx, "http://"+inst.Address+"/debug/counts", &r)
 		return FromOrders(r, inst), err
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/httpd"
 )
 
@@ -35,25 +35,25 @@
 }
 
 func (s *Server) handleTxn(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn infra.Txn
 	if !httpd.ReadJSON(w, r, &txn) || !s.admit(w, r, s.writes) {
 		return
 	}
 	s.count(func(c *Counts) { c.Writes++ })
 	version, conflicts := s.table.apply(txn)
 	if conflicts != nil {
-		httpd.WriteJSON(w, http.StatusConflict, platform.ConflictError{Rows: conflicts})
+		httpd.WriteJSON(w, http.StatusConflict, infra.ConflictError{Rows: conflicts})
 		return
 	}
 	if s.loseAnswer(txn) {
 		httpd.Abort(w)
 		return
 	}
-	httpd.WriteJSON(w, http.StatusOK, platform.TxnResponse{Version: version})
+	httpd.WriteJSON(w, http.StatusOK, infra.TxnResponse{Version: version})
 }
 
 func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
-	var req platform.GetRequest
+	var req infra.GetRequest
 	if !httpd.ReadJSON(w, r, &req) || !s.admit(w, r, s.reads) {
 		return
 	}
@@ -67,13 +67,13 @@
 }
 
 func (s *Server) handleScan(w http.ResponseWriter, r *http.Request) {
-	var req platform.ScanRequest
+	var req infra.ScanRequest
 	if !httpd.ReadJSON(w, r, &req) || !s.admit(w, r, s.reads) {
 		return
 	}
 	s.count(func(c *Counts) { c.Reads++ })
 	rows := s.table.scan(req.Table, req.After, req.Limit)
-	httpd.WriteJSON(w, http.StatusOK, platform.ScanResponse{Rows: rows})
+	httpd.WriteJSON(w, http.StatusOK, infra.ScanResponse{Rows: rows})
 }
 
 func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
@@ -87,7 +87,7 @@
 	}
 	list, tag := s.list.read()
 	w.Header().Set("ETag", tag)
-	httpd.WriteJSON(w, http.StatusOK, platform.InstancesResponse{Instances: list})
+	httpd.WriteJSON(w, http.StatusOK, infra.InstancesResponse{Instances: list})
 }
 
 func (s *Server) handleObject(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -8,16 +8,16 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // InstanceChange registers, removes or marks instances. A change shows in the
 // list after the lag, unless Now is set.
 type InstanceChange struct {
-	Put     []platform.Instance `json:"put,omitempty"`
-	Remove  []ident.InstanceID  `json:"remove,omitempty"`
-	Leaving []ident.InstanceID  `json:"leaving,omitempty"`
-	Now     bool                `json:"now,omitempty"`
+	Put     []infra.Instance   `json:"put,omitempty"`
+	Remove  []ident.InstanceID `json:"remove,omitempty"`
+	Leaving []ident.InstanceID `json:"leaving,omitempty"`
+	Now     bool               `json:"now,omitempty"`
 }
 
 type pendingChange struct {
@@ -30,7 +30,7 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	visible map[ident.InstanceID]platform.Instance
+	visible map[ident.InstanceID]infra.Instance
 	pending []pendingChange
 	// run and version make the entity tag. A stand-in that starts again has
 	// another list.
@@ -39,7 +39,7 @@
 }
 
 func newInstanceList(lag time.Duration) *instanceList {
-	return &instanceList{lag: lag, visible: make(map[ident.InstanceID]platform.Instance), run: rand.Uint64()}
+	return &instanceList{lag: lag, visible: make(map[ident.InstanceID]infra.Instance), run: rand.Uint64()}
 }
 
 // tag is the entity tag of what is visible now.
@@ -78,11 +78,11 @@
 }
 
 // read returns the visible instances and their entity tag.
-func (l *instanceList) read() ([]platform.Instance, string) {
+func (l *instanceList) read() ([]infra.Instance, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.show(time.Now())
-	out := make([]platform.Instance, 0, len(l.visible))
+	out := make([]infra.Instance, 0, len(l.visible))
 	for _, i := range l.visible {
 		out = append(out, i)
 	}
@@ -93,7 +93,7 @@
 func (l *instanceList) apply(c InstanceChange) {
 	for _, i := range c.Put {
 		if i.State == "" {
-			i.State = platform.StateLive
+			i.State = infra.StateLive
 		}
 		l.visible[i.ID] = i
 	}
@@ -102,7 +102,7 @@
 	}
 	for _, id := range c.Leaving {
 		if i, ok := l.visible[id]; ok {
-			i.State = platform.StateLeaving
+			i.State = infra.StateLeaving
 			l.visible[id] = i
 		}
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/httpd"
 )
 
@@ -116,7 +116,7 @@
 	return s, nil
 }
 
-// URL returns the base URL for platform.NewClient.
+// URL returns the base URL for infra.NewClient.
 func (s *Server) URL() string { return "http://" + s.http.Addr() }
 
 // Close stops the stand-in and drops its data.
@@ -147,7 +147,7 @@
 
 // PutInstances registers instances or changes their entry in the list, after
 // the lag.
-func (s *Server) PutInstances(instances ...platform.Instance) {
+func (s *Server) PutInstances(instances ...infra.Instance) {
 	s.list.change(InstanceChange{Put: instances})
 }
 
@@ -204,7 +204,7 @@
 }
 
 // loseAnswer tells whether the answer of an applied transaction gets lost.
-func (s *Server) loseAnswer(t platform.Txn) bool {
+func (s *Server) loseAnswer(t infra.Txn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LoseAnswers == 0 || !writesTable(t, s.faults.LoseTable) {
@@ -217,7 +217,7 @@
 	return true
 }
 
-func writesTable(t platform.Txn, name string) bool {
+func writesTable(t infra.Txn, name string) bool {
 	if name == "" {
 		return true
 	}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -14,22 +14,22 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
-func start(t *testing.T) (*Server, *platform.Client) {
+func start(t *testing.T) (*Server, *infra.Client) {
 	t.Helper()
 	s, err := Start(DefaultConfig())
 	assert.NilError(t, err)
 	t.Cleanup(s.Close)
-	return s, platform.NewClient(s.URL())
+	return s, infra.NewClient(s.URL())
 }
 
-func put(key string, version uint64) platform.Txn {
-	k := platform.RowKey{Table: "t", Key: key}
-	return platform.Txn{
-		Conditions: []platform.Condition{{RowKey: k, Version: version}},
-		Writes:     []platform.Write{{RowKey: k, Value: []byte(key)}},
+func put(key string, version uint64) infra.Txn {
+	k := infra.RowKey{Table: "t", Key: key}
+	return infra.Txn{
+		Conditions: []infra.Condition{{RowKey: k, Version: version}},
+		Writes:     []infra.Write{{RowKey: k, Value: []byte(key)}},
 	}
 }
 
@@ -43,11 +43,11 @@
 	both := put("a", 0)
 	both.Writes = append(both.Writes, put("b", 0).Writes...)
 	_, err = c.Txn(ctx, both)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	assert.Assert(t, errors.As(err, &conflict))
 	assert.Equal(t, conflict.Rows[0].Version, v)
-	_, err = c.Get(ctx, platform.RowKey{Table: "t", Key: "b"})
-	assert.Assert(t, errors.Is(err, platform.ErrRowNotFound))
+	_, err = c.Get(ctx, infra.RowKey{Table: "t", Key: "b"})
+	assert.Assert(t, errors.Is(err, infra.ErrRowNotFound))
 	_, err = c.Txn(ctx, put("b", 0))
 	assert.NilError(t, err)
 	rows, err := c.Scan(ctx, "t", "a", 10)
@@ -63,21 +63,21 @@
 	ctx := context.Background()
 	s.SetFaults(Faults{Outage: true})
 	_, err := c.Txn(ctx, put("a", 0))
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(err, infra.ErrUnavailable))
 	s.SetFaults(Faults{LoseAnswers: 1})
 	_, err = c.Txn(ctx, put("a", 0))
-	assert.Assert(t, errors.Is(err, platform.ErrOutcomeUnknown))
-	row, err := c.Get(ctx, platform.RowKey{Table: "t", Key: "a"})
+	assert.Assert(t, errors.Is(err, infra.ErrOutcomeUnknown))
+	row, err := c.Get(ctx, infra.RowKey{Table: "t", Key: "a"})
 	assert.NilError(t, err)
 	assert.Equal(t, string(row.Value), "a")
 	s.SetFaults(Faults{ThrottleAll: true})
 	_, err = c.Txn(ctx, put("c", 0))
-	assert.Assert(t, errors.Is(err, platform.ErrThrottled))
+	assert.Assert(t, errors.Is(err, infra.ErrThrottled))
 	s.SetFaults(Faults{Hang: true})
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	_, err = c.Get(short, platform.RowKey{Table: "t", Key: "a"})
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+	_, err = c.Get(short, infra.RowKey{Table: "t", Key: "a"})
+	assert.Assert(t, errors.Is(err, infra.ErrUnavailable))
 	counts := s.Counts()
 	assert.Equal(t, counts.Refused, uint64(1))
 	assert.Equal(t, counts.LostAnswers, uint64(1))
@@ -89,14 +89,14 @@
 func TestInstanceLag(t *testing.T) {
 	s, c := start(t)
 	s.list.lag = time.Hour
-	s.PutInstances(platform.Instance{ID: "w"})
+	s.PutInstances(infra.Instance{ID: "w"})
 	list, err := c.Instances(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 0)
 	s.ChangeInstances(InstanceChange{Leaving: nil, Now: true})
 	list, err = c.Instances(context.Background())
 	assert.NilError(t, err)
-	assert.Equal(t, list[0].State, platform.StateLive)
+	assert.Equal(t, list[0].State, infra.StateLive)
 }
 
 // TestInstancesUnchanged guards against a list that is sent again although it did
@@ -104,7 +104,7 @@
 func TestInstancesUnchanged(t *testing.T) {
 	ctx := context.Background()
 	s, c := start(t)
-	s.ChangeInstances(InstanceChange{Put: []platform.Instance{{ID: "w"}}, Now: true})
+	s.ChangeInstances(InstanceChange{Put: []infra.Instance{{ID: "w"}}, Now: true})
 	first, err := c.ListInstances(ctx, "")
 	assert.NilError(t, err)
 	assert.Equal(t, len(first.Instances), 1)
@@ -113,7 +113,7 @@
 	assert.Assert(t, again.Unchanged && again.Version == first.Version && again.Instances == nil)
 
 	s.list.lag = time.Hour
-	s.PutInstances(platform.Instance{ID: "v"})
+	s.PutInstances(infra.Instance{ID: "v"})
 	again, err = c.ListInstances(ctx, first.Version)
 	assert.NilError(t, err)
 	assert.Assert(t, again.Unchanged, "the change lags")
@@ -125,7 +125,7 @@
 
 	s.SetFaults(Faults{Outage: true})
 	_, err = c.ListInstances(ctx, second.Version)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, infra.ErrUnavailable)
 }
 
 // TestInstancesWithoutTag guards against a platform without entity tags whose
@@ -135,7 +135,7 @@
 	body.Store(`{"instances":[{"id":"w"}]}`)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body.Load().(string)) }))
 	defer server.Close()
-	c := platform.NewClient(server.URL)
+	c := infra.NewClient(server.URL)
 	first, err := c.ListInstances(context.Background(), "")
 	assert.NilError(t, err)
 	again, err := c.ListInstances(context.Background(), first.Version)
@@ -153,17 +153,17 @@
 	s, err := Start(DefaultConfig())
 	assert.NilError(b, err)
 	defer s.Close()
-	var list []platform.Instance
+	var list []infra.Instance
 	for i := range 8190 {
-		list = append(list, platform.Instance{
-			ID: ident.InstanceID(fmt.Sprintf("worker-%05d", i)), Kind: platform.KindEngine, State: platform.StateLive,
+		list = append(list, infra.Instance{
+			ID: ident.InstanceID(fmt.Sprintf("worker-%05d", i)), Kind: infra.KindEngine, State: infra.StateLive,
 			Address: "10.0.0.1:7100", Region: "bg-north", DataCentre: "gabrovo-a", Domain: "gabrovo-a-12", Accelerators: 4,
 		})
 	}
 	s.ChangeInstances(InstanceChange{Put: list, Now: true})
 	for _, full := range []bool{true, false} {
 		b.Run(fmt.Sprintf("full=%v", full), func(b *testing.B) {
-			c := platform.NewClient(s.URL())
+			c := infra.NewClient(s.URL())
 			known := ""
 			for b.Loop() {
 				l, err := c.ListInstances(context.Background(), known)
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // TableWrite is one applied row write in the record.
@@ -23,7 +23,7 @@
 type table struct {
 	mu      sync.Mutex
 	version uint64
-	rows    map[platform.RowKey]platform.Row
+	rows    map[infra.RowKey]infra.Row
 	keys    map[string][]string
 	limit   int
 	log     []TableWrite
@@ -32,21 +32,21 @@
 
 func newTable(limit int) *table {
 	return &table{
-		rows:  make(map[platform.RowKey]platform.Row),
+		rows:  make(map[infra.RowKey]infra.Row),
 		keys:  make(map[string][]string),
 		limit: limit,
 	}
 }
 
 // apply runs a transaction and returns its version, or the rows that conflict.
-func (t *table) apply(txn platform.Txn) (uint64, []platform.Row) {
+func (t *table) apply(txn infra.Txn) (uint64, []infra.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var conflicts []platform.Row
+	var conflicts []infra.Row
 	for _, c := range txn.Conditions {
 		row, ok := t.rows[c.RowKey]
 		if !ok {
-			row = platform.Row{RowKey: c.RowKey}
+			row = infra.Row{RowKey: c.RowKey}
 		}
 		if row.Version != c.Version {
 			conflicts = append(conflicts, row)
@@ -62,7 +62,7 @@
 	return t.version, nil
 }
 
-func (t *table) write(w platform.Write) {
+func (t *table) write(w infra.Write) {
 	keys := t.keys[w.Table]
 	i := sort.SearchStrings(keys, w.Key)
 	present := i < len(keys) && keys[i] == w.Key
@@ -77,7 +77,7 @@
 		t.keys[w.Table] = keys
 	}
 	if !w.Delete {
-		t.rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
+		t.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
 	}
 	if len(t.log) >= t.limit {
 		drop := max(1, t.limit/10)
@@ -90,14 +90,14 @@
 	})
 }
 
-func (t *table) get(key platform.RowKey) (platform.Row, bool) {
+func (t *table) get(key infra.RowKey) (infra.Row, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	return row, ok
 }
 
-func (t *table) scan(name, after string, limit int) []platform.Row {
+func (t *table) scan(name, after string, limit int) []infra.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	keys := t.keys[name]
@@ -105,9 +105,9 @@
 	if i < len(keys) && keys[i] == after && after != "" {
 		i++
 	}
-	rows := []platform.Row{}
+	rows := []infra.Row{}
 	for ; i < len(keys) && (limit <= 0 || len(rows) < limit); i++ {
-		rows = append(rows, t.rows[platform.RowKey{Table: name, Key: keys[i]}])
+		rows = append(rows, t.rows[infra.RowKey{Table: name, Key: keys[i]}])
 	}
 	return rows
 }
--- a/test/integration/leave_test.go
+++ b/test/integration/leave_test.go
@@ -13,9 +13,9 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/load"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/standin/history"
 	"github.com/bulrushfall/bulrushfall/standin/orders"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
@@ -113,7 +113,7 @@
 	const partner = "firm"
 	r := startRig(t, func(c *cluster.Config) { c.OrderSystems = 2 })
 	var change standin.InstanceChange
-	for _, list := range [][]platform.Instance{r.engines, r.plain} {
+	for _, list := range [][]infra.Instance{r.engines, r.plain} {
 		for i := range list {
 			if list[i].DataCentre == "dc-b" {
 				list[i].Partner = partner
--- a/test/integration/operators_test.go
+++ b/test/integration/operators_test.go
@@ -17,9 +17,9 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/load"
 	"github.com/bulrushfall/bulrushfall/operator"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/standin/history"
 	standin "github.com/bulrushfall/bulrushfall/standin/platform"
 )
@@ -123,7 +123,7 @@
 
 // servedIn counts the requests that engines of a data centre took since then.
 func (r *rig) servedIn(dc ident.DataCentre, since time.Time) int {
-	var engines []platform.Instance
+	var engines []infra.Instance
 	for _, e := range r.engines {
 		if e.DataCentre == dc {
 			engines = append(engines, e)
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -20,8 +20,8 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/load"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
 	"github.com/bulrushfall/bulrushfall/standin/history"
@@ -66,8 +66,8 @@
 	ctx     context.Context
 	doc     service.Document // of the model service
 	c       *cluster.Cluster
-	engines []platform.Instance // as the stand-ins listen, not as listed
-	plain   []platform.Instance
+	engines []infra.Instance // as the stand-ins listen, not as listed
+	plain   []infra.Instance
 	// scheme and client are how readEvents reaches the entry instances.
 	scheme string
 	client *http.Client
@@ -98,7 +98,7 @@
 	assert.NilError(t, err)
 	r.c = c
 	for _, inst := range c.Backends {
-		if inst.Kind == platform.KindEngine {
+		if inst.Kind == infra.KindEngine {
 			r.engines = append(r.engines, inst)
 		} else {
 			r.plain = append(r.plain, inst)
@@ -144,8 +144,8 @@
 }
 
 // leaders returns the engines that lead a group.
-func (r *rig) leaders() []platform.Instance {
-	var out []platform.Instance
+func (r *rig) leaders() []infra.Instance {
+	var out []infra.Instance
 	for _, e := range r.engines {
 		var s engine.Status
 		if r.get("http://"+e.Address+"/status", &s) && s.State == engine.StateReady && s.Rank == 0 {
@@ -156,7 +156,7 @@
 }
 
 // leads reports whether an engine leads a group.
-func (r *rig) leads(e platform.Instance) bool {
+func (r *rig) leads(e infra.Instance) bool {
 	for _, l := range r.leaders() {
 		if l.ID == e.ID {
 			return true
@@ -166,7 +166,7 @@
 }
 
 // crashMember kills a member of a leader's group that is not the leader.
-func (r *rig) crashMember(leader platform.Instance) {
+func (r *rig) crashMember(leader infra.Instance) {
 	r.t.Helper()
 	var status engine.Status
 	assert.Assert(r.t, r.get("http://"+leader.Address+"/status", &status))
@@ -270,7 +270,7 @@
 
 // running is a stream at an engine.
 type running struct {
-	leader platform.Instance
+	leader infra.Instance
 	served standinengine.Served
 }
 
@@ -310,7 +310,7 @@
 // judge collects the records and applies the checker.
 func (r *rig) judge() {
 	r.t.Helper()
-	h, _, err := history.Collect(r.ctx, r.c.PlatformURL, append(append([]platform.Instance{}, r.engines...), r.plain...))
+	h, _, err := history.Collect(r.ctx, r.c.PlatformURL, append(append([]infra.Instance{}, r.engines...), r.plain...))
 	assert.NilError(r.t, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/integration/streams_test.go
+++ b/test/integration/streams_test.go
@@ -18,9 +18,9 @@
 	"github.com/bulrushfall/bulrushfall/cluster"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/load"
-	"github.com/bulrushfall/bulrushfall/platform"
 	standinengine "github.com/bulrushfall/bulrushfall/standin/engine"
 )
 
@@ -163,7 +163,7 @@
 // the model service.
 func (r *rig) leaseHolder() *cluster.Entry {
 	r.t.Helper()
-	row, err := platform.NewClient(r.c.PlatformURL).Get(r.ctx, lease.Key(cluster.ModelService))
+	row, err := infra.NewClient(r.c.PlatformURL).Get(r.ctx, lease.Key(cluster.ModelService))
 	assert.NilError(r.t, err)
 	var value lease.Row
 	assert.NilError(r.t, json.Unmarshal(row.Value, &value))
@@ -209,7 +209,7 @@
 
 // engineRecord returns the record of an engine. One that is dead keeps its
 // record over its restart.
-func (r *rig) engineRecord(e platform.Instance) standinengine.Record {
+func (r *rig) engineRecord(e infra.Instance) standinengine.Record {
 	r.t.Helper()
 	var rec standinengine.Record
 	r.wait("a record of "+string(e.ID), func() bool { return r.get("http://"+e.Address+"/debug/record", &rec) })
--- a/trace/event.go
+++ b/trace/event.go
@@ -5,7 +5,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/service"
 )
@@ -73,7 +73,7 @@
 	Cache      *Cache         `json:"cache,omitempty"`
 	// Instance is the payload of instance events: an entry of the platform's
 	// list.
-	Instance *platform.Instance `json:"instance,omitempty"`
+	Instance *infra.Instance `json:"instance,omitempty"`
 	// Member is the payload of member-lost and member-returned events.
 	Member *Member `json:"member,omitempty"`
 	Drain  *Drain  `json:"drain,omitempty"`
--- a/trace/machines/claim.go
+++ b/trace/machines/claim.go
@@ -5,7 +5,7 @@
 
 	"github.com/bulrushfall/bulrushfall/claim"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
@@ -74,11 +74,11 @@
 		c.store.state = e.Store.State
 	case trace.KindInstance:
 		switch e.Instance.Kind {
-		case platform.KindEntry:
+		case infra.KindEntry:
 			entry := &claimEntry{id: e.Instance.ID}
 			entry.boot()
 			c.entries[entry.id] = entry
-		case platform.KindPlain:
+		case infra.KindPlain:
 			c.backends = append(c.backends, &claimBackend{id: e.Instance.ID})
 		}
 	case trace.KindMemberLost:
@@ -241,17 +241,17 @@
 		panic(err)
 	}
 	key := call.req.Key.Row()
-	outcome, applied, _ := c.store.txn(platform.Txn{
-		Conditions: []platform.Condition{{RowKey: key, Version: version}},
-		Writes:     []platform.Write{{RowKey: key, Value: value}},
+	outcome, applied, _ := c.store.txn(infra.Txn{
+		Conditions: []infra.Condition{{RowKey: key, Version: version}},
+		Writes:     []infra.Write{{RowKey: key, Value: value}},
 	})
 	result := claim.StoreResult{Version: applied}
 	switch outcome {
-	case platform.OutcomeApplied:
+	case infra.OutcomeApplied:
 		result.Status = claim.StoreApplied
-	case platform.OutcomeConflict:
+	case infra.OutcomeConflict:
 		result.Status, result.Row = claim.StoreConflict, c.stored(call.req.Key)
-	case platform.OutcomeNotApplied:
+	case infra.OutcomeNotApplied:
 		result.Status = claim.StoreNotApplied
 	default:
 		result.Status = claim.StoreUnknown
--- a/trace/machines/config.go
+++ b/trace/machines/config.go
@@ -10,7 +10,7 @@
 	"github.com/bulrushfall/bulrushfall/config"
 	"github.com/bulrushfall/bulrushfall/config/configshell"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
@@ -70,7 +70,7 @@
 	case trace.KindStore:
 		c.store.state = e.Store.State
 	case trace.KindInstance:
-		if e.Instance.Kind == platform.KindEntry {
+		if e.Instance.Kind == infra.KindEntry {
 			n := &configNode{id: e.Instance.ID}
 			c.nodes = append(c.nodes, n)
 			c.boot(now, n)
@@ -220,13 +220,13 @@
 	case config.Commit:
 		c.later(now, d, n, n.store.Commit(ctx, a))
 	case config.Pull:
-		pulled := config.Pulled{From: a.From, Request: a.Request, Err: platform.ErrUnavailable}
+		pulled := config.Pulled{From: a.From, Request: a.Request, Err: infra.ErrUnavailable}
 		if o := c.find(a.From); c.reaches(n, o) {
 			pulled.Response, pulled.Err = o.m.Answer(a.Request), nil
 		}
 		c.later(now, 2*peerDelay, n, pulled)
 	case config.Push:
-		done := config.PushDone{Push: a, Err: platform.ErrUnavailable}
+		done := config.PushDone{Push: a, Err: infra.ErrUnavailable}
 		if o := c.find(a.To); c.reaches(n, o) {
 			done.Err = nil
 			c.later(now, peerDelay, o, config.PushReceived{Message: a.Message})
@@ -289,45 +289,45 @@
 
 func (t *nodeTable) down() bool { return t.n.cut || t.n.silent || t.c.store.state == trace.StoreDown }
 
-// Txn implements platform.Table.
-func (t *nodeTable) Txn(_ context.Context, x platform.Txn) (uint64, error) {
+// Txn implements infra.Table.
+func (t *nodeTable) Txn(_ context.Context, x infra.Txn) (uint64, error) {
 	if t.n.cut {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 	outcome, version, rows := t.c.store.txn(x)
 	if t.n.silent {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 	switch outcome {
-	case platform.OutcomeApplied:
+	case infra.OutcomeApplied:
 		return version, nil
-	case platform.OutcomeConflict:
-		return 0, &platform.ConflictError{Rows: rows}
-	case platform.OutcomeNotApplied:
-		return 0, platform.ErrUnavailable
+	case infra.OutcomeConflict:
+		return 0, &infra.ConflictError{Rows: rows}
+	case infra.OutcomeNotApplied:
+		return 0, infra.ErrUnavailable
 	default:
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 }
 
-// Get implements platform.Table.
-func (t *nodeTable) Get(_ context.Context, key platform.RowKey) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *nodeTable) Get(_ context.Context, key infra.RowKey) (infra.Row, error) {
 	if t.down() {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	row := t.c.store.get(key)
 	if row.Version == 0 {
-		return row, platform.ErrRowNotFound
+		return row, infra.ErrRowNotFound
 	}
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (t *nodeTable) Scan(_ context.Context, table, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *nodeTable) Scan(_ context.Context, table, after string, limit int) ([]infra.Row, error) {
 	if t.down() {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
-	var out []platform.Row
+	var out []infra.Row
 	for _, row := range t.c.store.scan(table) {
 		if row.Key > after && len(out) < limit {
 			out = append(out, row)
--- a/trace/machines/credit.go
+++ b/trace/machines/credit.go
@@ -6,7 +6,7 @@
 
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
@@ -79,11 +79,11 @@
 	switch e.Kind {
 	case trace.KindInstance:
 		switch e.Instance.Kind {
-		case platform.KindEntry:
+		case infra.KindEntry:
 			n := &creditEntry{id: e.Instance.ID, index: len(c.entries)}
 			c.entries = append(c.entries, n)
 			n.boot()
-		case platform.KindEngine:
+		case infra.KindEngine:
 			b := &creditBackend{id: credit.BackendID(e.Instance.ID)}
 			c.backends = append(c.backends, b)
 			b.boot(now)
--- a/trace/machines/group.go
+++ b/trace/machines/group.go
@@ -7,8 +7,8 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/service"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
@@ -47,7 +47,7 @@
 }
 
 type groupEngine struct {
-	info   platform.Instance
+	info   infra.Instance
 	run    int
 	status engine.Status
 	// alive and reachable are false while the engine is dead or cut off.
@@ -114,11 +114,11 @@
 	return service.Parse([]byte(e.Document))
 }
 
-func (g *Group) listed(now time.Duration, inst platform.Instance) []trace.Decision {
-	if inst.Kind == platform.KindEntry && g.holder == "" {
+func (g *Group) listed(now time.Duration, inst infra.Instance) []trace.Decision {
+	if inst.Kind == infra.KindEntry && g.holder == "" {
 		g.holder = inst.ID
 	}
-	if inst.Kind != platform.KindEngine {
+	if inst.Kind != infra.KindEngine {
 		return nil
 	}
 	if e, ok := g.engines[inst.ID]; ok {
@@ -128,7 +128,7 @@
 		g.engines[inst.ID] = &groupEngine{info: inst}
 		g.engines[inst.ID].boot()
 	}
-	var all []platform.Instance
+	var all []infra.Instance
 	for _, id := range g.order {
 		all = append(all, g.engines[id].info)
 	}
@@ -242,7 +242,7 @@
 		key := lease.EpochKey(serviceName)
 		// The row is written with the previous version as its condition.
 		g.store.version++
-		g.store.rows[key] = platform.Row{RowKey: key, Version: g.store.version}
+		g.store.rows[key] = infra.Row{RowKey: key, Version: g.store.version}
 	case !g.held:
 		return nil
 	}
--- a/trace/machines/lease.go
+++ b/trace/machines/lease.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
-	"github.com/bulrushfall/bulrushfall/platform"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
@@ -51,7 +51,7 @@
 	case trace.KindStore:
 		l.store.state = e.Store.State
 	case trace.KindInstance:
-		if e.Instance.Kind == platform.KindEntry {
+		if e.Instance.Kind == infra.KindEntry {
 			n := &leaseNode{id: e.Instance.ID, index: len(l.nodes)}
 			l.nodes = append(l.nodes, n)
 			l.boot(n)
@@ -178,12 +178,12 @@
 			answer(l.store.delay(), lease.RowsRead{Lease: l.store.get(lease.Key(serviceName)), Epoch: l.store.get(lease.EpochKey(serviceName))})
 		case lease.WriteRows:
 			if n.cut {
-				answer(time.Second, lease.Written{Attempt: a.Attempt, Outcome: platform.OutcomeUnknown})
+				answer(time.Second, lease.Written{Attempt: a.Attempt, Outcome: infra.OutcomeUnknown})
 				break
 			}
 			outcome, version, _ := l.store.txn(a.Txn)
 			if n.silent {
-				answer(callTimeout, lease.Written{Attempt: a.Attempt, Outcome: platform.OutcomeUnknown})
+				answer(callTimeout, lease.Written{Attempt: a.Attempt, Outcome: infra.OutcomeUnknown})
 				break
 			}
 			answer(l.store.delay(), lease.Written{Attempt: a.Attempt, Outcome: outcome, Version: version})
--- a/trace/machines/quarantine.go
+++ b/trace/machines/quarantine.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
@@ -86,10 +86,10 @@
 	switch e.Kind {
 	case trace.KindInstance:
 		switch e.Instance.Kind {
-		case platform.KindEntry:
+		case infra.KindEntry:
 			t := quarantine.NewTracker(quarantine.DefaultConfig())
 			q.entries = append(q.entries, &quarantineEntry{id: e.Instance.ID, tracker: t, owner: quarantine.NewOwner(t)})
-		case platform.KindEngine:
+		case infra.KindEngine:
 			q.backends = append(q.backends, &quarantineBackend{id: e.Instance.ID, run: 1, up: true, held: make(map[*quarantineCall]bool)})
 		}
 	case trace.KindMemberLost, trace.KindMemberReturned:
--- a/trace/machines/routing.go
+++ b/trace/machines/routing.go
@@ -6,7 +6,7 @@
 
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/routing"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
@@ -37,7 +37,7 @@
 }
 
 type routingGroup struct {
-	info    platform.Instance
+	info    infra.Instance
 	lost    bool
 	slow    float64
 	running int
@@ -66,7 +66,7 @@
 	out := r.schedule.due(now)
 	switch e.Kind {
 	case trace.KindInstance:
-		if e.Instance.Kind == platform.KindEngine {
+		if e.Instance.Kind == infra.KindEngine {
 			r.groups = append(r.groups, &routingGroup{info: *e.Instance, slow: 1, cached: make(map[uint64]bool)})
 			r.view(now)
 		}
--- a/trace/machines/world.go
+++ b/trace/machines/world.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/trace"
 )
 
@@ -17,13 +17,13 @@
 
 // store is the table as a trace says that it behaves.
 type store struct {
-	rows    map[platform.RowKey]platform.Row
+	rows    map[infra.RowKey]infra.Row
 	version uint64
 	state   trace.StoreState
 }
 
 func newStore() *store {
-	return &store{rows: make(map[platform.RowKey]platform.Row), state: trace.StoreUp}
+	return &store{rows: make(map[infra.RowKey]infra.Row), state: trace.StoreUp}
 }
 
 // delay is the time until a call is answered.
@@ -35,18 +35,18 @@
 }
 
 // txn applies a transaction at once, unless the store is down.
-func (s *store) txn(t platform.Txn) (platform.Outcome, uint64, []platform.Row) {
+func (s *store) txn(t infra.Txn) (infra.Outcome, uint64, []infra.Row) {
 	if s.state == trace.StoreDown {
-		return platform.OutcomeNotApplied, 0, nil
+		return infra.OutcomeNotApplied, 0, nil
 	}
-	var conflicts []platform.Row
+	var conflicts []infra.Row
 	for _, c := range t.Conditions {
 		if row := s.get(c.RowKey); row.Version != c.Version {
 			conflicts = append(conflicts, row)
 		}
 	}
 	if conflicts != nil {
-		return platform.OutcomeConflict, 0, conflicts
+		return infra.OutcomeConflict, 0, conflicts
 	}
 	s.version++
 	for _, w := range t.Writes {
@@ -54,25 +54,25 @@
 			delete(s.rows, w.RowKey)
 			continue
 		}
-		s.rows[w.RowKey] = platform.Row{RowKey: w.RowKey, Version: s.version, Value: w.Value}
+		s.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: s.version, Value: w.Value}
 	}
 	if s.state == trace.StoreLossy {
-		return platform.OutcomeUnknown, 0, nil
+		return infra.OutcomeUnknown, 0, nil
 	}
-	return platform.OutcomeApplied, s.version, nil
+	return infra.OutcomeApplied, s.version, nil
 }
 
 // get returns a row; an absent one has version 0.
-func (s *store) get(key platform.RowKey) platform.Row {
+func (s *store) get(key infra.RowKey) infra.Row {
 	if row, ok := s.rows[key]; ok {
 		return row
 	}
-	return platform.Row{RowKey: key}
+	return infra.Row{RowKey: key}
 }
 
 // scan returns the rows of a table in key order.
-func (s *store) scan(table string) []platform.Row {
-	var out []platform.Row
+func (s *store) scan(table string) []infra.Row {
+	var out []infra.Row
 	for k, row := range s.rows {
 		if k.Table == table {
 			out = append(out, row)
