--- /dev/null
+++ b/beacon/beacon.go
@@ -0,0 +1,220 @@
+// Package beacon keeps entry instances informed of each other by datagrams: who
+// is alive and takes callers, what each has under way at backend servers, and
+// which groups make no progress. Loss of datagrams costs freshness only; nothing
+// that must hold depends on them.
+package beacon
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Load is the number of requests under way at a backend server.
+type Load struct {
+	Server   ident.InstanceID `msgpack:"s"`
+	InFlight int              `msgpack:"n"`
+}
+
+// Suspicion names a group without progress.
+type Suspicion struct {
+	Group ident.GroupID `msgpack:"g"`
+	Epoch ident.Epoch   `msgpack:"e"`
+}
+
+// Message is what an entry instance says about itself.
+type Message struct {
+	From        ident.InstanceID  `msgpack:"f"`
+	Incarnation ident.Incarnation `msgpack:"i"`
+	// Number grows with each message of one run.
+	Number     uint64           `msgpack:"n"`
+	Address    netip.Addr       `msgpack:"-"`
+	Callers    string           `msgpack:"c"`
+	DataCentre ident.DataCentre `msgpack:"d"`
+	// Ready instances take callers. Leaving ones shut down.
+	Ready   bool `msgpack:"r"`
+	Leaving bool `msgpack:"l"`
+	// Served tells that callers have sent requests.
+	Served   bool        `msgpack:"v"`
+	Loads    []Load      `msgpack:"o"`
+	Suspects []Suspicion `msgpack:"u"`
+	// Peers are addresses of other entry instances.
+	Peers []string `msgpack:"p"`
+}
+
+// Encode returns the datagram of a message.
+func Encode(m *Message) ([]byte, error) {
+	b, err := msgpack.Marshal(m)
+	return b, errors.Wrap(err, "encode beacon")
+}
+
+// Decode reads a datagram.
+func Decode(b []byte) (Message, error) {
+	var m Message
+	err := msgpack.Unmarshal(b, &m)
+	if err == nil && m.From == "" {
+		err = errors.New("no sender")
+	}
+	return m, errors.Wrap(err, "decode beacon: drop it")
+}
+
+// Times of the table.
+const (
+	// AliveFor is how long an instance counts as alive after its last message.
+	// It spans several messages, so that lost ones do not matter.
+	AliveFor = 1100 * time.Millisecond
+	// forgetAfter is when an address that does not answer is dropped.
+	forgetAfter = 30 * time.Second
+)
+
+// peer is another entry instance.
+type peer struct {
+	Message
+	heard time.Duration
+}
+
+// Table is what this entry instance knows of the others. Its methods may be
+// called from any goroutine.
+type Table struct {
+	self ident.InstanceID
+
+	mu        sync.RWMutex
+	peers     map[ident.InstanceID]*peer
+	addresses map[netip.Addr]time.Duration
+	elsewhere map[ident.InstanceID]int
+	alive     int
+}
+
+// NewTable returns the table of an entry instance.
+func NewTable(self ident.InstanceID) *Table {
+	return &Table{
+		self:      self,
+		peers:     make(map[ident.InstanceID]*peer),
+		addresses: make(map[netip.Addr]time.Duration),
+		elsewhere: make(map[ident.InstanceID]int),
+		alive:     1,
+	}
+}
+
+// Know adds the address of another entry instance.
+func (t *Table) Know(now time.Duration, a netip.Addr) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.addresses[a]; !ok {
+		t.addresses[a] = now
+	}
+}
+
+// Addresses returns where messages go.
+func (t *Table) Addresses() []netip.Addr {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]netip.Addr, 0, len(t.addresses))
+	for a := range t.addresses {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return out
+}
+
+// Receive takes a message. It returns the suspicions that it brings, and whether
+// the sender was not known as alive before.
+func (t *Table) Receive(now time.Duration, m Message) (suspects []Suspicion, appeared bool) {
+	if m.From == t.self {
+		return nil, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.peers[m.From]
+	if ok && old.Incarnation == m.Incarnation && m.Number <= old.Number {
+		return nil, false // Overtaken on the way.
+	}
+	appeared = !ok || now-old.heard >= AliveFor || old.Incarnation != m.Incarnation
+	if ok {
+		t.addLoads(old.Loads, -1)
+	}
+	t.addLoads(m.Loads, 1)
+	t.peers[m.From] = &peer{Message: m, heard: now}
+	t.addresses[m.Address] = now
+	for _, p := range m.Peers {
+		if a, err := netip.ParseAddr(p); err == nil {
+			if _, ok := t.addresses[a]; !ok {
+				t.addresses[a] = now
+			}
+		}
+	}
+	return m.Suspects, appeared
+}
+
+func (t *Table) addLoads(loads []Load, sign int) {
+	for _, l := range loads {
+		if n := t.elsewhere[l.Server] + sign*l.InFlight; n > 0 {
+			t.elsewhere[l.Server] = n
+		} else {
+			delete(t.elsewhere, l.Server)
+		}
+	}
+}
+
+// Expire drops what silent instances said, and returns those that fell silent.
+func (t *Table) Expire(now time.Duration) (silent []ident.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alive := 1
+	for id, p := range t.peers {
+		if now-p.heard < AliveFor {
+			alive++
+			continue
+		}
+		t.addLoads(p.Loads, -1)
+		delete(t.peers, id)
+		silent = append(silent, id)
+	}
+	t.alive = alive
+	for a, at := range t.addresses {
+		if now-at > forgetAfter {
+			delete(t.addresses, a)
+		}
+	}
+	return silent
+}
+
+// Alive returns the last messages of the instances that are alive, by id.
+func (t *Table) Alive(now time.Duration) []Message {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Message
+	for _, p := range t.peers {
+		if now-p.heard < AliveFor {
+			out = append(out, p.Message)
+		}
+	}
+	slices.SortFunc(out, func(a, b Message) int {
+		if a.From < b.From {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Elsewhere returns the requests that other entry instances have under way at a
+// backend server.
+func (t *Table) Elsewhere(id ident.InstanceID) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.elsewhere[id]
+}
+
+// Entries is the number of entry instances alive, this one included.
+func (t *Table) Entries() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.alive
+}
--- a/cmd/bulrushfalld/main.go
+++ b/cmd/bulrushfalld/main.go
@@ -27,16 +27,24 @@
 type flags struct {
 	settings  string
 	documents []string
+	// platform takes settings, routes and backend servers from the platform.
+	platform bool
+	logLevel string
 }
 
 func parseFlags() flags {
-	f := flags{settings: "bulrushfall.yaml"}
+	f := flags{settings: "bulrushfall.yaml", logLevel: "info"}
 	flaggy.SetName("bulrushfalld")
 	flaggy.SetDescription("daemon of a bulrushfall entry instance")
 	flaggy.SetVersion(version)
 	flaggy.String(&f.settings, "s", "settings", "settings file (YAML)")
 	flaggy.StringSlice(&f.documents, "d", "document", "service document to start with, for trials without a store")
+	onPlatform := flaggy.NewSubcommand("platform")
+	onPlatform.Description = "run on the platform that describes itself by environment and store"
+	onPlatform.String(&f.logLevel, "l", "log-level", "debug, info, warn or error")
+	flaggy.AttachSubcommand(onPlatform, 1)
 	flaggy.Parse()
+	f.platform = onPlatform.Used
 	return f
 }
 
@@ -45,6 +53,9 @@
 }
 
 func run(f flags) int {
+	if f.platform {
+		return runPlatform(f.logLevel)
+	}
 	cfg, err := settings.Load(f.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmd/bulrushfalld/platform.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/bulrushfall/bulrushfall/edge"
+	"github.com/bulrushfall/bulrushfall/platform"
+	"github.com/bulrushfall/bulrushfall/telemetry"
+)
+
+const (
+	// logRate bounds the lines of the log a second.
+	logRate = 300
+	// memoryTarget is the heap size from which garbage collection works harder.
+	memoryTarget = 100 << 20
+)
+
+// runPlatform runs an entry instance on the platform.
+func runPlatform(logLevel string) int {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	log, err := telemetry.NewLogger(telemetry.NewAsyncWriter(os.Stdout, logRate), logLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	debug.SetMemoryLimit(memoryTarget)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	reload := make(chan struct{}, 1)
+	go func() {
+		for range hangups {
+			select {
+			case reload <- struct{}{}:
+			default: // A reload is due already.
+			}
+		}
+	}()
+	node := edge.New(set, platform.Adapter(set), log, telemetry.New())
+	if err := node.Run(ctx, reload); err != nil {
+		log.WithError(err).Error("daemon failed")
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/edge/control.go
@@ -0,0 +1,385 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/formation"
+	"github.com/bulrushfall/bulrushfall/forward"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
+	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// event is an input of the control goroutine.
+type event interface{ edgeEvent() }
+
+// tableChanges are changes of a table, or all of its rows.
+type tableChanges struct {
+	infra.Changes
+	whole bool
+}
+
+type (
+	operatorEvent struct{ tableChanges }
+	serverEvent   struct{ tableChanges }
+	leaseInput    struct{ lease.Event }
+	planInput     struct{ formation.Event }
+	suspectEvent  struct{ beacon.Suspicion }
+	leaveEvent    struct{}
+)
+
+func (operatorEvent) edgeEvent() {}
+func (serverEvent) edgeEvent()   {}
+func (leaseInput) edgeEvent()    {}
+func (planInput) edgeEvent()     {}
+func (suspectEvent) edgeEvent()  {}
+func (leaveEvent) edgeEvent()    {}
+
+// storeTimeout bounds one call to the store by control.
+const storeTimeout = 1500 * time.Millisecond
+
+// pauseSuspect is how long a group takes no requests after an entry instance
+// found it without progress; a repair ends it earlier.
+const pauseSuspect = 2500 * time.Millisecond
+
+// suspectEvery is how often a suspicion of one group is acted on: beacons repeat
+// it.
+const suspectEvery = time.Second
+
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.ctx.Done():
+	}
+}
+
+// control is the goroutine that owns the control state.
+func (n *Node) control(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-n.events:
+			n.handle(e)
+			for len(n.events) > 0 {
+				n.handle(<-n.events)
+			}
+		case <-ticker.C:
+			n.tick()
+		}
+		n.publish()
+	}
+}
+
+func (n *Node) handle(e event) {
+	switch e := e.(type) {
+	case operatorEvent:
+		n.operatorChanged(e.tableChanges)
+	case serverEvent:
+		n.serversChanged(e.tableChanges)
+	case leaseInput:
+		n.stepLease(e.Event)
+	case planInput:
+		n.stepPlanner(e.Event)
+	case suspectEvent:
+		n.suspected(e.Suspicion)
+	case leaveEvent:
+		n.stepLease(lease.Leave{})
+	}
+}
+
+func (n *Node) tick() {
+	now := n.now()
+	for _, id := range n.peers.Expire(now) {
+		n.log.WithField("peer", id).Info("entry instance fell silent")
+	}
+	var live []ident.InstanceID
+	for _, m := range n.peers.Alive(now) {
+		if !m.Leaving {
+			live = append(live, m.From)
+		}
+	}
+	if rank := lease.Rank(formation.Duty, n.set.Instance, live); rank != n.rank {
+		n.rank = rank
+		n.stepLease(lease.Ranked{Rank: rank})
+	}
+	n.stepLease(lease.Tick{})
+	n.stepPlanner(formation.Tick{})
+}
+
+// operatorChanged takes configurations and data centres that are taken out.
+func (n *Node) operatorChanged(c tableChanges) {
+	evacuated := slices.Clone(n.evacuated)
+	if c.whole {
+		evacuated = nil
+	}
+	for _, r := range c.Rows {
+		zone, isZone := strings.CutPrefix(r.Key, n.plat.EvacuatePrefix)
+		switch {
+		case r.Key == n.plat.ConfigKey && !r.Deleted:
+			n.configure(r.Row)
+		case isZone && r.Deleted:
+			evacuated = slices.DeleteFunc(evacuated, func(d ident.DataCentre) bool { return string(d) == zone })
+		case isZone && !slices.Contains(evacuated, ident.DataCentre(zone)):
+			evacuated = append(evacuated, ident.DataCentre(zone))
+		}
+	}
+	if !slices.Equal(evacuated, n.evacuated) {
+		n.log.WithFields(logrus.Fields{"data_centres": evacuated, "store_version": c.Version}).Info("data centres taken out")
+		n.evacuated = evacuated
+		n.dirty = true
+	}
+}
+
+// configure puts a newer configuration in force.
+func (n *Node) configure(r infra.Row) {
+	cfg, problems, err := n.plat.DecodeConfig(r.Value)
+	if err != nil {
+		n.log.WithError(err).WithField("row_version", r.Version).Error("configuration refused: the last one stays in force")
+		return
+	}
+	if n.routes != nil && cfg.Version <= n.routes.Version {
+		return
+	}
+	for _, p := range problems {
+		n.log.WithError(p).WithField("config_version", cfg.Version).Warn("configuration entry left out")
+	}
+	n.routes = route.Compile(cfg)
+	n.dirty = true
+	n.log.WithFields(logrus.Fields{
+		"config_version": cfg.Version, "row_version": r.Version, "routes": len(cfg.Routes), "accounts": len(cfg.Accounts),
+	}).Info("configuration in force")
+}
+
+// serversChanged takes entries of backend servers.
+func (n *Node) serversChanged(c tableChanges) {
+	now := n.now()
+	present := make(map[ident.InstanceID]bool, len(c.Rows))
+	for _, r := range c.Rows {
+		id := ident.InstanceID(r.Key)
+		if r.Deleted {
+			n.dirty = n.list.Remove(id, r.Version) || n.dirty
+			continue
+		}
+		s, err := n.plat.DecodeServer(r.Row, now)
+		if err != nil {
+			// An entry that cannot be read names no server to use.
+			n.logOnce("entry:"+r.Key, "backend server's entry left out", err)
+			n.dirty = n.list.Remove(id, r.Version) || n.dirty
+			continue
+		}
+		present[id] = true
+		n.dirty = n.list.Put(s) || n.dirty
+	}
+	if c.whole {
+		if removed := n.list.Retain(c.Version, func(id ident.InstanceID) bool { return present[id] }); removed > 0 {
+			n.dirty = true
+		}
+		n.listed = true
+	}
+}
+
+// logEvery bounds lines about one entry.
+const logEvery = 10 * time.Second
+
+func (n *Node) logOnce(key, text string, err error) {
+	now := n.now()
+	if at, ok := n.notes[key]; ok && now-at < logEvery {
+		return
+	}
+	n.notes[key] = now
+	n.log.WithError(err).Warn(text)
+}
+
+// publish puts changes in force.
+func (n *Node) publish() {
+	if !n.dirty || n.routes == nil || !n.listed {
+		return
+	}
+	n.dirty = false
+	n.snapshot = n.list.Snapshot()
+	n.handler.SetView(forward.NewView(n.routes, n.snapshot, n.evacuated))
+	if !n.ready.Swap(true) {
+		n.log.WithField("config_version", n.routes.Version).Info("ready")
+		n.wake()
+	}
+	n.stepPlanner(formation.Configured{Service: n.modelService(), Evacuated: n.evacuated})
+	n.stepPlanner(formation.Observed{Servers: n.snapshot})
+}
+
+// modelService returns the service whose groups are planned.
+func (n *Node) modelService() *route.Service {
+	for i := range n.routes.Services {
+		if len(n.routes.Services[i].Models) > 0 {
+			return &n.routes.Services[i]
+		}
+	}
+	return nil
+}
+
+// suspect is called by requests that found a group without progress.
+func (n *Node) suspect(group ident.GroupID, epoch ident.Epoch) {
+	s := beacon.Suspicion{Group: group, Epoch: epoch}
+	n.suspects.Lock()
+	_, known := n.suspects.list[s]
+	n.suspects.list[s] = n.now() + time.Second
+	n.suspects.Unlock()
+	if !known {
+		n.wake()
+		n.post(suspectEvent{s})
+	}
+}
+
+// suspected keeps requests from a group and has the planner look at it.
+func (n *Node) suspected(s beacon.Suspicion) {
+	i := slices.IndexFunc(n.snapshot.Servers, func(o *fleet.Server) bool {
+		return o.Group == s.Group && o.Epoch == s.Epoch && o.Rank == 0
+	})
+	if i < 0 {
+		return
+	}
+	key := fmt.Sprintf("suspect:%s/%d", s.Group, s.Epoch)
+	if at, ok := n.notes[key]; ok && n.now()-at < suspectEvery {
+		return
+	}
+	n.notes[key] = n.now()
+	n.log.WithFields(logrus.Fields{"group": s.Group, "epoch": s.Epoch}).Info("group makes no progress")
+	n.handler.Pause(n.snapshot.Servers[i].ID, s.Epoch, n.now()+pauseSuspect)
+	n.stepPlanner(formation.Suspected{Group: s.Group, Epoch: s.Epoch})
+}
+
+// stepLease drives the lease and performs its actions.
+func (n *Node) stepLease(ev lease.Event) {
+	for _, a := range n.lease.Step(bootNow(), ev) {
+		switch a := a.(type) {
+		case lease.ReadRows:
+			go n.readLease()
+		case lease.WriteRows:
+			go n.writeLease(a)
+		case lease.Acquired:
+			n.log.WithFields(logrus.Fields{"duty": formation.Duty, "epoch": a.Grant.Epoch}).Info("lease acquired")
+			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
+		case lease.Renewed:
+			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
+		case lease.Lost:
+			n.log.WithFields(logrus.Fields{"duty": formation.Duty, "epoch": a.Epoch}).Info("lease ended")
+			n.stepPlanner(formation.LeaseChanged{})
+		}
+	}
+}
+
+// readLease reads the lease row first: if the holder changes in between, the
+// next write conflicts.
+func (n *Node) readLease() {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	row, err := n.getRow(ctx, lease.Key(formation.Duty))
+	if err != nil {
+		n.post(leaseInput{lease.ReadFailed{}})
+		return
+	}
+	epoch, err := n.getRow(ctx, lease.EpochKey(formation.Duty))
+	if err != nil {
+		n.post(leaseInput{lease.ReadFailed{}})
+		return
+	}
+	n.post(leaseInput{lease.RowsRead{Lease: row, Epoch: epoch}})
+}
+
+// getRow reads one row; an absent one has version 0.
+func (n *Node) getRow(ctx context.Context, key infra.RowKey) (infra.Row, error) {
+	row, err := n.plat.Table.Get(ctx, key)
+	if errors.Is(err, infra.ErrRowNotFound) {
+		return infra.Row{RowKey: key}, nil
+	}
+	return row, err
+}
+
+func (n *Node) writeLease(w lease.WriteRows) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	version, err := n.plat.Table.Txn(ctx, w.Txn)
+	n.post(leaseInput{lease.Written{Attempt: w.Attempt, Outcome: infra.OutcomeOf(err), Version: version}})
+}
+
+// stepPlanner drives the planner and performs its actions.
+func (n *Node) stepPlanner(ev formation.Event) {
+	for _, a := range n.planner.Step(bootNow(), ev) {
+		switch a := a.(type) {
+		case formation.ReadRows:
+			go n.readGroups()
+		case formation.WriteRow:
+			go n.writeGroup(a)
+		case formation.SendOrder:
+			go n.order(a.Order)
+		case formation.Probe:
+			go n.probe(a)
+		case formation.Note:
+			n.log.WithFields(logrus.Fields{
+				"group": a.Group, "epoch": a.Epoch, "model": a.Model, "detail": a.Detail,
+			}).Info(a.Text)
+		}
+	}
+}
+
+// scanPage is the number of rows that one read of the table of groups asks for.
+const scanPage = 500
+
+func (n *Node) readGroups() {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	var all []infra.Row
+	after := ""
+	for {
+		rows, err := n.plat.Table.Scan(ctx, formation.Table, after, scanPage)
+		if err != nil {
+			n.post(planInput{formation.ReadFailed{}})
+			return
+		}
+		all = append(all, rows...)
+		if len(rows) < scanPage {
+			n.post(planInput{formation.RowsRead{Rows: all}})
+			return
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (n *Node) writeGroup(w formation.WriteRow) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	version, err := n.plat.Table.Txn(ctx, w.Txn)
+	n.post(planInput{formation.Written{Group: w.Group, Outcome: infra.OutcomeOf(err), Version: version}})
+}
+
+func (n *Node) order(o formation.Order) {
+	out := n.plat.Servers.Order(n.ctx, o)
+	fields := logrus.Fields{"order": o.Kind.String(), "server": o.Server, "group": o.Group, "epoch": o.Epoch, "model": o.Model, "taken": out.Taken}
+	if out.Err != nil {
+		fields["error"] = out.Err.Error()
+	}
+	n.log.WithFields(fields).Info("order")
+	n.post(planInput{formation.Ordered{Order: o, Outcome: out}})
+}
+
+func (n *Node) probe(p formation.Probe) {
+	err := n.plat.Servers.Alive(n.ctx, p.Address, p.Member.ID)
+	fields := logrus.Fields{"server": p.Member.ID, "incarnation": p.Member.Incarnation, "alive": err == nil}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	n.log.WithFields(fields).Info("probe")
+	n.post(planInput{formation.Probed{Member: p.Member, Alive: err == nil}})
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
+)
+
+// Parameters of beacons.
+const (
+	// beaconEvery is the time between beacons for up to beaconFull instances. It
+	// grows with their number, so that the datagrams a second stay bounded.
+	beaconEvery = 200 * time.Millisecond
+	beaconFull  = 12
+	// beaconMost bounds the time between beacons below the time after which an
+	// instance counts as silent.
+	beaconMost = 400 * time.Millisecond
+	// beaconPeers is the number of other addresses in a beacon.
+	beaconPeers = 6
+	// maxDatagram bounds a beacon.
+	maxDatagram = 16 << 10
+	// entryTable lists the addresses of entry instances.
+	entryTable = "entry"
+	// registerRetry is the pause between attempts to register.
+	registerRetry = 700 * time.Millisecond
+)
+
+// wake sends a beacon now.
+func (n *Node) wake() {
+	select {
+	case n.nudge <- struct{}{}:
+	default: // One is due already.
+	}
+}
+
+// announce sends beacons.
+func (n *Node) announce(ctx context.Context, udp *net.UDPConn) {
+	now := n.now()
+	for _, a := range n.set.Seeds {
+		n.peers.Know(now, a)
+	}
+	number := uint64(0)
+	for ctx.Err() == nil {
+		number++
+		to := n.peers.Addresses()
+		n.sendBeacon(udp, number, to)
+		every := min(beaconMost, beaconEvery*time.Duration(max(beaconFull, len(to)))/beaconFull)
+		t := time.NewTimer(every - every/8 + rand.N(every/4))
+		select {
+		case <-ctx.Done():
+		case <-n.nudge:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (n *Node) sendBeacon(udp *net.UDPConn, number uint64, to []netip.Addr) {
+	m := beacon.Message{
+		From: n.set.Instance, Incarnation: n.self.Incarnation, Number: number, Callers: n.set.Callers,
+		DataCentre: n.set.DataCentre, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
+		Served: n.handler.Accepted() > 0,
+	}
+	n.handler.Loads(func(id ident.InstanceID, inFlight int) {
+		m.Loads = append(m.Loads, beacon.Load{Server: id, InFlight: inFlight})
+	})
+	now := n.now()
+	n.suspects.Lock()
+	for s, until := range n.suspects.list {
+		if now >= until {
+			delete(n.suspects.list, s)
+			continue
+		}
+		m.Suspects = append(m.Suspects, s)
+	}
+	n.suspects.Unlock()
+	for range min(beaconPeers, len(to)) {
+		m.Peers = append(m.Peers, to[rand.IntN(len(to))].String())
+	}
+	b, err := beacon.Encode(&m)
+	if err != nil {
+		n.log.WithError(err).Error("beacon not sent")
+		return
+	}
+	for _, a := range to {
+		if a != n.set.IP {
+			// A datagram that cannot be sent is as good as one that is lost.
+			_, _ = udp.WriteToUDPAddrPort(b, netip.AddrPortFrom(a, uint16(n.set.PeerPort)))
+		}
+	}
+}
+
+// receive takes beacons.
+func (n *Node) receive(udp *net.UDPConn) {
+	b := make([]byte, maxDatagram)
+	for {
+		size, from, err := udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if n.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(tickEvery)
+			continue
+		}
+		m, err := beacon.Decode(b[:size])
+		if err != nil {
+			continue // Datagrams of others than entry instances are dropped.
+		}
+		m.Address = from.Addr().Unmap()
+		suspects, appeared := n.peers.Receive(n.now(), m)
+		if appeared {
+			n.log.WithField("peer", m.From).WithField("incarnation", m.Incarnation).Info("entry instance appeared")
+		}
+		for _, s := range suspects {
+			n.post(suspectEvent{s})
+		}
+	}
+}
+
+// register writes this instance's address to the store and reads the others'.
+func (n *Node) register(ctx context.Context) {
+	row := infra.Write{RowKey: infra.RowKey{Table: entryTable, Key: string(n.set.Instance)}, Value: []byte(n.set.IP.String())}
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			_, err := n.plat.Table.Txn(ctx, infra.Txn{Writes: []infra.Write{row}})
+			written = err == nil
+		}
+		if written {
+			changes, err := n.plat.Watcher.Snapshot(ctx, entryTable)
+			if err == nil {
+				for _, r := range changes.Rows {
+					if a, err := netip.ParseAddr(string(r.Value)); err == nil {
+						n.peers.Know(n.now(), a)
+					}
+				}
+				return
+			}
+		}
+		sleep(ctx, registerRetry)
+	}
+}
--- /dev/null
+++ b/formation/planner.go
@@ -0,0 +1,340 @@
+package formation
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
+	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// Planner plans the groups of one service.
+type Planner struct {
+	cfg  Config
+	self ident.InstanceID
+
+	held    bool
+	grant   lease.Grant
+	since   time.Duration
+	loaded  bool
+	reading bool
+	// paused stops orders after a refusal by a newer token, until the lease was
+	// renewed.
+	paused bool
+
+	service   *route.Service
+	evacuated []ident.DataCentre
+	servers   *fleet.Snapshot
+	groups    map[ident.GroupID]*group
+	dead      map[ident.InstanceID]deadMark
+	probes    map[ident.InstanceID]time.Duration
+	staging   map[ident.InstanceID]staging
+	leaves    map[ident.InstanceID]time.Duration
+	starts    []time.Duration
+	served    bool
+	counter   int
+
+	out []Action
+}
+
+// group is a row with what the planner knows beside it.
+type group struct {
+	Row
+	version uint64
+	writing bool
+	pending *Row // the row under way, nil for a deletion
+	// joined is when the row was written, sent when each order was last sent.
+	joined   time.Duration
+	sent     map[ident.InstanceID]time.Duration
+	opened   time.Duration
+	closed   time.Duration
+	lostAt   time.Duration
+	suspect  bool
+	seenGood bool
+}
+
+type deadMark struct {
+	incarnation ident.Incarnation
+	until       time.Duration
+}
+
+type staging struct {
+	model       string
+	incarnation ident.Incarnation
+	since       time.Duration
+}
+
+// New returns a planner of an entry instance.
+func New(cfg Config, self ident.InstanceID) *Planner {
+	return &Planner{
+		cfg: cfg, self: self,
+		groups:  make(map[ident.GroupID]*group),
+		dead:    make(map[ident.InstanceID]deadMark),
+		probes:  make(map[ident.InstanceID]time.Duration),
+		staging: make(map[ident.InstanceID]staging),
+		leaves:  make(map[ident.InstanceID]time.Duration),
+	}
+}
+
+// Step handles one event.
+func (p *Planner) Step(now time.Duration, ev Event) []Action {
+	p.out = nil
+	switch e := ev.(type) {
+	case Observed:
+		p.servers = e.Servers
+	case Configured:
+		p.service, p.evacuated = e.Service, e.Evacuated
+	case LeaseChanged:
+		p.leaseChanged(now, e)
+	case RowsRead:
+		p.rowsRead(now, e)
+	case ReadFailed:
+		p.reading = false
+	case Written:
+		p.written(now, e)
+	case Ordered:
+		p.ordered(e)
+	case Suspected:
+		p.suspected(e)
+	case Probed:
+		p.probed(now, e)
+	case Served:
+		p.served = true
+	}
+	p.reconcile(now)
+	return p.out
+}
+
+func (p *Planner) emit(a Action) { p.out = append(p.out, a) }
+
+func (p *Planner) leaseChanged(now time.Duration, e LeaseChanged) {
+	if e.Held && !p.held {
+		p.since, p.loaded, p.reading = now, false, false
+		clear(p.groups)
+		clear(p.staging)
+		clear(p.leaves)
+		// Loads of the last holder count in full.
+		p.starts = nil
+	}
+	p.held, p.grant, p.paused = e.Held, e.Grant, false
+}
+
+func (p *Planner) rowsRead(now time.Duration, e RowsRead) {
+	p.reading, p.loaded = false, true
+	clear(p.groups)
+	for _, r := range e.Rows {
+		row, err := decodeRow(r)
+		if err != nil {
+			p.emit(Note{Text: "row left out", Group: ident.GroupID(r.Key), Detail: err.Error()})
+			continue
+		}
+		p.groups[row.Group] = &group{Row: row, version: r.Version, joined: now, sent: make(map[ident.InstanceID]time.Duration)}
+	}
+}
+
+func (p *Planner) written(now time.Duration, e Written) {
+	g, ok := p.groups[e.Group]
+	if !ok || !g.writing {
+		return
+	}
+	g.writing = false
+	switch e.Outcome {
+	case infra.OutcomeApplied:
+		if g.pending == nil {
+			p.release(now, g)
+			delete(p.groups, e.Group)
+			return
+		}
+		p.releaseFormer(now, g)
+		g.Row, g.version, g.joined = *g.pending, e.Version, now
+		g.opened, g.closed, g.lostAt, g.suspect, g.seenGood = 0, 0, 0, false, false
+		clear(g.sent)
+	case infra.OutcomeNotApplied:
+		if g.version == 0 {
+			delete(p.groups, e.Group)
+		}
+	default:
+		// The row may have been written, here or by another holder.
+		p.loaded = false
+	}
+}
+
+// releaseFormer orders members that the new row lacks to leave, if they live.
+func (p *Planner) releaseFormer(now time.Duration, g *group) {
+	for _, m := range g.Members {
+		if !slices.ContainsFunc(g.pending.Members, func(n Member) bool { return n.ID == m.ID }) {
+			p.leave(now, m.ID, g.Row)
+		}
+	}
+}
+
+// release orders all members of a dissolved group to leave.
+func (p *Planner) release(now time.Duration, g *group) {
+	for _, m := range g.Members {
+		p.leave(now, m.ID, g.Row)
+	}
+}
+
+func (p *Planner) leave(now time.Duration, id ident.InstanceID, r Row) {
+	s, ok := p.servers.Get(id)
+	if !ok || s.State == fleet.NoGroup || now < p.leaves[id] || p.isDead(id, s.Incarnation) {
+		return
+	}
+	p.leaves[id] = now + p.cfg.Resend
+	p.send(s, Order{Kind: Leave, Group: s.Group, Epoch: s.Epoch})
+}
+
+func (p *Planner) send(s *fleet.Server, o Order) {
+	o.Server, o.Address, o.Fence = s.ID, s.Address, p.grant.Epoch
+	p.emit(SendOrder{Order: o})
+}
+
+func (p *Planner) ordered(e Ordered) {
+	if e.Outcome.Fenced {
+		p.paused = true
+		p.emit(Note{Text: "order refused by a newer token", Group: e.Order.Group, Epoch: e.Order.Epoch, Detail: e.Outcome.Err.Error()})
+	}
+	if e.Order.Kind == Stage && !e.Outcome.Taken {
+		// Sent again when loads may start; a server that did take it answers so.
+		delete(p.staging, e.Order.Server)
+	}
+}
+
+func (p *Planner) suspected(e Suspected) {
+	if g, ok := p.groups[e.Group]; ok && g.Epoch == e.Epoch {
+		g.suspect = true
+	}
+}
+
+func (p *Planner) probed(now time.Duration, e Probed) {
+	if e.Alive {
+		if d, ok := p.dead[e.Member.ID]; ok && d.incarnation == e.Member.Incarnation {
+			delete(p.dead, e.Member.ID)
+		}
+		return
+	}
+	if _, ok := p.dead[e.Member.ID]; !ok {
+		p.emit(Note{Text: "backend server gives no sign of life", Detail: string(e.Member.ID)})
+	}
+	p.dead[e.Member.ID] = deadMark{incarnation: e.Member.Incarnation, until: now + p.cfg.DeadFor}
+}
+
+// reconcile compares rows and list and issues what is missing.
+func (p *Planner) reconcile(now time.Duration) {
+	if !p.held || p.paused || now >= p.grant.Expires || p.service == nil || p.servers == nil || len(p.service.Models) == 0 {
+		return
+	}
+	if !p.loaded {
+		if !p.reading {
+			p.reading = true
+			p.emit(ReadRows{})
+		}
+		return
+	}
+	if now-p.since < p.cfg.Settle && len(p.groups) > 0 {
+		return
+	}
+	p.expire(now)
+	for _, g := range p.sorted() {
+		p.tend(now, g)
+	}
+	p.dismissStrays(now)
+	p.grow(now)
+	p.stage(now)
+}
+
+func (p *Planner) sorted() []*group {
+	list := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *group) int { return cmp.Compare(a.Group, b.Group) })
+	return list
+}
+
+// expire forgets marks of servers that have been replaced or have answered.
+func (p *Planner) expire(now time.Duration) {
+	for id, d := range p.dead {
+		s, ok := p.servers.Get(id)
+		if now >= d.until || (ok && s.Incarnation != d.incarnation) {
+			delete(p.dead, id)
+		}
+	}
+	for id, st := range p.staging {
+		s, ok := p.servers.Get(id)
+		if !ok || s.Incarnation != st.incarnation || s.HasStaged(st.model) || s.State != fleet.NoGroup {
+			delete(p.staging, id)
+		}
+	}
+	for id, at := range p.probes {
+		if now-at > p.cfg.ProbeEvery {
+			delete(p.probes, id)
+		}
+	}
+	for id, until := range p.leaves {
+		if now >= until {
+			delete(p.leaves, id)
+		}
+	}
+}
+
+// isDead reports whether this run of a server gave no sign of life lately.
+func (p *Planner) isDead(id ident.InstanceID, inc ident.Incarnation) bool {
+	d, ok := p.dead[id]
+	return ok && d.incarnation == inc
+}
+
+// nextEpoch returns an epoch above all that a server may have seen.
+func (p *Planner) nextEpoch() ident.Epoch {
+	top := ident.Epoch(0)
+	for _, g := range p.groups {
+		top = max(top, g.Epoch)
+		if g.pending != nil {
+			top = max(top, g.pending.Epoch)
+		}
+	}
+	for _, s := range p.servers.Servers {
+		top = max(top, s.Epoch)
+	}
+	return top + 1
+}
+
+// write stores a group's next row. A nil row deletes it.
+func (p *Planner) write(g *group, next *Row) {
+	g.writing, g.pending = true, next
+	t := infra.Txn{Conditions: []infra.Condition{
+		{RowKey: lease.EpochKey(Duty), Version: p.grant.EpochVersion},
+		{RowKey: Key(g.Group), Version: g.version},
+	}}
+	if next == nil {
+		t.Writes = []infra.Write{{RowKey: Key(g.Group), Delete: true}}
+	} else {
+		t.Writes = []infra.Write{{RowKey: Key(g.Group), Value: encode(next)}}
+	}
+	p.emit(WriteRow{Group: g.Group, Txn: t})
+}
+
+// Duty is the name of the planner's lease.
+const Duty ident.ServiceName = "formation"
+
+// encode marshals a row, whose fields always can be.
+func encode(r *Row) []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// newID returns an id that no group has had: the lease's epoch is new with each
+// holder.
+func (p *Planner) newID() ident.GroupID {
+	p.counter++
+	return ident.GroupID(fmt.Sprintf("g%d-%d", p.grant.Epoch, p.counter))
+}
--- /dev/null
+++ b/forward/plain.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// Parameters of plain requests.
+const (
+	// bufferedBody is the size up to which an answer is read whole before any
+	// of it is passed on, so that a broken one can be replaced.
+	bufferedBody = 256 << 10
+	// patienceFactor times the goal is how long an idempotent request waits for
+	// a backend server before it is sent to another one.
+	patienceFactor = 2
+	// minLeft is the time left below which nothing is sent any more.
+	minLeft = 20 * time.Millisecond
+	// maxUnsent bounds the backend servers that are tried in vain.
+	maxUnsent = 4
+)
+
+// servePlain answers a request with one whole response.
+func (c *call) servePlain() {
+	for unsent := 0; ; {
+		now := c.now()
+		if c.end-now < minLeft {
+			c.giveUp("no time left")
+			return
+		}
+		s, b, why := c.pick(now)
+		if s == nil {
+			if c.sent > 0 {
+				c.giveUp("no other backend server")
+				return
+			}
+			c.refuseFor(why)
+			return
+		}
+		patience := time.Duration(0)
+		if c.route.Repeatable() && c.sent+1 < c.route.Attempts {
+			patience = patienceFactor * c.route.Goal
+		}
+		a, r := c.send(s, b, patience)
+		switch r {
+		case answered:
+			switch c.passOn(a) {
+			case delivered:
+				return
+			case elsewhere:
+				continue
+			}
+			r = unknown
+		case left:
+			c.log("left", nil)
+			return
+		case notSent:
+			unsent++
+			if unsent > maxUnsent {
+				c.giveUp("backend servers take no connections")
+				return
+			}
+			continue
+		case expired:
+			c.fail(http.StatusGatewayTimeout, "timeout")
+			return
+		}
+		if !c.again(r) {
+			return
+		}
+	}
+}
+
+// again decides what follows a send without an answer. It answers the caller
+// and returns false when the request is over.
+func (c *call) again(r result) bool {
+	may := r == notRun || c.route.Repeatable()
+	if may && c.sent < c.route.Attempts && c.mayRetry(c.now()) {
+		return true
+	}
+	c.giveUp(r.String())
+	return false
+}
+
+// giveUp answers a request that no backend server answered: not run if each of
+// them said so.
+func (c *call) giveUp(reason string) {
+	if c.ran == 0 {
+		c.refuse(refusal{reason: reason, after: busyRetry})
+		return
+	}
+	c.fail(http.StatusBadGateway, reason)
+}
+
+// delivery tells what became of a response.
+type delivery int
+
+const (
+	// delivered responses were passed on.
+	delivered delivery = iota
+	// damaged responses broke off before any of them was passed on.
+	damaged
+	// elsewhere asks for another backend server; the budget has paid for it.
+	elsewhere
+)
+
+// passOn relays a whole response.
+func (c *call) passOn(a *attempt) delivery {
+	defer a.finish()
+	resp := a.resp
+	if resp.StatusCode >= http.StatusInternalServerError && c.route.Kind == route.Idempotent &&
+		c.sent < c.route.Attempts && c.left() > minLeft && c.mayRetry(c.now()) {
+		c.note("status:" + string(a.server.ID) + ":" + resp.Status)
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+		a.keep = err == nil
+		return elsewhere
+	}
+	a.conn.setDeadline(time.Now().Add(max(minLeft, c.left())))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferedBody))
+	if err != nil {
+		a.broken("body", err)
+		return damaged
+	}
+	whole := len(body) < bufferedBody
+	copyHeader(c.w.Header(), resp)
+	if whole {
+		a.keep = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		a.backend.succeeded()
+	}
+	c.w.WriteHeader(resp.StatusCode)
+	_, _ = c.w.Write(body) // A caller that has left shows in the context.
+	if !whole {
+		if _, err := io.Copy(c.w, resp.Body); err != nil {
+			c.abort("body broke off")
+		}
+		a.keep = true
+	}
+	c.done(resp.StatusCode)
+	return delivered
+}
+
+// copyHeader takes over the headers of a response.
+func copyHeader(dst http.Header, resp *http.Response) {
+	connection := resp.Header["Connection"]
+	for name, values := range resp.Header {
+		if passed(name, connection) {
+			dst[name] = values
+		}
+	}
+	if _, ok := dst["Content-Type"]; !ok {
+		dst["Content-Type"] = nil // Keeps net/http from guessing one.
+	}
+	if _, ok := dst["Date"]; !ok {
+		dst["Date"] = nil
+	}
+}
+
+// done logs and counts an answer.
+func (c *call) done(status int) {
+	took := c.now() - c.start
+	late := c.route.Goal > 0 && took > c.route.Goal && c.route.Kind != route.Streaming
+	c.count(func(m outcomeMetrics) {
+		m.Answered.Inc(1)
+		m.Duration.RecordDuration(took)
+		if late {
+			m.Late.Inc(1)
+		}
+	})
+	if late || c.sent > 1 || status >= http.StatusInternalServerError {
+		c.log("answered", map[string]any{"status": status, "late": late})
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,136 @@
+// Package route holds the routing configuration of entry instances: which
+// service answers a request of a host and path, who may send it, how long it may
+// take and what may be repeated. A Table is immutable and read without locks.
+package route
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Kind tells what may be repeated.
+type Kind int
+
+// Kinds of routes.
+const (
+	// NonIdempotent requests run at most once for each request of a caller.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by a series of events.
+	Streaming
+)
+
+// String names the kind in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non-idempotent"
+	}
+}
+
+// Target is one service of a weighted split.
+type Target struct {
+	Service ident.ServiceName
+	Weight  float64
+}
+
+// Route is one rule for requests.
+type Route struct {
+	Name string
+	// Host is compared without port, Prefix begins the path and ends with a
+	// slash.
+	Host, Prefix string
+	Kind         Kind
+	// Timeout is the longest time that a request may take.
+	Timeout time.Duration
+	// Goal is the time to the answer, or to its first event, that callers expect.
+	Goal time.Duration
+	// Pause is the longest pause between two events that callers expect.
+	Pause time.Duration
+	// Attempts is the largest number of backend servers for one request.
+	Attempts int
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Grouped routes name a model, and groups of instances answer them.
+	Grouped bool
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+	Targets   []Target
+}
+
+// Repeatable reports whether a request may run a second time.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Model is a model that groups of a service serve.
+type Model struct {
+	Name string
+	// Size is the number of instances of a group.
+	Size int
+	// Share is the model's part of the expected work.
+	Share float64
+	// Pace multiplies all times of a group of this model; a smaller one is
+	// faster.
+	Pace float64
+	// Load is the time to load the weights from the weight store, Warm from the
+	// memory of the host.
+	Load, Warm time.Duration
+}
+
+// Service describes the backend servers of a service.
+type Service struct {
+	Name ident.ServiceName
+	// MaxConnections bounds the connections to a backend server from all entry
+	// instances together.
+	MaxConnections int
+	// Cold is how long a backend server stays cold after its start, and
+	// ColdRate the requests a second that it bears meanwhile.
+	Cold     time.Duration
+	ColdRate float64
+	// Models is empty for plain services.
+	Models []Model
+	// Slots is the number of requests that a group runs at once.
+	Slots int
+	// LoadRate is the number of loads a second that may start on the weight
+	// store; LoadsAtOnce the number that run at full speed.
+	LoadRate    float64
+	LoadsAtOnce int
+	// Step is the time of one decoding step, and Stride the number of steps
+	// between two events of a stream.
+	Step   time.Duration
+	Stride int
+	// ReadRate is the number of prompt tokens that a group reads a second.
+	ReadRate float64
+}
+
+// Account is a client account with its keys.
+type Account struct {
+	Name     ident.Account
+	Keys     []string
+	Priority int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Table is a compiled configuration.
+type Table struct {
+	Config
+	hosts    map[string][]*Route
+	accounts map[string]*Account
+	services map[ident.ServiceName]*Service
+}
+
+// Compile prepares a configuration for look-ups.
+func Compile(c Config) *Table {
+	t := &Table{
+		Config:   c,
+		hosts:    make(map[string][]*Route),
+		accounts: make(map[string]*Account),
+		services: make(map[ident.ServiceName]*Service, len(c.Services)),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			t.accounts[key] = &c.Accounts[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Match returns the route of a host with the longest prefix of the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	routes, ok := t.hosts[host]
+	if !ok {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+		routes = t.hosts[strings.ToLower(host)]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Authenticate returns the account that holds a key.
+func (t *Table) Authenticate(key string) (*Account, bool) {
+	a, ok := t.accounts[key]
+	return a, ok && key != ""
+}
+
+// NeedsKey reports whether requests of a route carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Accounts) > 0 && !r.Public }
+
+// Service returns the description of a service.
+func (t *Table) Service(name ident.ServiceName) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Target picks a service of the route's split by the request's id, so that the
+// choice is the same wherever it is made.
+func (r *Route) Target(requestID string) ident.ServiceName {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := float64(xxhash.Sum64String(requestID)>>11) / (1 << 53) * total
+	for _, t := range r.Targets {
+		point -= t.Weight
+		if point < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
