--- a/edge/control.go
+++ b/edge/control.go
@@ -106,7 +106,9 @@
 		n.log.WithField("peer", id).Info("entry instance fell silent")
 	}
 	var live []ident.InstanceID
+	served := n.handler.Accepted() > 0
 	for _, m := range n.peers.Alive(now) {
+		served = served || m.Served
 		if !m.Leaving {
 			live = append(live, m.From)
 		}
@@ -115,6 +117,10 @@
 		n.rank = rank
 		n.stepLease(lease.Ranked{Rank: rank})
 	}
+	if served && !n.served {
+		n.served = true
+		n.stepPlanner(formation.Served{})
+	}
 	n.stepLease(lease.Tick{})
 	n.stepPlanner(formation.Tick{})
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -78,6 +78,7 @@
 	lease     *lease.Machine
 	planner   *formation.Planner
 	rank      int
+	served    bool
 	notes     map[string]time.Duration
 
 	suspects suspicions
--- a/formation/grow.go
+++ b/formation/grow.go
@@ -87,14 +87,15 @@
 // loading counts the loads from the weight store that are under way.
 func (p *Planner) loading() int {
 	n := len(p.staging)
-	for _, s := range p.servers.Servers {
-		if s.Service == p.service.Name && s.State == fleet.Joining && s.Model == "" && len(s.Staged) == 0 {
-			n++
-		}
-	}
 	for _, g := range p.groups {
-		if g.writing && g.pending != nil && g.version == 0 {
-			n += len(g.pending.Members)
+		row := &g.Row
+		if g.pending != nil {
+			row = g.pending
+		}
+		for _, m := range row.Members {
+			if s, ok := p.servers.Get(m.ID); ok && s.Incarnation == m.Incarnation && !s.HasStaged(row.Model) && !p.isDead(m.ID, m.Incarnation) {
+				n++
+			}
 		}
 	}
 	return n
@@ -104,7 +105,8 @@
 func (p *Planner) mayLoad(now time.Duration, n int) bool {
 	p.starts = slices.DeleteFunc(p.starts, func(at time.Duration) bool { return now-at >= p.cfg.LoadWindow })
 	limit := int(p.service.LoadRate * p.cfg.LoadWindow.Seconds())
-	return p.loading() < max(1, p.service.LoadsAtOnce) && len(p.starts)+n <= limit
+	// Loads before the first request are not limited in their rate.
+	return p.loading() < max(1, p.service.LoadsAtOnce) && (!p.served || len(p.starts)+n <= limit)
 }
 
 func (p *Planner) countLoads(now time.Duration, n int) {
@@ -142,16 +144,23 @@
 
 // grow forms new groups where a domain has more free servers than its spares.
 // The model with the least capacity for its share comes first, in the domain
-// with the most free servers.
-func (p *Planner) grow(now time.Duration) {
+// with the most free servers. It reports whether a group waits for its turn to
+// load: spares come after groups.
+func (p *Planner) grow(now time.Duration) (waits bool) {
 	for range len(p.servers.Servers) {
-		if !p.growOnce(now) {
-			return
+		m, d, ok := p.nextGroup(now)
+		if !ok {
+			return false
+		}
+		if !p.form(now, m, d) {
+			return true
 		}
 	}
+	return false
 }
 
-func (p *Planner) growOnce(now time.Duration) bool {
+// nextGroup picks the next group to form.
+func (p *Planner) nextGroup(now time.Duration) (route.Model, domain, bool) {
 	domains := p.domains(now)
 	for _, m := range p.byNeed() {
 		best := -1
@@ -160,12 +169,11 @@
 				best = i
 			}
 		}
-		if best < 0 {
-			continue
+		if best >= 0 {
+			return m, domains[best], true
 		}
-		return p.form(now, m, domains[best])
 	}
-	return false
+	return route.Model{}, domain{}, false
 }
 
 // spares is the number of servers of a domain that stay free.
@@ -173,17 +181,17 @@
 	return int(math.Ceil(float64(d.total)*p.cfg.SpareShare - 0.5))
 }
 
-// byNeed orders the models by their capacity relative to their share of the work.
+// byNeed orders the models by their instances relative to their share.
 func (p *Planner) byNeed() []route.Model {
 	models := slices.Clone(p.service.Models)
 	supply := func(m route.Model) float64 {
 		n := 0
 		for _, g := range p.groups {
 			if g.Model == m.Name {
-				n++
+				n += m.Size
 			}
 		}
-		return float64(n) / max(0.01, m.Share*m.Pace)
+		return float64(n) / max(0.01, m.Share)
 	}
 	slices.SortStableFunc(models, func(a, b route.Model) int { return cmp.Compare(supply(a), supply(b)) })
 	return models
@@ -193,7 +201,7 @@
 	slices.SortStableFunc(d.idle, func(a, b *fleet.Server) int {
 		return cmp.Compare(stagedRank(a, m.Name), stagedRank(b, m.Name))
 	})
-	row := Row{Group: p.newID(), Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: d.name}
+	row := Row{Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: d.name}
 	loads := 0
 	for _, s := range d.idle[:m.Size] {
 		row.Members = append(row.Members, Member{ID: s.ID, Incarnation: s.Incarnation})
@@ -205,6 +213,7 @@
 		return false
 	}
 	p.countLoads(now, loads)
+	row.Group = p.newID()
 	g := &group{Row: Row{Group: row.Group, Model: m.Name, Domain: d.name}, sent: make(map[ident.InstanceID]time.Duration)}
 	p.groups[row.Group] = g
 	p.emit(Note{Text: "group formed", Group: row.Group, Epoch: row.Epoch, Model: m.Name, Detail: string(d.name)})
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -119,7 +119,6 @@
 		clear(p.groups)
 		clear(p.staging)
 		clear(p.leaves)
-		// Loads of the last holder count in full.
 		p.starts = nil
 	}
 	p.held, p.grant, p.paused = e.Held, e.Grant, false
@@ -144,6 +143,7 @@
 		return
 	}
 	g.writing = false
+	defer func() { g.pending = nil }()
 	switch e.Outcome {
 	case infra.OutcomeApplied:
 		if g.pending == nil {
@@ -245,8 +245,9 @@
 		p.tend(now, g)
 	}
 	p.dismissStrays(now)
-	p.grow(now)
-	p.stage(now)
+	if !p.grow(now) {
+		p.stage(now)
+	}
 }
 
 func (p *Planner) sorted() []*group {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -15,7 +15,7 @@
 	remotePenalty = 1.0
 	// queueFactor times a server's slots is the load up to which requests are
 	// sent to it: the rest would wait in its queue past their goal.
-	queueFactor = 2.0
+	queueFactor = 1.1
 	// jitter spreads the choices of entry instances that see the same loads.
 	jitter = 1.0
 )
