One model for each domain, dissolve instead of waiting, faster hand-over

Cause: a group without a loaded spare waited 12 to 16 s for a load with its members idle; the larger model got 4 groups; the duty rested 3.4 s after its holder was killed.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -68,7 +68,7 @@
 const (
 	// AliveFor is how long an instance counts as alive after its last message.
 	// It spans several messages, so that lost ones do not matter.
-	AliveFor = 1100 * time.Millisecond
+	AliveFor = 900 * time.Millisecond
 	// forgetAfter is when an address that does not answer is dropped.
 	forgetAfter = 30 * time.Second
 )
@@ -123,21 +123,39 @@
 	return out
 }
 
-// Receive takes a message. It returns the suspicions that it brings, and whether
-// the sender was not known as alive before.
-func (t *Table) Receive(now time.Duration, m Message) (suspects []Suspicion, appeared bool) {
+// Run is one run of an entry instance.
+type Run struct {
+	Instance    ident.InstanceID
+	Incarnation ident.Incarnation
+}
+
+// News is what a message changes.
+type News struct {
+	// Stale messages were overtaken by later ones.
+	Stale bool
+	// Appeared tells that the sender was not known as alive before.
+	Appeared bool
+	// Ended is the sender's former run, if it has started again.
+	Ended Run
+}
+
+// Receive takes a message.
+func (t *Table) Receive(now time.Duration, m Message) News {
 	if m.From == t.self {
-		return nil, false
+		return News{Stale: true}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.peers[m.From]
 	if ok && old.Incarnation == m.Incarnation && m.Number <= old.Number {
-		return nil, false // Overtaken on the way.
+		return News{Stale: true}
 	}
-	appeared = !ok || now-old.heard >= AliveFor || old.Incarnation != m.Incarnation
+	news := News{Appeared: !ok || now-old.heard >= AliveFor || old.Incarnation != m.Incarnation}
 	if ok {
 		t.addLoads(old.Loads, -1)
+		if old.Incarnation != m.Incarnation {
+			news.Ended = Run{old.From, old.Incarnation}
+		}
 	}
 	t.addLoads(m.Loads, 1)
 	t.peers[m.From] = &peer{Message: m, heard: now}
@@ -149,7 +167,7 @@
 			}
 		}
 	}
-	return m.Suspects, appeared
+	return news
 }
 
 func (t *Table) addLoads(loads []Load, sign int) {
@@ -163,7 +181,7 @@
 }
 
 // Expire drops what silent instances said, and returns those that fell silent.
-func (t *Table) Expire(now time.Duration) (silent []ident.InstanceID) {
+func (t *Table) Expire(now time.Duration) (silent []Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	alive := 1
@@ -174,7 +192,7 @@
 		}
 		t.addLoads(p.Loads, -1)
 		delete(t.peers, id)
-		silent = append(silent, id)
+		silent = append(silent, Run{id, p.Incarnation})
 	}
 	t.alive = alive
 	for a, at := range t.addresses {
--- a/edge/control.go
+++ b/edge/control.go
@@ -36,6 +36,11 @@
 	planInput     struct{ formation.Event }
 	suspectEvent  struct{ beacon.Suspicion }
 	leaveEvent    struct{}
+	// peerEvent tells that a run of an entry instance is alive or has ended.
+	peerEvent struct {
+		run   beacon.Run
+		alive bool
+	}
 )
 
 func (operatorEvent) edgeEvent() {}
@@ -44,6 +49,7 @@
 func (planInput) edgeEvent()     {}
 func (suspectEvent) edgeEvent()  {}
 func (leaveEvent) edgeEvent()    {}
+func (peerEvent) edgeEvent()     {}
 
 // storeTimeout bounds one call to the store by control.
 const storeTimeout = 1500 * time.Millisecond
@@ -95,6 +101,8 @@
 		n.stepPlanner(e.Event)
 	case suspectEvent:
 		n.suspected(e.Suspicion)
+	case peerEvent:
+		n.peerChanged(e.run, e.alive)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -102,8 +110,9 @@
 
 func (n *Node) tick() {
 	now := n.now()
-	for _, id := range n.peers.Expire(now) {
-		n.log.WithField("peer", id).Info("entry instance fell silent")
+	for _, run := range n.peers.Expire(now) {
+		n.log.WithField("peer", run.Instance).WithField("incarnation", run.Incarnation).Info("entry instance fell silent")
+		n.peerChanged(run, false)
 	}
 	var live []ident.InstanceID
 	served := n.handler.Accepted() > 0
@@ -125,6 +134,20 @@
 	n.stepPlanner(formation.Tick{})
 }
 
+// peerChanged tells the lease which runs have ended. Backend servers check the
+// fencing token, so a holder that is only out of reach can do no harm.
+func (n *Node) peerChanged(run beacon.Run, alive bool) {
+	id := lease.Identity{Instance: run.Instance, Incarnation: run.Incarnation}
+	switch {
+	case !alive:
+		n.ended = id
+		n.stepLease(lease.HolderEnded{Holder: id})
+	case n.ended == id:
+		n.ended = lease.Identity{}
+		n.stepLease(lease.HolderEnded{})
+	}
+}
+
 // operatorChanged takes configurations and data centres that are taken out.
 func (n *Node) operatorChanged(c tableChanges) {
 	evacuated := slices.Clone(n.evacuated)
--- a/edge/node.go
+++ b/edge/node.go
@@ -79,7 +79,9 @@
 	planner   *formation.Planner
 	rank      int
 	served    bool
-	notes     map[string]time.Duration
+	// ended is the last run of an entry instance that fell silent.
+	ended lease.Identity
+	notes map[string]time.Duration
 
 	suspects suspicions
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -113,11 +113,18 @@
 			continue // Datagrams of others than entry instances are dropped.
 		}
 		m.Address = from.Addr().Unmap()
-		suspects, appeared := n.peers.Receive(n.now(), m)
-		if appeared {
+		news := n.peers.Receive(n.now(), m)
+		if news.Stale {
+			continue
+		}
+		if news.Appeared {
 			n.log.WithField("peer", m.From).WithField("incarnation", m.Incarnation).Info("entry instance appeared")
+			n.post(peerEvent{run: beacon.Run{Instance: m.From, Incarnation: m.Incarnation}, alive: true})
+		}
+		if news.Ended != (beacon.Run{}) {
+			n.post(peerEvent{run: news.Ended})
 		}
-		for _, s := range suspects {
+		for _, s := range m.Suspects {
 			n.post(suspectEvent{s})
 		}
 	}
--- a/formation/grow.go
+++ b/formation/grow.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -11,19 +10,130 @@
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
-// idle returns the servers of a domain that are free for a group, those of the
-// service only. Servers that still name a group are not free.
-func (p *Planner) idle(now time.Duration, domain ident.Domain) []*fleet.Server {
-	var out []*fleet.Server
+// domain is a fabric domain with its free servers.
+type domain struct {
+	name  ident.Domain
+	total int
+	idle  []*fleet.Server
+	// models are those that the domain's servers are for.
+	models []route.Model
+}
+
+// mixedBelow is the part of a domain below which the shortage of a model does not
+// claim a domain as a whole.
+const mixedBelow = 0.5
+
+// domains returns the domains in the order of their names. Each is for one model,
+// because then the members that a lost group leaves behind can replace members
+// of the domain's other groups. A domain is for all models where the models'
+// shares leave less than half of one.
+func (p *Planner) domains() []domain {
+	out := p.listDomains()
+	total := 0
+	for _, d := range out {
+		total += d.total
+	}
+	need := make([]float64, len(p.service.Models))
+	for i, m := range p.service.Models {
+		need[i] = m.Share * float64(total)
+	}
+	var open []int
+	for i := range out {
+		if m := p.habit(&out[i]); m >= 0 {
+			out[i].models = p.service.Models[m : m+1]
+			need[m] -= float64(out[i].total)
+			continue
+		}
+		open = append(open, i)
+	}
+	for _, i := range open {
+		d := &out[i]
+		m := 0
+		for j := range need {
+			if need[j] > need[m] {
+				m = j
+			}
+		}
+		if need[m] < mixedBelow*float64(d.total) {
+			d.models = p.service.Models
+			continue
+		}
+		d.models = p.service.Models[m : m+1]
+		need[m] -= float64(d.total)
+	}
+	return out
+}
+
+func (p *Planner) listDomains() []domain {
+	var out []domain
 	taken := p.taken()
 	for _, s := range p.servers.Servers {
-		if s.Domain == domain && p.isIdle(s) && !taken[s.ID] {
-			out = append(out, s)
+		if s.Service != p.service.Name || s.Draining {
+			continue
+		}
+		i := slices.IndexFunc(out, func(d domain) bool { return d.name == s.Domain })
+		if i < 0 {
+			i = len(out)
+			out = append(out, domain{name: s.Domain})
+		}
+		out[i].total++
+		if p.isIdle(s) && !taken[s.ID] {
+			out[i].idle = append(out[i].idle, s)
 		}
 	}
+	slices.SortFunc(out, func(a, b domain) int { return cmp.Compare(a.name, b.name) })
 	return out
 }
 
+// habit returns the model that most loaded servers of a domain hold, or -1 if
+// none holds any or they differ widely.
+func (p *Planner) habit(d *domain) int {
+	count := make([]int, len(p.service.Models))
+	all := 0
+	for _, s := range p.servers.Servers {
+		if s.Domain != d.name || s.Service != p.service.Name {
+			continue
+		}
+		for i, m := range p.service.Models {
+			if p.holds(s, m.Name) {
+				count[i]++
+				all++
+			}
+		}
+	}
+	for i, n := range count {
+		if n > 0 && 3*n >= 2*all {
+			return i
+		}
+	}
+	return -1
+}
+
+// holds reports whether a server has a model's weights or loads them.
+func (p *Planner) holds(s *fleet.Server, model string) bool {
+	if s.HasStaged(model) {
+		return true
+	}
+	if st, ok := p.staging[s.ID]; ok {
+		return st.model == model
+	}
+	for _, g := range p.groups {
+		if row := g.row(); row.Model == model && slices.ContainsFunc(row.Members, func(m Member) bool { return m.ID == s.ID }) {
+			return true
+		}
+	}
+	return false
+}
+
+// row is the group's row, or the one that is being written.
+func (g *group) row() *Row {
+	if g.pending != nil {
+		return g.pending
+	}
+	return &g.Row
+}
+
+// isIdle reports whether a server is free. One that still names a group is not.
 func (p *Planner) isIdle(s *fleet.Server) bool {
 	return s.Service == p.service.Name && s.State == fleet.NoGroup && !s.Draining &&
 		!slices.Contains(p.evacuated, s.DataCentre) && !p.isDead(s.ID, s.Incarnation)
@@ -45,32 +155,16 @@
 	return out
 }
 
-// replacements picks servers for a group: those that hold the weights first. It
-// returns how many of them have to load.
-func (p *Planner) replacements(now time.Duration, g *group, need int) ([]Member, int) {
-	candidates := p.idle(now, g.Domain)
-	rank := func(s *fleet.Server) int {
-		switch st, ok := p.staging[s.ID]; {
-		case s.HasStaged(g.Model):
-			return 0
-		case ok && st.model == g.Model:
-			return 1
-		case len(s.Staged) == 0 && !ok:
-			return 2
-		default:
-			return 3
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *fleet.Server) int { return cmp.Compare(rank(a), rank(b)) })
+// replacements picks free servers that hold a group's weights.
+func (p *Planner) replacements(g *group, need int) []Member {
+	taken := p.taken()
 	var out []Member
-	loads := 0
-	for _, s := range candidates[:min(need, len(candidates))] {
-		if rank(s) >= 2 {
-			loads++
+	for _, s := range p.servers.Servers {
+		if len(out) < need && s.Domain == g.Domain && p.isIdle(s) && !taken[s.ID] && s.HasStaged(g.Model) {
+			out = append(out, Member{ID: s.ID, Incarnation: s.Incarnation})
 		}
-		out = append(out, Member{ID: s.ID, Incarnation: s.Incarnation})
 	}
-	return out, loads
+	return out
 }
 
 // dismissStrays orders servers that name a group without a row for them to
@@ -79,7 +173,7 @@
 	taken := p.taken()
 	for _, s := range p.servers.Servers {
 		if s.Service == p.service.Name && s.State != fleet.NoGroup && !taken[s.ID] && !p.isDead(s.ID, s.Incarnation) {
-			p.leave(now, s.ID, Row{})
+			p.leave(now, s.ID)
 		}
 	}
 }
@@ -88,10 +182,7 @@
 func (p *Planner) loading() int {
 	n := len(p.staging)
 	for _, g := range p.groups {
-		row := &g.Row
-		if g.pending != nil {
-			row = g.pending
-		}
+		row := g.row()
 		for _, m := range row.Members {
 			if s, ok := p.servers.Get(m.ID); ok && s.Incarnation == m.Incarnation && !s.HasStaged(row.Model) && !p.isDead(m.ID, m.Incarnation) {
 				n++
@@ -101,11 +192,11 @@
 	return n
 }
 
-// mayLoad reports whether so many loads may start now.
+// mayLoad reports whether so many loads may start now. Loads before the first
+// request are not limited in their rate.
 func (p *Planner) mayLoad(now time.Duration, n int) bool {
 	p.starts = slices.DeleteFunc(p.starts, func(at time.Duration) bool { return now-at >= p.cfg.LoadWindow })
 	limit := int(p.service.LoadRate * p.cfg.LoadWindow.Seconds())
-	// Loads before the first request are not limited in their rate.
 	return p.loading() < max(1, p.service.LoadsAtOnce) && (!p.served || len(p.starts)+n <= limit)
 }
 
@@ -115,110 +206,92 @@
 	}
 }
 
-// domain is a fabric domain with its free servers.
-type domain struct {
-	name  ident.Domain
-	total int
-	idle  []*fleet.Server
-}
-
-func (p *Planner) domains(now time.Duration) []domain {
-	var out []domain
-	taken := p.taken()
-	for _, s := range p.servers.Servers {
-		if s.Service != p.service.Name || s.Draining {
-			continue
-		}
-		i := slices.IndexFunc(out, func(d domain) bool { return d.name == s.Domain })
-		if i < 0 {
-			i = len(out)
-			out = append(out, domain{name: s.Domain})
-		}
-		out[i].total++
-		if p.isIdle(s) && !taken[s.ID] {
-			out[i].idle = append(out[i].idle, s)
-		}
-	}
-	return out
-}
-
-// grow forms new groups where a domain has more free servers than its spares.
-// The model with the least capacity for its share comes first, in the domain
-// with the most free servers. It reports whether a group waits for its turn to
-// load: spares come after groups.
+// grow forms new groups. It reports whether a group waits for its turn to load:
+// spares come after groups.
 func (p *Planner) grow(now time.Duration) (waits bool) {
 	for range len(p.servers.Servers) {
-		m, d, ok := p.nextGroup(now)
+		m, members, name, ok := p.nextGroup()
 		if !ok {
 			return false
 		}
-		if !p.form(now, m, d) {
+		loads := 0
+		for _, s := range members {
+			if !s.HasStaged(m.Name) {
+				loads++
+			}
+		}
+		if loads > 0 && !p.mayLoad(now, loads) {
 			return true
 		}
+		p.countLoads(now, loads)
+		p.form(m, name, members)
 	}
 	return false
 }
 
-// nextGroup picks the next group to form.
-func (p *Planner) nextGroup(now time.Duration) (route.Model, domain, bool) {
-	domains := p.domains(now)
+// nextGroup picks the next group to form: of the model with the least supply for
+// its share, in the domain with the most free servers. Once callers are served,
+// groups are formed of loaded servers only: those in a group that waits for a
+// load could serve elsewhere.
+func (p *Planner) nextGroup() (route.Model, []*fleet.Server, ident.Domain, bool) {
+	domains := p.domains()
 	for _, m := range p.byNeed() {
-		best := -1
-		for i, d := range domains {
-			if free := len(d.idle) - p.spares(d); free >= m.Size && (best < 0 || len(d.idle) > len(domains[best].idle)) {
-				best = i
+		var best []*fleet.Server
+		var name ident.Domain
+		for _, d := range domains {
+			if !allows(d, m) {
+				continue
+			}
+			usable := slices.Clone(d.idle)
+			usable = slices.DeleteFunc(usable, func(s *fleet.Server) bool {
+				_, loads := p.staging[s.ID]
+				return !s.HasStaged(m.Name) && (p.served || loads)
+			})
+			if len(usable) >= m.Size && len(usable) > len(best) {
+				best, name = usable, d.name
 			}
 		}
-		if best >= 0 {
-			return m, domains[best], true
+		if best != nil {
+			slices.SortStableFunc(best, func(a, b *fleet.Server) int {
+				return cmp.Compare(stagedRank(a, m.Name), stagedRank(b, m.Name))
+			})
+			return m, best[:m.Size], name, true
 		}
 	}
-	return route.Model{}, domain{}, false
+	return route.Model{}, nil, "", false
 }
 
-// spares is the number of servers of a domain that stay free.
-func (p *Planner) spares(d domain) int {
-	return int(math.Ceil(float64(d.total)*p.cfg.SpareShare - 0.5))
+func allows(d domain, m route.Model) bool {
+	return slices.ContainsFunc(d.models, func(o route.Model) bool { return o.Name == m.Name })
 }
 
-// byNeed orders the models by their instances relative to their share.
+// byNeed orders the models by the instances of their groups relative to their
+// share.
 func (p *Planner) byNeed() []route.Model {
 	models := slices.Clone(p.service.Models)
-	supply := func(m route.Model) float64 {
-		n := 0
-		for _, g := range p.groups {
-			if g.Model == m.Name {
-				n += m.Size
-			}
-		}
-		return float64(n) / max(0.01, m.Share)
-	}
-	slices.SortStableFunc(models, func(a, b route.Model) int { return cmp.Compare(supply(a), supply(b)) })
+	slices.SortStableFunc(models, func(a, b route.Model) int { return cmp.Compare(p.supply(a), p.supply(b)) })
 	return models
 }
 
-func (p *Planner) form(now time.Duration, m route.Model, d domain) bool {
-	slices.SortStableFunc(d.idle, func(a, b *fleet.Server) int {
-		return cmp.Compare(stagedRank(a, m.Name), stagedRank(b, m.Name))
-	})
-	row := Row{Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: d.name}
-	loads := 0
-	for _, s := range d.idle[:m.Size] {
-		row.Members = append(row.Members, Member{ID: s.ID, Incarnation: s.Incarnation})
-		if !s.HasStaged(m.Name) {
-			loads++
+func (p *Planner) supply(m route.Model) float64 {
+	n := 0
+	for _, g := range p.groups {
+		if g.row().Model == m.Name {
+			n += m.Size
 		}
 	}
-	if loads > 0 && !p.mayLoad(now, loads) {
-		return false
+	return float64(n) / max(0.01, m.Share)
+}
+
+func (p *Planner) form(m route.Model, name ident.Domain, members []*fleet.Server) {
+	row := Row{Group: p.newID(), Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: name}
+	for _, s := range members {
+		row.Members = append(row.Members, Member{ID: s.ID, Incarnation: s.Incarnation})
 	}
-	p.countLoads(now, loads)
-	row.Group = p.newID()
-	g := &group{Row: Row{Group: row.Group, Model: m.Name, Domain: d.name}, sent: make(map[ident.InstanceID]time.Duration)}
+	g := &group{Row: Row{Group: row.Group, Model: m.Name, Domain: name}, sent: make(map[ident.InstanceID]time.Duration)}
 	p.groups[row.Group] = g
-	p.emit(Note{Text: "group formed", Group: row.Group, Epoch: row.Epoch, Model: m.Name, Detail: string(d.name)})
+	p.emit(Note{Text: "group formed", Group: row.Group, Epoch: row.Epoch, Model: m.Name, Detail: string(name)})
 	p.write(g, &row)
-	return true
 }
 
 func stagedRank(s *fleet.Server, model string) int {
@@ -232,59 +305,66 @@
 	}
 }
 
-// stage loads weights onto free servers that hold none of use.
+// stagePlan is a load that would be of use.
+type stagePlan struct {
+	server *fleet.Server
+	model  route.Model
+	// supply is that of the model, missing the number of loaded servers that the
+	// domain lacks for one more group.
+	supply  float64
+	missing int
+}
+
+// stage loads weights onto free servers that hold none of use: first for the
+// model with the least supply, and where the fewest complete a group.
 func (p *Planner) stage(now time.Duration) {
-	for _, d := range p.domains(now) {
-		for _, s := range d.idle {
-			st, under := p.staging[s.ID]
-			if under && now-st.since < p.stagingPatience(st.model) {
-				continue
-			}
-			model := p.stageModel(d, s)
-			if model == "" || s.HasStaged(model) || (!under && !p.mayLoad(now, 1)) {
-				continue
-			}
-			if !under {
-				p.countLoads(now, 1)
-			}
-			p.staging[s.ID] = staging{model: model, incarnation: s.Incarnation, since: now}
-			p.send(s, Order{Kind: Stage, Model: model})
+	var plans []stagePlan
+	for _, d := range p.domains() {
+		plans = append(plans, p.stagePlans(now, d)...)
+	}
+	slices.SortStableFunc(plans, func(a, b stagePlan) int {
+		return cmp.Or(cmp.Compare(a.supply, b.supply), cmp.Compare(a.missing, b.missing))
+	})
+	for _, plan := range plans {
+		if !p.mayLoad(now, 1) {
+			return
 		}
+		p.countLoads(now, 1)
+		p.staging[plan.server.ID] = staging{model: plan.model.Name, incarnation: plan.server.Incarnation, since: now}
+		p.send(plan.server, Order{Kind: Stage, Model: plan.model.Name})
 	}
 }
 
-// stagingPatience is how long a load may take before its order is sent again.
-func (p *Planner) stagingPatience(model string) time.Duration {
-	m, _ := p.model(model)
-	return 3*m.Load + p.cfg.Resend
-}
-
-// stageModel picks the model that the domain's groups need most beside what its
-// free servers hold already. A server that holds a model of use keeps it.
-func (p *Planner) stageModel(d domain, s *fleet.Server) string {
-	best, lowest := "", math.Inf(1)
-	for _, m := range p.service.Models {
-		members := 0
-		for _, g := range p.groups {
-			if g.Model == m.Name && g.Domain == d.name {
-				members += m.Size
-			}
-		}
-		if members == 0 {
+// stagePlans lists the useful loads of a domain.
+func (p *Planner) stagePlans(now time.Duration, d domain) []stagePlan {
+	var out []stagePlan
+	models := slices.Clone(d.models)
+	slices.SortStableFunc(models, func(a, b route.Model) int { return cmp.Compare(p.supply(a), p.supply(b)) })
+	for _, s := range d.idle {
+		if slices.ContainsFunc(d.models, func(m route.Model) bool { return s.HasStaged(m.Name) }) {
 			continue
 		}
-		if s.HasStaged(m.Name) {
-			return m.Name
+		if st, ok := p.staging[s.ID]; ok && now-st.since < p.stagingPatience(st.model) {
+			continue
 		}
+		m := models[len(out)%len(models)]
 		held := 0
 		for _, o := range d.idle {
-			if st, ok := p.staging[o.ID]; o.HasStaged(m.Name) || (ok && o != s && st.model == m.Name) {
+			if p.holds(o, m.Name) {
 				held++
 			}
 		}
-		if cover := float64(held) / float64(members); cover < lowest {
-			best, lowest = m.Name, cover
-		}
+		out = append(out, stagePlan{server: s, model: m, supply: p.supply(m), missing: m.Size - 1 - (held+len(out))%m.Size})
 	}
-	return best
+	return out
 }
+
+// stagingPatience is how long a load may take before its order is sent again.
+func (p *Planner) stagingPatience(model string) time.Duration {
+	m, _ := p.model(model)
+	return stagingSlack*m.Load + p.cfg.Resend
+}
+
+// stagingSlack times the time of a load is when it counts as lost: loads beyond
+// the number that run at full speed slow each other down.
+const stagingSlack = 3
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -50,13 +50,15 @@
 	writing bool
 	pending *Row // the row under way, nil for a deletion
 	// joined is when the row was written, sent when each order was last sent.
-	joined   time.Duration
-	sent     map[ident.InstanceID]time.Duration
-	opened   time.Duration
-	closed   time.Duration
-	lostAt   time.Duration
-	suspect  bool
-	seenGood bool
+	joined time.Duration
+	sent   map[ident.InstanceID]time.Duration
+	opened time.Duration
+	closed time.Duration
+	lostAt time.Duration
+	// drainedAt is when a member was first seen to leave.
+	drainedAt time.Duration
+	suspect   bool
+	seenGood  bool
 }
 
 type deadMark struct {
@@ -153,7 +155,7 @@
 		}
 		p.releaseFormer(now, g)
 		g.Row, g.version, g.joined = *g.pending, e.Version, now
-		g.opened, g.closed, g.lostAt, g.suspect, g.seenGood = 0, 0, 0, false, false
+		g.opened, g.closed, g.lostAt, g.drainedAt, g.suspect, g.seenGood = 0, 0, 0, 0, false, false
 		clear(g.sent)
 	case infra.OutcomeNotApplied:
 		if g.version == 0 {
@@ -169,7 +171,7 @@
 func (p *Planner) releaseFormer(now time.Duration, g *group) {
 	for _, m := range g.Members {
 		if !slices.ContainsFunc(g.pending.Members, func(n Member) bool { return n.ID == m.ID }) {
-			p.leave(now, m.ID, g.Row)
+			p.leave(now, m.ID)
 		}
 	}
 }
@@ -177,11 +179,11 @@
 // release orders all members of a dissolved group to leave.
 func (p *Planner) release(now time.Duration, g *group) {
 	for _, m := range g.Members {
-		p.leave(now, m.ID, g.Row)
+		p.leave(now, m.ID)
 	}
 }
 
-func (p *Planner) leave(now time.Duration, id ident.InstanceID, r Row) {
+func (p *Planner) leave(now time.Duration, id ident.InstanceID) {
 	s, ok := p.servers.Get(id)
 	if !ok || s.State == fleet.NoGroup || now < p.leaves[id] || p.isDead(id, s.Incarnation) {
 		return
--- a/formation/tend.go
+++ b/formation/tend.go
@@ -114,7 +114,7 @@
 	}
 	if s.Group != g.Group && s.State != fleet.NoGroup {
 		// It still belongs to a former group.
-		p.leave(now, s.ID, g.Row)
+		p.leave(now, s.ID)
 		return
 	}
 	g.sent[s.ID] = now
@@ -173,23 +173,22 @@
 }
 
 // tendDrained replaces members that leave: the head finishes its requests first.
+// Without replacements the group serves on for a while, and is then dissolved.
 func (p *Planner) tendDrained(now time.Duration, g *group, head condition) {
-	switch head {
-	case open, leaving:
-		if !p.canRepair(now, g) && head == open {
+	if g.drainedAt == 0 {
+		g.drainedAt = now
+	}
+	s, ok := p.servers.Get(g.Members[0].ID)
+	switch {
+	case ok && s.State == fleet.Open:
+		if head == open && !p.canRepair(g) && now-g.drainedAt < p.cfg.DrainWait {
 			return
 		}
-		if g.closed == 0 || (now-g.closed >= p.cfg.Resend && head == open) {
+		if g.closed == 0 || now-g.closed >= p.cfg.Resend {
 			g.closed = now
-			if s, ok := p.servers.Get(g.Members[0].ID); ok && s.State == fleet.Open {
-				p.send(s, Order{Kind: Close, Group: g.Group, Epoch: g.Epoch})
-				return
-			}
-		}
-		if s, ok := p.servers.Get(g.Members[0].ID); head == leaving && ok && s.State != fleet.Open && s.State != fleet.Closing {
-			p.repair(now, g, "head leaves")
+			p.send(s, Order{Kind: Close, Group: g.Group, Epoch: g.Epoch})
 		}
-	case closing:
+	case ok && s.State == fleet.Closing:
 	default:
 		p.repair(now, g, "member leaves")
 	}
@@ -220,72 +219,40 @@
 }
 
 // canRepair reports whether replacements with loaded weights are at hand.
-func (p *Planner) canRepair(now time.Duration, g *group) bool {
+func (p *Planner) canRepair(g *group) bool {
 	need := len(g.Members) - len(p.survivors(g))
-	ready := 0
-	for _, s := range p.idle(now, g.Domain) {
-		if s.HasStaged(g.Model) {
-			ready++
-		}
-	}
-	return ready >= need
+	return len(p.replacements(g, need)) == need
 }
 
-// repair writes a row with replacements for the members that are lost.
+// repair writes a row with replacements for the members that are lost. Without
+// replacements the group is dissolved: its members are spares for the domain's
+// other groups then, and form a new group when enough are loaded.
 func (p *Planner) repair(now time.Duration, g *group, why string) {
 	m, ok := p.model(g.Model)
 	if !ok {
 		return
 	}
 	left := p.survivors(g)
-	if len(left) == 0 {
-		p.emit(Note{Text: "group dissolved: no member is left", Group: g.Group, Epoch: g.Epoch, Model: g.Model})
-		p.write(g, nil)
-		return
-	}
 	need := m.Size - len(left)
-	chosen, loads := p.replacements(now, g, need)
-	switch {
-	case len(chosen) < need || (loads > 0 && !p.mayLoad(now, loads)):
-		p.merge(g, left)
+	chosen := p.replacements(g, need)
+	if len(chosen) < need || len(left) == 0 {
+		p.emit(Note{
+			Text: "group dissolved", Group: g.Group, Epoch: g.Epoch, Model: g.Model,
+			Detail: fmt.Sprintf("%s; %d of %d members left, %d spares", why, len(left), m.Size, len(chosen)),
+		})
+		p.write(g, nil)
 		return
-	case loads > 0:
-		p.countLoads(now, loads)
 	}
 	next := g.Row
 	next.Epoch = p.nextEpoch()
 	next.Members = append(slices.Clone(left), chosen...)
 	p.emit(Note{
 		Text: "group repaired", Group: g.Group, Epoch: next.Epoch, Model: g.Model,
-		Detail: fmt.Sprintf("%s; %d replaced, %d load", why, need, loads),
+		Detail: fmt.Sprintf("%s; %d replaced", why, need),
 	})
 	p.write(g, &next)
 }
 
-// merge dissolves a group that waits for replacements if another one of the same
-// model and domain waits too and has as many members left: the one that stays
-// takes them over.
-func (p *Planner) merge(g *group, left []Member) {
-	for _, o := range p.sorted() {
-		if o == g || o.writing || o.Model != g.Model || o.Domain != g.Domain || !p.waits(o) {
-			continue
-		}
-		n := len(p.survivors(o))
-		if n > len(left) || (n == len(left) && o.Group < g.Group) {
-			p.emit(Note{Text: "group dissolved for another one", Group: g.Group, Epoch: g.Epoch, Model: g.Model, Detail: string(o.Group)})
-			p.write(g, nil)
-			return
-		}
-	}
-}
-
-// waits reports whether a group lacks a member and does not serve.
-func (p *Planner) waits(g *group) bool {
-	lacks := len(p.survivors(g)) < len(g.Members)
-	head, _ := p.condition(g, g.Members[0])
-	return lacks && head != open && head != closing
-}
-
 func (p *Planner) model(name string) (route.Model, bool) {
 	for _, m := range p.service.Models {
 		if m.Name == name {
--- a/formation/types.go
+++ b/formation/types.go
@@ -213,8 +213,9 @@
 	// Resend is the time after which an order whose effect is not seen is sent
 	// again. It is longer than an order's timeout and the lag of the list.
 	Resend time.Duration
-	// SpareShare is the part of a domain's instances kept as spares.
-	SpareShare float64
+	// DrainWait is how long a group without replacements serves on while a
+	// member leaves: most of the time that leaving servers stay.
+	DrainWait time.Duration
 	// ProbeEvery is the time between probes of one member.
 	ProbeEvery time.Duration
 	// DeadFor is how long a member without a sign of life counts as dead.
@@ -236,7 +237,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Resend:     1300 * time.Millisecond,
-		SpareShare: 0.2,
+		DrainWait:  1200 * time.Millisecond,
 		ProbeEvery: 600 * time.Millisecond,
 		DeadFor:    6 * time.Second,
 		HeadGone:   1500 * time.Millisecond,
--- a/lease/events.go
+++ b/lease/events.go
@@ -34,16 +34,22 @@
 // for the service. 0 is the preferred holder.
 type Ranked struct{ Rank int }
 
+// HolderEnded tells that a run of an entry instance has ended, or is silent for
+// long where each command carries the fencing token and each receiver checks it.
+// Its lease need not be waited out. The zero identity takes the word back.
+type HolderEnded struct{ Holder Identity }
+
 // Leave tells that this entry shuts down. It releases the lease and contends
 // no more.
 type Leave struct{}
 
-func (Tick) leaseEvent()       {}
-func (RowsRead) leaseEvent()   {}
-func (ReadFailed) leaseEvent() {}
-func (Written) leaseEvent()    {}
-func (Ranked) leaseEvent()     {}
-func (Leave) leaseEvent()      {}
+func (Tick) leaseEvent()        {}
+func (RowsRead) leaseEvent()    {}
+func (ReadFailed) leaseEvent()  {}
+func (Written) leaseEvent()     {}
+func (Ranked) leaseEvent()      {}
+func (Leave) leaseEvent()       {}
+func (HolderEnded) leaseEvent() {}
 
 // Action is an output of the machine.
 type Action interface{ leaseAction() }
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -84,6 +84,7 @@
 	grant    Grant
 	held     bool
 	leaving  bool
+	ended    Identity
 	rank     int
 	rankFrom time.Duration
 
@@ -137,6 +138,11 @@
 		}
 		m.rank = e.Rank
 		m.nextRead = min(m.nextRead, now+m.readInterval())
+	case HolderEnded:
+		m.ended = e.Holder
+		if e.Holder != (Identity{}) && e.Holder == m.seen.row.Holder {
+			m.readDue = true
+		}
 	case Leave:
 		m.leaving = true
 	}
@@ -284,7 +290,7 @@
 // lease.
 func (m *Machine) wait() time.Duration {
 	wait := m.cfg.HeadStart * time.Duration(min(m.rank, maxRankDelay))
-	if m.seen.row.Holder.Instance != "" {
+	if m.seen.row.Holder.Instance != "" && m.seen.row.Holder != m.ended {
 		// The holder's own length counts: it may run another version.
 		wait += m.seen.row.Length + Margin(m.seen.row.Length)
 	}
