Let two entry instances read the store for all

Change: package mirror keeps copies of the tables with tombstones; two readers, chosen by rendezvous rank, read the store, the others follow them through the peer protocol and read themselves when all readers are 1.3 s out of date or they lack what a reader has for 0.4 s.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -5,6 +5,7 @@
 package beacon
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/mirror"
 )
 
 // Load is the number of requests under way at a backend server.
@@ -40,6 +42,13 @@
 	// Ready instances take callers. Leaving ones shut down.
 	Ready   bool `msgpack:"r"`
 	Leaving bool `msgpack:"l"`
+	// Holds tells that the sender holds the planner's lease.
+	Holds bool `msgpack:"h"`
+	// Direct senders read the store themselves; its last answer is StoreAge old,
+	// and Tops are the newest versions that they have.
+	Direct   bool          `msgpack:"x"`
+	StoreAge time.Duration `msgpack:"a"`
+	Tops     []mirror.Top  `msgpack:"t"`
 	// Served tells that callers have sent requests.
 	Served   bool        `msgpack:"v"`
 	Loads    []Load      `msgpack:"o"`
@@ -203,22 +212,23 @@
 	return silent
 }
 
-// Alive returns the last messages of the instances that are alive, by id.
-func (t *Table) Alive(now time.Duration) []Message {
+// Seen is the last message of an instance and the time since.
+type Seen struct {
+	Message
+	Silent time.Duration
+}
+
+// Seen returns the last messages of the instances that are alive, by id.
+func (t *Table) Seen(now time.Duration) []Seen {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var out []Message
+	out := make([]Seen, 0, len(t.peers))
 	for _, p := range t.peers {
-		if now-p.heard < AliveFor {
-			out = append(out, p.Message)
+		if silent := now - p.heard; silent < AliveFor {
+			out = append(out, Seen{p.Message, silent})
 		}
 	}
-	slices.SortFunc(out, func(a, b Message) int {
-		if a.From < b.From {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Seen) int { return cmp.Compare(a.From, b.From) })
 	return out
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -23,19 +23,21 @@
 // event is an input of the control goroutine.
 type event interface{ edgeEvent() }
 
-// tableChanges are changes of a table, or all of its rows.
-type tableChanges struct {
-	infra.Changes
-	whole bool
-}
-
 type (
-	operatorEvent struct{ tableChanges }
-	serverEvent   struct{ tableChanges }
-	leaseInput    struct{ lease.Event }
-	planInput     struct{ formation.Event }
-	suspectEvent  struct{ beacon.Suspicion }
-	leaveEvent    struct{}
+	// tableEvent brings new rows of a table of the store.
+	tableEvent struct {
+		table string
+		rows  []infra.Change
+	}
+	leaseInput   struct{ lease.Event }
+	planInput    struct{ formation.Event }
+	suspectEvent struct{ beacon.Suspicion }
+	leaveEvent   struct{}
+	// noteEvent is a line for the log that may come often.
+	noteEvent struct {
+		key, text string
+		err       error
+	}
 	// peerEvent tells that a run of an entry instance is alive or has ended.
 	peerEvent struct {
 		run   beacon.Run
@@ -43,13 +45,13 @@
 	}
 )
 
-func (operatorEvent) edgeEvent() {}
-func (serverEvent) edgeEvent()   {}
-func (leaseInput) edgeEvent()    {}
-func (planInput) edgeEvent()     {}
-func (suspectEvent) edgeEvent()  {}
-func (leaveEvent) edgeEvent()    {}
-func (peerEvent) edgeEvent()     {}
+func (tableEvent) edgeEvent()   {}
+func (leaseInput) edgeEvent()   {}
+func (planInput) edgeEvent()    {}
+func (suspectEvent) edgeEvent() {}
+func (leaveEvent) edgeEvent()   {}
+func (noteEvent) edgeEvent()    {}
+func (peerEvent) edgeEvent()    {}
 
 // storeTimeout bounds one call to the store by control.
 const storeTimeout = 1500 * time.Millisecond
@@ -91,16 +93,20 @@
 
 func (n *Node) handle(e event) {
 	switch e := e.(type) {
-	case operatorEvent:
-		n.operatorChanged(e.tableChanges)
-	case serverEvent:
-		n.serversChanged(e.tableChanges)
+	case tableEvent:
+		if e.table == n.plat.OperatorTable {
+			n.operatorChanged(e.rows)
+		} else {
+			n.serversChanged(e.rows)
+		}
 	case leaseInput:
 		n.stepLease(e.Event)
 	case planInput:
 		n.stepPlanner(e.Event)
 	case suspectEvent:
 		n.suspected(e.Suspicion)
+	case noteEvent:
+		n.logOnce(e.key, e.text, e.err)
 	case peerEvent:
 		n.peerChanged(e.run, e.alive)
 	case leaveEvent:
@@ -114,14 +120,20 @@
 		n.log.WithField("peer", run.Instance).WithField("incarnation", run.Incarnation).Info("entry instance fell silent")
 		n.peerChanged(run, false)
 	}
+	n.chooseRole(now)
 	var live []ident.InstanceID
 	served := n.handler.Accepted() > 0
-	for _, m := range n.peers.Alive(now) {
-		served = served || m.Served
-		if !m.Leaving {
-			live = append(live, m.From)
+	holder := lease.Identity{}
+	for _, p := range n.peers.Seen(now) {
+		served = served || p.Served
+		if !p.Leaving {
+			live = append(live, p.From)
+		}
+		if p.Holds {
+			holder = lease.Identity{Instance: p.From, Incarnation: p.Incarnation}
 		}
 	}
+	n.holderChanged(holder)
 	if rank := lease.Rank(formation.Duty, n.set.Instance, live); rank != n.rank {
 		n.rank = rank
 		n.stepLease(lease.Ranked{Rank: rank})
@@ -130,10 +142,22 @@
 		n.served = true
 		n.stepPlanner(formation.Served{})
 	}
-	n.stepLease(lease.Tick{})
+	if _, held := n.lease.Held(bootNow()); held || holder == (lease.Identity{}) || n.leaving.Load() {
+		// While a holder says that it holds the lease, the store need not be asked.
+		n.stepLease(lease.Tick{})
+	}
 	n.stepPlanner(formation.Tick{})
 }
 
+// holderChanged tells the lease when the known holder says that it holds the
+// lease no more, although its process runs.
+func (n *Node) holderChanged(holder lease.Identity) {
+	if holder == (lease.Identity{}) && n.holder != (lease.Identity{}) && n.ended != n.holder {
+		n.stepLease(lease.HolderEnded{Holder: n.holder})
+	}
+	n.holder = holder
+}
+
 // peerChanged tells the lease which runs have ended. Backend servers check the
 // fencing token, so a holder that is only out of reach can do no harm.
 func (n *Node) peerChanged(run beacon.Run, alive bool) {
@@ -149,12 +173,9 @@
 }
 
 // operatorChanged takes configurations and data centres that are taken out.
-func (n *Node) operatorChanged(c tableChanges) {
+func (n *Node) operatorChanged(rows []infra.Change) {
 	evacuated := slices.Clone(n.evacuated)
-	if c.whole {
-		evacuated = nil
-	}
-	for _, r := range c.Rows {
+	for _, r := range rows {
 		zone, isZone := strings.CutPrefix(r.Key, n.plat.EvacuatePrefix)
 		switch {
 		case r.Key == n.plat.ConfigKey && !r.Deleted:
@@ -166,7 +187,7 @@
 		}
 	}
 	if !slices.Equal(evacuated, n.evacuated) {
-		n.log.WithFields(logrus.Fields{"data_centres": evacuated, "store_version": c.Version}).Info("data centres taken out")
+		n.log.WithFields(logrus.Fields{"data_centres": evacuated}).Info("data centres taken out")
 		n.evacuated = evacuated
 		n.dirty = true
 	}
@@ -193,10 +214,10 @@
 }
 
 // serversChanged takes entries of backend servers.
-func (n *Node) serversChanged(c tableChanges) {
+func (n *Node) serversChanged(rows []infra.Change) {
 	now := n.now()
-	present := make(map[ident.InstanceID]bool, len(c.Rows))
-	for _, r := range c.Rows {
+	n.listed = true
+	for _, r := range rows {
 		id := ident.InstanceID(r.Key)
 		if r.Deleted {
 			n.dirty = n.list.Remove(id, r.Version) || n.dirty
@@ -209,20 +230,16 @@
 			n.dirty = n.list.Remove(id, r.Version) || n.dirty
 			continue
 		}
-		present[id] = true
 		n.dirty = n.list.Put(s) || n.dirty
 	}
-	if c.whole {
-		if removed := n.list.Retain(c.Version, func(id ident.InstanceID) bool { return present[id] }); removed > 0 {
-			n.dirty = true
-		}
-		n.listed = true
-	}
 }
 
 // logEvery bounds lines about one entry.
 const logEvery = 10 * time.Second
 
+// logOnceAt is logOnce for other goroutines than control.
+func (n *Node) logOnceAt(key, text string, err error) { n.post(noteEvent{key, text, err}) }
+
 func (n *Node) logOnce(key, text string, err error) {
 	now := n.now()
 	if at, ok := n.notes[key]; ok && now-at < logEvery {
@@ -298,11 +315,13 @@
 		case lease.WriteRows:
 			go n.writeLease(a)
 		case lease.Acquired:
+			n.holds.Store(true)
 			n.log.WithFields(logrus.Fields{"duty": formation.Duty, "epoch": a.Grant.Epoch}).Info("lease acquired")
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
 		case lease.Renewed:
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
 		case lease.Lost:
+			n.holds.Store(false)
 			n.log.WithFields(logrus.Fields{"duty": formation.Duty, "epoch": a.Epoch}).Info("lease ended")
 			n.stepPlanner(formation.LeaseChanged{})
 		}
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,184 @@
+package edge
+
+import (
+	"context"
+	"crypto/sha256"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/mirror"
+	"github.com/bulrushfall/bulrushfall/wire"
+)
+
+// Parameters of reading the store for others.
+const (
+	// readers is the number of entry instances that read the store for all: two,
+	// so that the loss of one leaves the others informed.
+	readers = 2
+	// staleAfter is the age from which what a reader says is out of date. It
+	// exceeds a long poll, a beacon's period and their delays, and leaves time to
+	// read the store before a configuration has to be in force.
+	staleAfter = 1300 * time.Millisecond
+	// behindFor is how long this instance may lack what a reader has.
+	behindFor = 400 * time.Millisecond
+	// keepReading is how long a reader that is not needed any more goes on.
+	keepReading = 1500 * time.Millisecond
+	// firstReaders is the time in which the seeds begin to read.
+	firstReaders = 400 * time.Millisecond
+	// followWait bounds one long poll of a reader, followSlack its way.
+	followWait  = time.Second
+	followSlack = 400 * time.Millisecond
+	// followRetry is the pause after a failed call.
+	followRetry = 60 * time.Millisecond
+	// kindFollow names the call of the peer protocol.
+	kindFollow wire.Kind = "mirror"
+	// mirrorDuty ranks the entry instances as readers.
+	mirrorDuty ident.ServiceName = "mirror"
+)
+
+// followRequest asks a reader for what is newer than the known versions.
+type followRequest struct {
+	Known []mirror.Top `msgpack:"k"`
+}
+
+type followResponse struct {
+	Rows []mirror.Row `msgpack:"r"`
+}
+
+// peerNode returns the peer protocol's node. The secret comes from the settings,
+// so it keeps out processes of other deployments; the network is the platform's.
+func (n *Node) peerNode() *wire.Node {
+	mux := wire.NewMux()
+	wire.Register(mux, kindFollow, func(ctx context.Context, _ wire.Peer, req followRequest) (followResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, followWait)
+		defer cancel()
+		return followResponse{Rows: n.mirror.Since(ctx, req.Known)}, nil
+	})
+	secret := sha256.Sum256([]byte(n.set.StoreAddress + "/" + strconv.Itoa(n.set.PeerPort)))
+	self := wire.Peer{Instance: n.set.Instance, Incarnation: n.self.Incarnation, DataCentre: n.set.DataCentre}
+	return wire.NewNode(self, secret[:], mux)
+}
+
+// age is how long ago the store last answered this instance for all tables.
+func (n *Node) age(now time.Duration) time.Duration {
+	oldest := now
+	for _, r := range n.readers {
+		oldest = min(oldest, time.Duration(r.verified.Load()))
+	}
+	return now - oldest
+}
+
+// source is a reader that this instance may follow.
+type source struct {
+	beacon.Message
+	age time.Duration
+}
+
+// sources returns the readers that are alive and up to date.
+func (n *Node) sources(now time.Duration) []source {
+	var out []source
+	for _, p := range n.peers.Seen(now) {
+		if age := p.Silent + p.StoreAge; p.Direct && !p.Leaving && age < staleAfter {
+			out = append(out, source{p.Message, age})
+		}
+	}
+	return out
+}
+
+// chooseRole decides whether this instance reads the store itself: if fewer than
+// two readers rank before it, or if it lacks what they have.
+func (n *Node) chooseRole(now time.Duration) {
+	sources := n.sources(now)
+	before, behind := 0, len(sources) > 0
+	known := n.mirror.Tops()
+	for _, s := range sources {
+		if ranksBefore(s.From, n.set.Instance) {
+			before++
+		}
+		if mirror.Covers(known, s.Tops) {
+			behind = false
+		}
+	}
+	if !behind {
+		n.behindSince = now
+	}
+	starting := now < firstReaders && len(n.set.Seeds) > 0 && !n.isSeed()
+	need := before < readers || now-n.behindSince > behindFor
+	switch {
+	case need && starting:
+	case need:
+		n.neededAt = now
+		if !n.direct.Swap(true) {
+			n.log.WithField("readers", len(sources)).WithField("behind", behind).Info("reading the store")
+		}
+	case now-n.neededAt > keepReading:
+		if n.direct.Swap(false) {
+			n.log.WithField("readers", len(sources)).Info("following readers of the store")
+		}
+	}
+}
+
+// isSeed reports whether the settings name this instance's address as a seed.
+func (n *Node) isSeed() bool { return n.set.IsSeed }
+
+// ranksBefore orders entry instances as readers.
+func ranksBefore(a, b ident.InstanceID) bool {
+	return lease.Rank(mirrorDuty, b, []ident.InstanceID{a}) > 0
+}
+
+// follow takes changes from a reader while this instance does not read itself.
+func (n *Node) follow(ctx context.Context, node *wire.Node) {
+	for ctx.Err() == nil {
+		sources := n.sources(n.now())
+		if n.direct.Load() || len(sources) == 0 {
+			sleep(ctx, followRetry)
+			continue
+		}
+		s := n.pickSource(sources)
+		address := net.JoinHostPort(s.Address.String(), strconv.Itoa(n.set.PeerPort))
+		callCtx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+		var resp followResponse
+		err := node.Call(callCtx, address, kindFollow, followRequest{Known: n.mirror.Tops()}, &resp)
+		cancel()
+		if err != nil {
+			n.logOnceAt("follow:"+string(s.From), "reader of the store did not answer", err)
+			sleep(ctx, followRetry+rand.N(followRetry))
+			continue
+		}
+		n.merge(resp.Rows)
+	}
+}
+
+// pickSource prefers readers in the same data centre.
+func (n *Node) pickSource(sources []source) source {
+	for _, s := range sources {
+		if s.DataCentre == n.set.DataCentre && rand.IntN(8) > 0 {
+			return s
+		}
+	}
+	return sources[rand.IntN(len(sources))]
+}
+
+// merge passes rows of a reader to control.
+func (n *Node) merge(rows []mirror.Row) {
+	fresh, err := n.mirror.Merge(rows)
+	if err != nil {
+		n.logOnceAt("merge", "rows of a reader cannot be read", err)
+	}
+	for _, table := range []string{n.plat.OperatorTable, n.plat.ServerTable} {
+		e := tableEvent{table: table}
+		for _, c := range fresh {
+			if c.Table == table {
+				e.rows = append(e.rows, c)
+			}
+		}
+		if len(e.rows) > 0 {
+			n.post(e)
+		}
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -23,8 +23,10 @@
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/mirror"
 	"github.com/bulrushfall/bulrushfall/route"
 	"github.com/bulrushfall/bulrushfall/telemetry"
+	"github.com/bulrushfall/bulrushfall/wire"
 )
 
 // Parameters of an entry instance.
@@ -62,6 +64,12 @@
 	start   time.Time
 	self    lease.Identity
 
+	mirror  *mirror.Mirror
+	readers []*reader
+	// direct tells that this instance reads the store itself, holds that it
+	// holds the planner's lease.
+	direct, holds atomic.Bool
+
 	events  chan event
 	leaving atomic.Bool
 	ready   atomic.Bool
@@ -81,7 +89,12 @@
 	served    bool
 	// ended is the last run of an entry instance that fell silent.
 	ended lease.Identity
-	notes map[string]time.Duration
+	// holder is the entry instance that says that it holds the lease.
+	holder lease.Identity
+	// behindSince is when this instance last had all that a reader has, neededAt
+	// when it was last needed as one.
+	behindSince, neededAt time.Duration
+	notes                 map[string]time.Duration
 
 	suspects suspicions
 }
@@ -100,8 +113,13 @@
 		self:   lease.Identity{Instance: set.Instance, Incarnation: ident.Incarnation(uuid.NewString())},
 		peers:  beacon.NewTable(set.Instance),
 		events: make(chan event, 256), nudge: make(chan struct{}, 1),
-		list:  fleet.NewList(),
-		notes: make(map[string]time.Duration),
+		mirror: mirror.New(),
+		list:   fleet.NewList(),
+		notes:  make(map[string]time.Duration),
+	}
+	n.readers = []*reader{
+		{n: n, table: plat.OperatorTable},
+		{n: n, table: plat.ServerTable, batch: serverBatch},
 	}
 	n.suspects.list = make(map[beacon.Suspicion]time.Duration)
 	n.snapshot = n.list.Snapshot()
@@ -159,6 +177,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other entry instances: free the port")
 	}
+	peers, err := n.listen(net.JoinHostPort(n.set.IP.String(), strconv.Itoa(n.set.PeerPort)))
+	if err != nil {
+		return err
+	}
 	server := n.server(n.handler)
 	if err := n.serveAll(server, callers); err != nil {
 		return err
@@ -170,8 +192,12 @@
 	go n.control(work)
 	go n.receive(udp)
 	go n.announce(work, udp)
-	go n.watch(work, n.plat.OperatorTable, 0, func(c tableChanges) event { return operatorEvent{c} })
-	go n.watch(work, n.plat.ServerTable, serverBatch, func(c tableChanges) event { return serverEvent{c} })
+	for _, r := range n.readers {
+		go r.run(work)
+	}
+	node := n.peerNode()
+	go n.servePeers(node, peers)
+	go n.follow(work, node)
 	go n.register(work)
 	go n.reloads(work, reload)
 	<-ctx.Done()
@@ -239,13 +265,19 @@
 	}
 }
 
+func (n *Node) servePeers(node *wire.Node, l net.Listener) {
+	if err := node.Serve(l); err != nil && n.ctx.Err() == nil {
+		n.log.WithError(err).Error("listener of other entry instances ended")
+	}
+}
+
 // lookup lists the callers' addresses of the entry instances that take callers.
 func (n *Node) lookup() ([]string, time.Duration) {
 	var out []string
 	if n.ready.Load() && !n.leaving.Load() {
 		out = append(out, n.set.Callers)
 	}
-	for _, m := range n.peers.Alive(n.now()) {
+	for _, m := range n.peers.Seen(n.now()) {
 		if m.Ready && !m.Leaving {
 			out = append(out, m.Callers)
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -65,7 +65,8 @@
 	m := beacon.Message{
 		From: n.set.Instance, Incarnation: n.self.Incarnation, Number: number, Callers: n.set.Callers,
 		DataCentre: n.set.DataCentre, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
-		Served: n.handler.Accepted() > 0,
+		Served: n.handler.Accepted() > 0, Holds: n.holds.Load(),
+		Direct: n.direct.Load(), StoreAge: n.age(n.now()), Tops: n.mirror.Tops(),
 	}
 	n.handler.Loads(func(id ident.InstanceID, inFlight int) {
 		m.Loads = append(m.Loads, beacon.Load{Server: id, InFlight: inFlight})
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -32,7 +32,9 @@
 	// metrics.
 	PeerPort, MetricsPort int
 	// Seeds are addresses of some entry instances, which may be stale.
-	Seeds        []netip.Addr
+	Seeds []netip.Addr
+	// IsSeed tells that this instance is one of them.
+	IsSeed       bool
 	FirstStart   bool
 	StoreAddress string
 	// Heartbeat is the time between the signs of life of backend servers.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,16 +72,9 @@
 // HasStaged reports whether a model is in the memory of the host.
 func (s *Server) HasStaged(model string) bool { return slices.Contains(s.Staged, model) }
 
-// Departure remembers a server whose entry was removed.
-type Departure struct {
-	Incarnation ident.Incarnation
-	At          time.Duration
-}
-
 // List is the current list. Its methods are called by one goroutine.
 type List struct {
 	servers map[ident.InstanceID]*Server
-	version uint64
 }
 
 // NewList returns an empty list.
@@ -107,19 +100,6 @@
 	return true
 }
 
-// Retain removes all servers that a snapshot of the given version lacks, and
-// returns how many those were.
-func (l *List) Retain(version uint64, present func(ident.InstanceID) bool) int {
-	removed := 0
-	for id, s := range l.servers {
-		if s.Version <= version && !present(id) {
-			delete(l.servers, id)
-			removed++
-		}
-	}
-	return removed
-}
-
 // Snapshot returns the list in the order of ids.
 func (l *List) Snapshot() *Snapshot {
 	s := &Snapshot{byID: make(map[ident.InstanceID]*Server, len(l.servers))}
