--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -39,6 +39,8 @@
 	Address    netip.Addr       `msgpack:"-"`
 	Callers    string           `msgpack:"c"`
 	DataCentre ident.DataCentre `msgpack:"d"`
+	// Capacity is the sender's processor share. Duties go to the largest.
+	Capacity float64 `msgpack:"w"`
 	// Ready instances take callers. Leaving ones shut down.
 	Ready   bool `msgpack:"r"`
 	Leaving bool `msgpack:"l"`
@@ -77,7 +79,7 @@
 const (
 	// AliveFor is how long an instance counts as alive after its last message.
 	// It spans several messages, so that lost ones do not matter.
-	AliveFor = 900 * time.Millisecond
+	AliveFor = 1000 * time.Millisecond
 	// forgetAfter is when an address that does not answer is dropped.
 	forgetAfter = 30 * time.Second
 )
--- a/edge/control.go
+++ b/edge/control.go
@@ -58,7 +58,7 @@
 
 // pauseSuspect is how long a group takes no requests after an entry instance
 // found it without progress; a repair ends it earlier.
-const pauseSuspect = 2500 * time.Millisecond
+const pauseSuspect = 1200 * time.Millisecond
 
 // suspectEvery is how often a suspicion of one group is acted on: beacons repeat
 // it.
@@ -121,20 +121,20 @@
 		n.peerChanged(run, false)
 	}
 	n.chooseRole(now)
-	var live []ident.InstanceID
+	rank := 0
 	served := n.handler.Accepted() > 0
 	holder := lease.Identity{}
 	for _, p := range n.peers.Seen(now) {
 		served = served || p.Served
-		if !p.Leaving {
-			live = append(live, p.From)
+		if !p.Leaving && n.ranksBefore(formation.Duty, p.Message) {
+			rank++
 		}
 		if p.Holds {
 			holder = lease.Identity{Instance: p.From, Incarnation: p.Incarnation}
 		}
 	}
 	n.holderChanged(holder)
-	if rank := lease.Rank(formation.Duty, n.set.Instance, live); rank != n.rank {
+	if rank != n.rank {
 		n.rank = rank
 		n.stepLease(lease.Ranked{Rank: rank})
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -23,9 +23,9 @@
 	// staleAfter is the age from which what a reader says is out of date. It
 	// exceeds a long poll, a beacon's period and their delays, and leaves time to
 	// read the store before a configuration has to be in force.
-	staleAfter = 1300 * time.Millisecond
+	staleAfter = 1500 * time.Millisecond
 	// behindFor is how long this instance may lack what a reader has.
-	behindFor = 400 * time.Millisecond
+	behindFor = 600 * time.Millisecond
 	// keepReading is how long a reader that is not needed any more goes on.
 	keepReading = 1500 * time.Millisecond
 	// firstReaders is the time in which the seeds begin to read.
@@ -97,7 +97,7 @@
 	before, behind := 0, len(sources) > 0
 	known := n.mirror.Tops()
 	for _, s := range sources {
-		if ranksBefore(s.From, n.set.Instance) {
+		if n.ranksBefore(mirrorDuty, s.Message) {
 			before++
 		}
 		if mirror.Covers(known, s.Tops) {
@@ -126,9 +126,13 @@
 // isSeed reports whether the settings name this instance's address as a seed.
 func (n *Node) isSeed() bool { return n.set.IsSeed }
 
-// ranksBefore orders entry instances as readers.
-func ranksBefore(a, b ident.InstanceID) bool {
-	return lease.Rank(mirrorDuty, b, []ident.InstanceID{a}) > 0
+// ranksBefore reports whether another entry instance comes before this one for a
+// duty: larger ones do, and equal ones by their rendezvous score.
+func (n *Node) ranksBefore(duty ident.ServiceName, m beacon.Message) bool {
+	if m.Capacity != n.set.Processor {
+		return m.Capacity > n.set.Processor
+	}
+	return lease.Rank(duty, n.set.Instance, []ident.InstanceID{m.From}) > 0
 }
 
 // follow takes changes from a reader while this instance does not read itself.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -51,6 +51,9 @@
 		to := n.peers.Addresses()
 		n.sendBeacon(udp, number, to)
 		every := min(beaconMost, beaconEvery*time.Duration(max(beaconFull, len(to)))/beaconFull)
+		if n.direct.Load() || n.holds.Load() {
+			every = beaconEvery // The others rely on what these say.
+		}
 		t := time.NewTimer(every - every/8 + rand.N(every/4))
 		select {
 		case <-ctx.Done():
@@ -64,7 +67,7 @@
 func (n *Node) sendBeacon(udp *net.UDPConn, number uint64, to []netip.Addr) {
 	m := beacon.Message{
 		From: n.set.Instance, Incarnation: n.self.Incarnation, Number: number, Callers: n.set.Callers,
-		DataCentre: n.set.DataCentre, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
+		DataCentre: n.set.DataCentre, Capacity: n.set.Processor, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
 		Served: n.handler.Accepted() > 0, Holds: n.holds.Load(),
 		Direct: n.direct.Load(), StoreAge: n.age(n.now()), Tops: n.mirror.Tops(),
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -26,6 +26,8 @@
 	DataCentre ident.DataCentre
 	Region     ident.Region
 	IP         netip.Addr
+	// Processor is this instance's share of a core.
+	Processor float64
 	// Callers, Ready and Lookup are the addresses to listen on.
 	Callers, Ready, Lookup string
 	// PeerPort takes datagrams of other entry instances, MetricsPort serves
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,7 +16,7 @@
 	// watchWait bounds one long poll. It is well below the time in which changes
 	// have to be in force, because a silent connection to the store shows only
 	// when a poll ends without an answer.
-	watchWait = 800 * time.Millisecond
+	watchWait = 600 * time.Millisecond
 	// serverBatch is how long changes of backend servers are gathered, because
 	// each answer of the store is a priced call.
 	serverBatch = 200 * time.Millisecond
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -39,6 +39,7 @@
 	starts    []time.Duration
 	served    bool
 	counter   int
+	summaryAt time.Duration
 
 	out []Action
 }
@@ -250,6 +251,7 @@
 	if !p.grow(now) {
 		p.stage(now)
 	}
+	p.summarize(now)
 }
 
 func (p *Planner) sorted() []*group {
@@ -287,6 +289,47 @@
 	}
 }
 
+// summarize reports the state of groups and spares every few seconds.
+func (p *Planner) summarize(now time.Duration) {
+	if now < p.summaryAt {
+		return
+	}
+	p.summaryAt = now + p.cfg.Summary
+	taken := p.taken()
+	for _, m := range p.service.Models {
+		groups, serving, spare := 0, 0, 0
+		for _, g := range p.groups {
+			if g.row().Model != m.Name {
+				continue
+			}
+			groups++
+			if c, _ := p.condition(g, g.Row.head()); c == open && len(p.survivors(g)) == m.Size {
+				serving++
+			}
+		}
+		empty := 0
+		for _, s := range p.servers.Servers {
+			switch {
+			case !p.isIdle(s) || taken[s.ID]:
+			case s.HasStaged(m.Name):
+				spare++
+			case len(s.Staged) == 0:
+				empty++
+			}
+		}
+		p.emit(Note{Text: "formation", Model: m.Name, Detail: fmt.Sprintf(
+			"%d groups, %d serve, %d spares loaded, %d servers empty, %d loads under way", groups, serving, spare, empty, p.loading())})
+	}
+}
+
+// head is the first member.
+func (r *Row) head() Member {
+	if len(r.Members) == 0 {
+		return Member{}
+	}
+	return r.Members[0]
+}
+
 // isDead reports whether this run of a server gave no sign of life lately.
 func (p *Planner) isDead(id ident.InstanceID, inc ident.Incarnation) bool {
 	d, ok := p.dead[id]
--- a/formation/types.go
+++ b/formation/types.go
@@ -229,6 +229,8 @@
 	// Settle is how long a new holder waits for the list before it judges
 	// members, because its first list may lag.
 	Settle time.Duration
+	// Summary is the time between lines on the state of all groups.
+	Summary time.Duration
 	// LoadWindow is the window over which starts of loads are limited.
 	LoadWindow time.Duration
 }
@@ -243,6 +245,7 @@
 		HeadGone:   1500 * time.Millisecond,
 		CutFor:     8 * time.Second,
 		Settle:     300 * time.Millisecond,
+		Summary:    2 * time.Second,
 		LoadWindow: 5 * time.Second,
 	}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -108,7 +108,7 @@
 	dialPause  = 400 * time.Millisecond
 	resetPause = 300 * time.Millisecond
 	// stallPause is about the time in which a group is probed and repaired.
-	stallPause = 2500 * time.Millisecond
+	stallPause = 1200 * time.Millisecond
 	// fullPause is the pause after a refusal by a full backend server.
 	fullPause = 100 * time.Millisecond
 )
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -103,12 +103,23 @@
 	return now < b.pausedUntil
 }
 
-// failed takes note of a failure; repeated ones pause the server for longer.
+// failed takes note of a failure. Repeated ones pause the server for longer;
+// those of requests that were under way together count once.
 func (b *Backend) failed(epoch ident.Epoch, now time.Duration, pause time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.epoch == epoch && now < b.pausedUntil {
+		return
+	}
 	b.failures = min(b.failures+1, maxFailures)
-	b.epoch, b.pausedUntil = epoch, max(b.pausedUntil, now+pause*time.Duration(b.failures))
+	b.epoch, b.pausedUntil = epoch, now+pause*time.Duration(b.failures)
+}
+
+// hasIdle reports whether a connection is kept.
+func (b *Backend) hasIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.idle) > 0
 }
 
 // maxFailures bounds the growth of pauses.
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -64,6 +64,8 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
+	// A deadline in the past would fail the read below before it is tried.
+	c.setDeadline(time.Time{})
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -10,9 +10,12 @@
 
 // Parameters of the choice of a backend server.
 const (
-	// remotePenalty is how many requests more a backend server in this data
-	// centre may have than one in another.
-	remotePenalty = 1.0
+	// remotePenalty times a server's slots is how many requests more a backend
+	// server in this data centre may have than one in another.
+	remotePenalty = 0.12
+	// connectPenalty is how many requests fewer one may have to which a new
+	// connection is needed.
+	connectPenalty = 0.8
 	// queueFactor times a server's slots is the load up to which requests are
 	// sent to it: the rest would wait in its queue past their goal.
 	queueFactor = 1.1
@@ -55,7 +58,10 @@
 			continue
 		}
 		if s.DataCentre != c.h.opts.DataCentre {
-			load += remotePenalty
+			load += remotePenalty * float64(s.Slots)
+		}
+		if !b.hasIdle() {
+			load += connectPenalty
 		}
 		load += jitter * rand.Float64()
 		if best == nil || load < bestLoad {
