--- a/edge/control.go
+++ b/edge/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
-	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -29,10 +27,14 @@
 		table string
 		rows  []infra.Change
 	}
-	leaseInput   struct{ lease.Event }
-	planInput    struct{ formation.Event }
-	suspectEvent struct{ beacon.Suspicion }
-	leaveEvent   struct{}
+	leaseInput struct{ lease.Event }
+	planInput  struct{ formation.Event }
+	// suspectEvent tells that an entry instance found a group without progress.
+	suspectEvent struct {
+		beacon.Suspicion
+		by ident.InstanceID
+	}
+	leaveEvent struct{}
 	// noteEvent is a line for the log that may come often.
 	noteEvent struct {
 		key, text string
@@ -56,14 +58,6 @@
 // storeTimeout bounds one call to the store by control.
 const storeTimeout = 1500 * time.Millisecond
 
-// pauseSuspect is how long a group takes no requests after an entry instance
-// found it without progress; a repair ends it earlier.
-const pauseSuspect = 1200 * time.Millisecond
-
-// suspectEvery is how often a suspicion of one group is acted on: beacons repeat
-// it.
-const suspectEvery = time.Second
-
 func (n *Node) post(e event) {
 	select {
 	case n.events <- e:
@@ -104,7 +98,7 @@
 	case planInput:
 		n.stepPlanner(e.Event)
 	case suspectEvent:
-		n.suspected(e.Suspicion)
+		n.suspected(e)
 	case noteEvent:
 		n.logOnce(e.key, e.text, e.err)
 	case peerEvent:
@@ -275,37 +269,6 @@
 	return nil
 }
 
-// suspect is called by requests that found a group without progress.
-func (n *Node) suspect(group ident.GroupID, epoch ident.Epoch) {
-	s := beacon.Suspicion{Group: group, Epoch: epoch}
-	n.suspects.Lock()
-	_, known := n.suspects.list[s]
-	n.suspects.list[s] = n.now() + time.Second
-	n.suspects.Unlock()
-	if !known {
-		n.wake()
-		n.post(suspectEvent{s})
-	}
-}
-
-// suspected keeps requests from a group and has the planner look at it.
-func (n *Node) suspected(s beacon.Suspicion) {
-	i := slices.IndexFunc(n.snapshot.Servers, func(o *fleet.Server) bool {
-		return o.Group == s.Group && o.Epoch == s.Epoch && o.Rank == 0
-	})
-	if i < 0 {
-		return
-	}
-	key := fmt.Sprintf("suspect:%s/%d", s.Group, s.Epoch)
-	if at, ok := n.notes[key]; ok && n.now()-at < suspectEvery {
-		return
-	}
-	n.notes[key] = n.now()
-	n.log.WithFields(logrus.Fields{"group": s.Group, "epoch": s.Epoch}).Info("group makes no progress")
-	n.handler.Pause(n.snapshot.Servers[i].ID, s.Epoch, n.now()+pauseSuspect)
-	n.stepPlanner(formation.Suspected{Group: s.Group, Epoch: s.Epoch})
-}
-
 // stepLease drives the lease and performs its actions.
 func (n *Node) stepLease(ev lease.Event) {
 	for _, a := range n.lease.Step(bootNow(), ev) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -47,7 +47,7 @@
 }
 
 type followResponse struct {
-	Rows []mirror.Row `msgpack:"r"`
+	Updates []mirror.Update `msgpack:"u"`
 }
 
 // peerNode returns the peer protocol's node. The secret comes from the settings,
@@ -57,7 +57,7 @@
 	wire.Register(mux, kindFollow, func(ctx context.Context, _ wire.Peer, req followRequest) (followResponse, error) {
 		ctx, cancel := context.WithTimeout(ctx, followWait)
 		defer cancel()
-		return followResponse{Rows: n.mirror.Since(ctx, req.Known)}, nil
+		return followResponse{Updates: n.mirror.Since(ctx, req.Known)}, nil
 	})
 	secret := sha256.Sum256([]byte(n.set.StoreAddress + "/" + strconv.Itoa(n.set.PeerPort)))
 	self := wire.Peer{Instance: n.set.Instance, Incarnation: n.self.Incarnation, DataCentre: n.set.DataCentre}
@@ -154,7 +154,7 @@
 			sleep(ctx, followRetry+rand.N(followRetry))
 			continue
 		}
-		n.merge(resp.Rows)
+		n.merge(resp.Updates)
 	}
 }
 
@@ -168,21 +168,15 @@
 	return sources[rand.IntN(len(sources))]
 }
 
-// merge passes rows of a reader to control.
-func (n *Node) merge(rows []mirror.Row) {
-	fresh, err := n.mirror.Merge(rows)
-	if err != nil {
-		n.logOnceAt("merge", "rows of a reader cannot be read", err)
-	}
-	for _, table := range []string{n.plat.OperatorTable, n.plat.ServerTable} {
-		e := tableEvent{table: table}
-		for _, c := range fresh {
-			if c.Table == table {
-				e.rows = append(e.rows, c)
-			}
+// merge passes the updates of a reader to control.
+func (n *Node) merge(updates []mirror.Update) {
+	for _, u := range updates {
+		fresh, err := n.mirror.Merge(u)
+		if err != nil {
+			n.logOnceAt("merge", "rows of a reader cannot be read", err)
 		}
-		if len(e.rows) > 0 {
-			n.post(e)
+		if len(fresh) > 0 || u.Whole {
+			n.post(tableEvent{table: u.Table, rows: fresh})
 		}
 	}
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -97,6 +97,7 @@
 	notes                 map[string]time.Duration
 
 	suspects suspicions
+	reports  []report
 }
 
 // suspicions are the groups that requests of this entry instance found without
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -129,7 +129,7 @@
 			n.post(peerEvent{run: news.Ended})
 		}
 		for _, s := range m.Suspects {
-			n.post(suspectEvent{s})
+			n.post(suspectEvent{s, m.From})
 		}
 	}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -180,6 +180,10 @@
 		if !isTimeout(err) {
 			return a.broken("read", err)
 		}
+		if a.disbanded() {
+			a.c.note("disbanded:" + string(a.server.ID))
+			return unknown
+		}
 		now = a.c.now()
 		quiet := now - max(a.waited, time.Duration(a.backend.progress.Load()))
 		if a.patience > 0 && quiet >= a.patience {
@@ -189,6 +193,16 @@
 	}
 }
 
+// disbanded reports whether the group that the request was sent to has been
+// formed anew or dissolved: what ran there sends nothing more.
+func (a *attempt) disbanded() bool {
+	if a.server.Group == "" {
+		return false
+	}
+	s, ok := a.c.h.view.Load().servers.Get(a.server.ID)
+	return ok && (s.Group != a.server.Group || s.Epoch != a.server.Epoch)
+}
+
 // broken takes note of a connection that failed while a request was under way.
 func (a *attempt) broken(where string, err error) result {
 	if a.c.gone() {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -10,17 +10,18 @@
 
 // Parameters of the choice of a backend server.
 const (
-	// remotePenalty times a server's slots is how many requests more a backend
-	// server in this data centre may have than one in another.
-	remotePenalty = 0.12
-	// connectPenalty is how many requests fewer one may have to which a new
-	// connection is needed.
-	connectPenalty = 0.8
+	// localWeight is how much likelier a backend server in this data centre is
+	// to be drawn than one in another.
+	localWeight = 4.0
+	// connectedWeight is how much likelier one is to which a connection is kept.
+	connectedWeight = 2.0
 	// queueFactor times a server's slots is the load up to which requests are
 	// sent to it: the rest would wait in its queue past their goal.
 	queueFactor = 1.1
-	// jitter spreads the choices of entry instances that see the same loads.
-	jitter = 1.0
+	// draws is the number of backend servers that are drawn; the least loaded of
+	// them is taken. Taking the least loaded of all would send the requests of all
+	// entry instances to one, because each sees the loads of the others late.
+	draws = 2
 )
 
 // noChoice tells why there is no backend server.
@@ -33,14 +34,35 @@
 	allCold
 )
 
-// pick chooses the backend server with the least load among those not tried.
+// option is a backend server that may run a request.
+type option struct {
+	server  *fleet.Server
+	backend *Backend
+	// load is the part of the slots in use, weight that of the draw.
+	load, weight float64
+}
+
+// pick chooses a backend server among those not tried.
 func (c *call) pick(now time.Duration) (*fleet.Server, *Backend, noChoice) {
-	view := c.h.view.Load()
+	options, why := c.options(now)
+	if len(options) == 0 {
+		return nil, nil, why
+	}
+	best := draw(options)
+	for range draws - 1 {
+		if o := draw(options); o.load < best.load {
+			best = o
+		}
+	}
+	return best.server, best.backend, chosen
+}
+
+// options lists the backend servers that may run a request, or tells why there
+// are none.
+func (c *call) options(now time.Duration) ([]option, noChoice) {
 	why := noServer
-	var best *fleet.Server
-	var bestBackend *Backend
-	var bestLoad float64
-	for _, s := range view.candidates(c) {
+	var out []option
+	for _, s := range c.h.view.Load().candidates(c) {
 		if slices.Contains(c.tried, s.ID) {
 			continue
 		}
@@ -52,26 +74,36 @@
 			why = max(why, allCold)
 			continue
 		}
-		load := float64(int(b.inFlight.Load()) + c.h.opts.Loads.Elsewhere(s.ID))
-		if slots := max(1, s.Slots); load >= queueFactor*float64(slots) {
+		load := float64(int(b.inFlight.Load())+c.h.opts.Loads.Elsewhere(s.ID)) / float64(max(1, s.Slots))
+		if load >= queueFactor {
 			why = max(why, allBusy)
 			continue
 		}
-		if s.DataCentre != c.h.opts.DataCentre {
-			load += remotePenalty * float64(s.Slots)
-		}
-		if !b.hasIdle() {
-			load += connectPenalty
+		o := option{server: s, backend: b, load: load, weight: 1}
+		if s.DataCentre == c.h.opts.DataCentre {
+			o.weight *= localWeight
 		}
-		load += jitter * rand.Float64()
-		if best == nil || load < bestLoad {
-			best, bestBackend, bestLoad = s, b, load
+		if b.hasIdle() {
+			o.weight *= connectedWeight
 		}
+		out = append(out, o)
 	}
-	if best == nil {
-		return nil, nil, why
+	return out, why
+}
+
+// draw picks an option at random by weight.
+func draw(options []option) option {
+	total := 0.0
+	for _, o := range options {
+		total += o.weight
+	}
+	point := rand.Float64() * total
+	for _, o := range options {
+		if point -= o.weight; point < 0 {
+			return o
+		}
 	}
-	return best, bestBackend, chosen
+	return options[len(options)-1]
 }
 
 // coldLimit is this entry instance's part of the requests that a cold server
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -13,9 +13,9 @@
 // Parameters of streams.
 const (
 	// stallPatience is how long a group may send nothing at all while requests
-	// of this entry instance wait there. One pass of a group with full batches
-	// and long prompts takes about 0.3 s.
-	stallPatience = 350 * time.Millisecond
+	// of this entry instance wait there. One pass of a group that reads prompts
+	// in each of its steps takes about 0.35 s.
+	stallPatience = 480 * time.Millisecond
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 	// eventBuffer is the first size of the buffer for events.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -47,9 +47,11 @@
 	changed chan struct{}
 }
 
+// table is the copy of one table. Deletions are known as far back as floor: what
+// was deleted before the last reading of the whole table left no row.
 type table struct {
-	rows map[string]Row
-	top  uint64
+	rows       map[string]Row
+	top, floor uint64
 }
 
 // New returns an empty copy.
@@ -83,6 +85,8 @@
 	}
 	if whole {
 		fresh = append(fresh, t.sweep(name, c.Version, present)...)
+		t.top = max(t.top, c.Version)
+		t.floor = max(t.floor, c.Version)
 	}
 	m.wake(len(fresh) > 0)
 	return fresh
@@ -110,13 +114,25 @@
 	return true
 }
 
-// Merge takes rows from another entry instance and returns the changes that are
-// new, in the order of their versions.
-func (m *Mirror) Merge(rows []Row) ([]infra.Change, error) {
+// Update is what a reader has of one table beyond what its follower knows.
+type Update struct {
+	Table string `msgpack:"t"`
+	// Whole updates hold all rows up to Top: others were deleted by then.
+	Whole bool   `msgpack:"w"`
+	Top   uint64 `msgpack:"v"`
+	Rows  []Row  `msgpack:"r"`
+}
+
+// Merge takes an update from another entry instance and returns the changes that
+// are new, in the order of their versions.
+func (m *Mirror) Merge(u Update) ([]infra.Change, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	t := m.table(u.Table)
 	var fresh []infra.Change
-	for _, r := range rows {
+	present := make(map[string]bool, len(u.Rows))
+	for _, r := range u.Rows {
+		present[r.Key] = true
 		if r.Packed {
 			value, err := unpack(r.Value)
 			if err != nil {
@@ -124,13 +140,17 @@
 			}
 			r.Value, r.Packed = value, false
 		}
-		if m.table(r.Table).put(r) {
+		if t.put(r) {
 			fresh = append(fresh, infra.Change{
 				Row:     infra.Row{RowKey: infra.RowKey{Table: r.Table, Key: r.Key}, Version: r.Version, Value: r.Value},
 				Deleted: r.Deleted,
 			})
 		}
 	}
+	if u.Whole {
+		fresh = append(fresh, t.sweep(u.Table, u.Top, present)...)
+		t.floor = max(t.floor, u.Top)
+	}
 	m.wake(len(fresh) > 0)
 	return fresh, nil
 }
@@ -174,15 +194,15 @@
 	return 0
 }
 
-// Since returns the rows that are newer than the given versions, in the order of
-// their versions. It waits for the first one until the context ends.
-func (m *Mirror) Since(ctx context.Context, known []Top) []Row {
+// Since returns what is newer than the given versions. It waits for the first
+// change until the context ends.
+func (m *Mirror) Since(ctx context.Context, known []Top) []Update {
 	for {
 		m.mu.Lock()
-		rows, changed := m.newer(known), m.changed
+		updates, changed := m.newer(known), m.changed
 		m.mu.Unlock()
-		if len(rows) > 0 {
-			return rows
+		if len(updates) > 0 {
+			return updates
 		}
 		select {
 		case <-ctx.Done():
@@ -192,28 +212,37 @@
 	}
 }
 
-func (m *Mirror) newer(known []Top) []Row {
-	var out []Row
+func (m *Mirror) newer(known []Top) []Update {
+	var out []Update
 	for name, t := range m.tables {
 		after := versionOf(known, name)
 		if t.top <= after {
 			continue
 		}
+		u := Update{Table: name, Top: t.top, Whole: after < t.floor}
 		for key, r := range t.rows {
-			if r.Version <= after {
+			if r.Version <= after && !u.Whole {
 				continue
 			}
 			if len(r.Value) >= packFrom && !r.Packed {
 				r.Value, r.Packed = pack(r.Value), true
-				t.rows[key] = r // Kept for the next reader.
 			}
-			out = append(out, r)
+			u.Rows = append(u.Rows, t.keep(key, r))
 		}
+		slices.SortFunc(u.Rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+		out = append(out, u)
 	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
 	return out
 }
 
+// keep stores a row with its compressed value for the next follower.
+func (t *table) keep(key string, r Row) Row {
+	if r.Packed {
+		t.rows[key] = r
+	}
+	return r
+}
+
 func pack(b []byte) []byte {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
