Leave: take no connection once callers' look-ups are over

Change: look-ups last 1 s; after three times that the listener closes, and the process ends when its requests have ended.

--- a/edge/node.go
+++ b/edge/node.go
@@ -34,8 +34,9 @@
 	// tickEvery drives leases and the planner.
 	tickEvery = 50 * time.Millisecond
 	// lookupTTL is how long callers keep a look-up: short, because an entry
-	// instance that dies takes the callers' next connections with it.
-	lookupTTL = 2 * time.Second
+	// instance that dies takes the callers' next connections with it, and one that
+	// leaves has to take requests until all callers know.
+	lookupTTL = time.Second
 	// idleTimeout closes callers' idle connections. It exceeds the time for which
 	// callers reuse them.
 	idleTimeout = 15 * time.Second
@@ -45,9 +46,9 @@
 	maxHeaderBytes = 16 << 10
 	// killMargin is how long before SIGKILL a leaving process ends by itself.
 	killMargin = 300 * time.Millisecond
-	// quietBeforeExit is how long a leaving process has had no request when it
-	// ends early.
-	quietBeforeExit = 700 * time.Millisecond
+	// lingerSlack is added to the time in which callers learn that this instance
+	// leaves.
+	lingerSlack = 300 * time.Millisecond
 	// staleLookups is how many times longer than the TTL callers may keep a
 	// look-up.
 	staleLookups = 3
@@ -286,8 +287,9 @@
 	return out, min(lookupTTL, n.set.LookupTTL)
 }
 
-// leave shuts down: callers are sent elsewhere, and requests that still arrive
-// are served until the platform's time is over.
+// leave shuts down: callers are sent elsewhere, and requests of those that do not
+// know yet are served. Then no connection is taken any more, so that what was
+// taken can end before the platform kills the process.
 func (n *Node) leave(server *http.Server) {
 	begun := n.now()
 	n.leaving.Store(true)
@@ -295,17 +297,19 @@
 	n.post(leaveEvent{})
 	n.wake()
 	server.SetKeepAlivesEnabled(false)
-	linger := staleLookups*min(lookupTTL, n.set.LookupTTL) + quietBeforeExit
-	last, quiet := n.handler.Accepted(), begun
-	for {
-		now := n.now()
-		if a := n.handler.Accepted(); a != last || n.handler.InFlight() > 0 {
-			last, quiet = a, now
-		}
-		if now-begun >= n.set.Grace-killMargin || (now-begun >= linger && now-quiet >= quietBeforeExit) {
-			break
-		}
-		time.Sleep(tickEvery)
+	sleep(n.ctx, lingerTime(n.set))
+	left := n.set.Grace - killMargin - (n.now() - begun)
+	ctx, cancel := context.WithTimeout(n.ctx, left)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.WithError(err).WithField("in_flight", n.handler.InFlight()).Warn("requests cut at the end of the grace period")
 	}
-	n.log.WithField("in_flight", n.handler.InFlight()).Info("stopped")
+	n.log.Info("stopped")
+}
+
+// lingerTime is how long a leaving instance takes connections: until the look-ups
+// that callers keep are over, but no longer than leaves most of the grace period
+// to the requests.
+func lingerTime(s Settings) time.Duration {
+	return min(staleLookups*min(lookupTTL, s.LookupTTL)+lingerSlack, s.Grace/2)
 }
