--- a/edge/node.go
+++ b/edge/node.go
@@ -296,7 +296,7 @@
 	n.log.Info("leaving")
 	n.post(leaveEvent{})
 	n.wake()
-	server.SetKeepAlivesEnabled(false)
+	n.handler.Drain()
 	sleep(n.ctx, lingerTime(n.set))
 	left := n.set.Grace - killMargin - (n.now() - begun)
 	ctx, cancel := context.WithTimeout(n.ctx, left)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -85,6 +85,7 @@
 	view     atomic.Pointer[View]
 	inFlight atomic.Int64
 	accepted atomic.Int64
+	draining atomic.Bool
 
 	mu       sync.Mutex
 	backends map[backendKey]*Backend
@@ -100,6 +101,11 @@
 	}
 }
 
+// Drain closes each connection of a caller after its next answer. Idle ones stay
+// open: net/http may have read a request on a connection that it still takes for
+// idle, and closing it would lose the request.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
 // InFlight is the number of requests under way.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -130,6 +136,9 @@
 	h.inFlight.Add(1)
 	h.accepted.Add(1)
 	defer h.inFlight.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	view := h.view.Load()
 	if view == nil {
 		c := &call{h: h, w: w, r: r, start: h.opts.Now()}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -223,3 +223,21 @@
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, len(b.requests()), 0)
 }
+
+// While a process leaves, each answer closes its connection, and an idle one is
+// left alone until then.
+func TestDrain(t *testing.T) {
+	b := serve(t, func(w io.Writer, r *http.Request) bool {
+		reply(w, r.Header.Get("X-Request"), "200 OK", "ok")
+		return true
+	})
+	r := newRig(t, b.server("s1"))
+	resp, _, err := r.do(r.request("POST", "/o/", "order"))
+	assert.NilError(t, err)
+	assert.Assert(t, !resp.Close)
+	r.handler.Drain()
+	resp, _, err = r.do(r.request("POST", "/o/", "order"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+}
