Choose readers by rank, come back after 1.2 s, learn of each other at once

Change: an instance reads when it ranks among the first two that the store answers, or lacks what a reader has; failed readers back off to 1 s; the poll for operators' changes lasts 1.5 s; new instances beacon as soon as they know addresses. A refusal for want of places says 1.2 s, about the time in which a full group finishes its requests. Ruled out: look-ups that name the caller's data centre only save no bytes between data centres.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/mirror"
 	"github.com/bulrushfall/bulrushfall/wire"
+	"github.com/sirupsen/logrus"
 )
 
 // Parameters of reading the store for others.
@@ -27,9 +28,9 @@
 	// behindFor is how long this instance may lack what a reader has.
 	behindFor = 600 * time.Millisecond
 	// keepReading is how long a reader that is not needed any more goes on.
-	keepReading = 1500 * time.Millisecond
-	// firstReaders is the time in which the seeds begin to read.
-	firstReaders = 400 * time.Millisecond
+	keepReading = 700 * time.Millisecond
+	// firstReaders is the time in which entry instances learn of each other.
+	firstReaders = 200 * time.Millisecond
 	// followWait bounds one long poll of a reader, followSlack its way.
 	followWait  = time.Second
 	followSlack = 400 * time.Millisecond
@@ -64,13 +65,18 @@
 	return wire.NewNode(self, secret[:], mux)
 }
 
-// age is how long ago the store last answered this instance for all tables.
+// age is how long ago the store last answered this instance: for the backend
+// servers, or for all tables if one was not read yet.
 func (n *Node) age(now time.Duration) time.Duration {
-	oldest := now
+	var last time.Duration
 	for _, r := range n.readers {
-		oldest = min(oldest, time.Duration(r.verified.Load()))
+		at := time.Duration(r.verified.Load())
+		if at == 0 {
+			return now
+		}
+		last = max(last, at)
 	}
-	return now - oldest
+	return now - last
 }
 
 // source is a reader that this instance may follow.
@@ -90,42 +96,41 @@
 	return out
 }
 
-// chooseRole decides whether this instance reads the store itself: if fewer than
-// two readers rank before it, or if it lacks what they have.
+// chooseRole decides whether this instance reads the store itself: if it ranks
+// among the readers, not counting those that the store does not answer, or if it
+// lacks what a reader has.
 func (n *Node) chooseRole(now time.Duration) {
-	sources := n.sources(now)
-	before, behind := 0, len(sources) > 0
+	before, fresh := 0, 0
+	behind := false
 	known := n.mirror.Tops()
-	for _, s := range sources {
-		if n.ranksBefore(mirrorDuty, s.Message) {
-			before++
+	for _, p := range n.peers.Seen(now) {
+		failing := p.Direct && p.Silent+p.StoreAge >= staleAfter
+		if p.Direct && !p.Leaving && !failing {
+			fresh++
+			behind = fresh == 1 || behind
+			if mirror.Covers(known, p.Tops) {
+				behind = false
+			}
 		}
-		if mirror.Covers(known, s.Tops) {
-			behind = false
+		if !p.Leaving && !failing && n.ranksBefore(mirrorDuty, p.Message) {
+			before++
 		}
 	}
 	if !behind {
 		n.behindSince = now
 	}
-	starting := now < firstReaders && len(n.set.Seeds) > 0 && !n.isSeed()
-	need := before < readers || now-n.behindSince > behindFor
+	need := (before < readers && now >= firstReaders) || now-n.behindSince > behindFor
 	switch {
-	case need && starting:
 	case need:
 		n.neededAt = now
 		if !n.direct.Swap(true) {
-			n.log.WithField("readers", len(sources)).WithField("behind", behind).Info("reading the store")
-		}
-	case now-n.neededAt > keepReading:
-		if n.direct.Swap(false) {
-			n.log.WithField("readers", len(sources)).Info("following readers of the store")
+			n.log.WithFields(logrus.Fields{"readers": fresh, "rank": before, "behind": behind}).Info("reading the store")
 		}
+	case now-n.neededAt > keepReading && n.direct.Swap(false):
+		n.log.WithField("readers", fresh).Info("following readers of the store")
 	}
 }
 
-// isSeed reports whether the settings name this instance's address as a seed.
-func (n *Node) isSeed() bool { return n.set.IsSeed }
-
 // ranksBefore reports whether another entry instance comes before this one for a
 // duty: larger ones do, and equal ones by their rendezvous score.
 func (n *Node) ranksBefore(duty ident.ServiceName, m beacon.Message) bool {
--- a/edge/node.go
+++ b/edge/node.go
@@ -120,8 +120,8 @@
 		notes:  make(map[string]time.Duration),
 	}
 	n.readers = []*reader{
-		{n: n, table: plat.OperatorTable},
-		{n: n, table: plat.ServerTable, batch: serverBatch},
+		{n: n, table: plat.OperatorTable, wait: operatorWait},
+		{n: n, table: plat.ServerTable, wait: serverWait, batch: serverBatch},
 	}
 	n.suspects.list = make(map[beacon.Suspicion]time.Duration)
 	n.snapshot = n.list.Snapshot()
@@ -274,6 +274,8 @@
 }
 
 // lookup lists the callers' addresses of the entry instances that take callers.
+// They are those of all data centres: naming the near ones only saves no traffic
+// between data centres, and the load of one is not that of another.
 func (n *Node) lookup() ([]string, time.Duration) {
 	var out []string
 	if n.ready.Load() && !n.leaving.Load() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -124,6 +124,7 @@
 		if news.Appeared {
 			n.log.WithField("peer", m.From).WithField("incarnation", m.Incarnation).Info("entry instance appeared")
 			n.post(peerEvent{run: beacon.Run{Instance: m.From, Incarnation: m.Incarnation}, alive: true})
+			n.wake() // It may not know of this instance yet.
 		}
 		if news.Ended != (beacon.Run{}) {
 			n.post(peerEvent{run: news.Ended})
@@ -134,26 +135,48 @@
 	}
 }
 
-// register writes this instance's address to the store and reads the others'.
+// register writes this instance's address to the store, unless it stands there
+// from an earlier run, and reads the others'. Those that start together write
+// first, so that of two at least the later one learns of the other.
 func (n *Node) register(ctx context.Context) {
-	row := infra.Write{RowKey: infra.RowKey{Table: entryTable, Key: string(n.set.Instance)}, Value: []byte(n.set.IP.String())}
-	written := false
+	own := infra.RowKey{Table: entryTable, Key: string(n.set.Instance)}
+	write := n.set.FirstStart
 	for ctx.Err() == nil {
-		if !written {
-			_, err := n.plat.Table.Txn(ctx, infra.Txn{Writes: []infra.Write{row}})
-			written = err == nil
+		var err error
+		if write {
+			row := infra.Write{RowKey: own, Value: []byte(n.set.IP.String())}
+			_, err = n.plat.Table.Txn(ctx, infra.Txn{Writes: []infra.Write{row}})
 		}
-		if written {
-			changes, err := n.plat.Watcher.Snapshot(ctx, entryTable)
-			if err == nil {
-				for _, r := range changes.Rows {
-					if a, err := netip.ParseAddr(string(r.Value)); err == nil {
-						n.peers.Know(n.now(), a)
-					}
+		if err == nil {
+			var changes infra.Changes
+			if changes, err = n.plat.Watcher.Snapshot(ctx, entryTable); err == nil {
+				found := n.learn(changes.Rows)
+				n.wake()
+				if found {
+					return
 				}
-				return
 			}
+			write = err == nil
+		}
+		if err != nil {
+			sleep(ctx, registerRetry/2+rand.N(registerRetry))
+		}
+	}
+}
+
+// learn takes the addresses of other entry instances, and reports whether this
+// one's is among them.
+func (n *Node) learn(rows []infra.Change) bool {
+	found := false
+	for _, r := range rows {
+		a, err := netip.ParseAddr(string(r.Value))
+		switch {
+		case r.Deleted || err != nil:
+		case r.Key == string(n.set.Instance) && a == n.set.IP:
+			found = true
+		default:
+			n.peers.Know(n.now(), a)
 		}
-		sleep(ctx, registerRetry)
 	}
+	return found
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -13,15 +13,20 @@
 
 // Times of watches.
 const (
-	// watchWait bounds one long poll. It is well below the time in which changes
-	// have to be in force, because a silent connection to the store shows only
-	// when a poll ends without an answer.
-	watchWait = 600 * time.Millisecond
+	// serverWait bounds one long poll for backend servers. It is well below the
+	// time in which changes have to be in force, because a silent path to the
+	// store shows only when a poll ends without an answer. The poll for operators'
+	// changes is longer: the other one shows the path's loss.
+	serverWait   = 600 * time.Millisecond
+	operatorWait = 1500 * time.Millisecond
 	// serverBatch is how long changes of backend servers are gathered, because
 	// each answer of the store is a priced call.
-	serverBatch = 200 * time.Millisecond
+	serverBatch = 240 * time.Millisecond
 	// watchRetry is the pause after a failed call, with as much jitter.
 	watchRetry = 150 * time.Millisecond
+	// watchRetryMost bounds the pause, which doubles with each failure: each call
+	// to the store is priced, and most readers fail together.
+	watchRetryMost = time.Second
 	// roleCheck is how often a reader looks whether it should read.
 	roleCheck = 50 * time.Millisecond
 )
@@ -31,7 +36,9 @@
 type reader struct {
 	n     *Node
 	table string
+	wait  time.Duration
 	batch time.Duration
+	pause time.Duration
 	known uint64
 	lost  bool
 	// verified is when the store last answered.
@@ -62,9 +69,11 @@
 			r.lost = true
 			log.WithError(err).Warn("store lost")
 		}
-		sleep(ctx, watchRetry+rand.N(watchRetry))
+		r.pause = min(max(watchRetry, 2*r.pause), watchRetryMost)
+		sleep(ctx, r.pause/2+rand.N(r.pause))
 		return
 	}
+	r.pause = 0
 	if r.lost {
 		r.lost = false
 		log.Info("store regained")
@@ -82,7 +91,7 @@
 		c, err := r.n.plat.Watcher.Snapshot(ctx, r.table)
 		return c, true, err
 	}
-	c, err := r.n.plat.Watcher.Watch(ctx, r.table, r.known, watchWait)
+	c, err := r.n.plat.Watcher.Watch(ctx, r.table, r.known, r.wait)
 	return c, false, err
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -24,9 +24,8 @@
 	noConfigRetry = 500 * time.Millisecond
 	// noServerRetry is about the time in which a group is repaired.
 	noServerRetry = 1500 * time.Millisecond
-	// busyRetry is about the time in which a backend server finishes some of its
-	// requests.
-	busyRetry = 400 * time.Millisecond
+	// busyRetry is about the time in which a full group finishes its requests.
+	busyRetry = 1200 * time.Millisecond
 )
 
 // maxBodyBytes bounds a request's body when the configuration names no bound.
