--- /dev/null
+++ b/cmd/bulrushctl/explain.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/telemetry/explain"
+)
+
+// explainCommand shows what became of a request from collected logs.
+func (t *tool) explainCommand(p *flaggy.Parser) []choice {
+	s := group(p, "explain", "show from logs what became of a request: explain ID --log FILE [--log FILE ...]")
+	s.AddPositionalValue(&t.name, "id", 1, true, "request id")
+	s.StringSlice(&t.logs, "L", "log", "log of one process, one JSON object a line; repeat it for more")
+	return []choice{{s, t.explainRequest}}
+}
+
+func (t *tool) explainRequest() error {
+	if len(t.logs) == 0 {
+		return &usageError{"no log given: name the logs of the processes with --log FILE"}
+	}
+	var logs []explain.Log
+	for _, name := range t.logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "open log: name an existing file")
+		}
+		defer func() { _ = f.Close() }()
+		logs = append(logs, explain.Log{Source: filepath.Base(name), Reader: f})
+	}
+	lines, err := explain.Request(t.name, logs)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		if _, err := fmt.Fprintf(t.stdout, "%s %s %s\n", l.At.Format("15:04:05.000"), l.Source, l.Text); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
--- a/cmd/bulrushctl/flags.go
+++ b/cmd/bulrushctl/flags.go
@@ -43,6 +43,7 @@
 	explain  bool
 	machines []string
 	expect   string
+	logs     []string
 }
 
 // command runs after the command line was parsed.
@@ -71,6 +72,7 @@
 	choices = append(choices, t.drainCommands(p, "partner", "withdraw", config.DrainPartner)...)
 	choices = append(choices, t.otherCommands(p)...)
 	choices = append(choices, t.traceCommands(p)...)
+	choices = append(choices, t.explainCommand(p)...)
 	if err := p.ParseArgs(args); err != nil {
 		return nil, &usageError{err.Error()}
 	}
--- a/cmd/bulrushctl/main_test.go
+++ b/cmd/bulrushctl/main_test.go
@@ -199,3 +199,19 @@
 	code, _ = p.ctl("quotes", "--timeout", "0s", "status")
 	assert.Equal(t, code, exitUsage)
 }
+
+// TestExplain guards against an explanation that misses the request's own line
+// or hides that there is none.
+func TestExplain(t *testing.T) {
+	p := &part{}
+	file := filepath.Join(t.TempDir(), "entry.log")
+	line := `{"msg":"request","outcome":"refused","request":"r1","time":"2026-05-04T02:53:37Z"}` + "\n"
+	assert.NilError(t, os.WriteFile(file, []byte(line), 0o600))
+	code, out := p.ctl("", "explain", "r1", "--log", file)
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, `"outcome":"refused"`), out)
+	code, out = p.ctl("", "explain", "r2", "--log", file)
+	assert.Assert(t, code != 0, out)
+	code, out = p.ctl("", "explain", "r1")
+	assert.Assert(t, code != 0, out)
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -20,6 +20,9 @@
 	minLeft = 20 * time.Millisecond
 	// maxUnsent bounds the backend servers that are tried in vain.
 	maxUnsent = 4
+	// maxRefused bounds the backend servers beyond the route's attempts that
+	// refuse a request without running it.
+	maxRefused = 2
 )
 
 // servePlain answers a request with one whole response.
@@ -76,14 +79,21 @@
 // again decides what follows a send without an answer. It answers the caller
 // and returns false when the request is over.
 func (c *call) again(r result) bool {
-	may := r == notRun || c.route.Repeatable()
-	if may && c.sent < c.route.Attempts && c.mayRetry(c.now()) {
+	if c.maySendAgain(r) {
 		return true
 	}
 	c.giveUp(r.String())
 	return false
 }
 
+// maySendAgain decides whether a request may go to another backend server, and
+// takes it from the budget of repeats. Servers that say that they did not run it
+// do not count toward the route's attempts.
+func (c *call) maySendAgain(r result) bool {
+	return (r == notRun || c.route.Repeatable()) &&
+		c.ran < c.route.Attempts && c.sent < c.route.Attempts+maxRefused && c.mayRetry(c.now())
+}
+
 // giveUp answers a request that no backend server answered: not run if each of
 // them said so.
 func (c *call) giveUp(reason string) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -107,8 +107,7 @@
 
 // again decides whether the request goes on at another backend server.
 func (r *relay) again(res result) bool {
-	c := r.c
-	if (res == notRun || c.route.Repeatable()) && c.sent < c.route.Attempts && c.mayRetry(c.now()) {
+	if r.c.maySendAgain(res) {
 		return true
 	}
 	r.giveUp(res.String())
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -155,3 +155,27 @@
 		}
 	}
 }
+
+// A stream whose first group is lost goes on although the next groups refuse it
+// for want of members of their own: what did not run is no attempt.
+func TestRefusalIsNoAttempt(t *testing.T) {
+	shown := make(chan struct{})
+	bad := serve(t, brokenStream(3, func(io.Writer) { <-shown }))
+	refuse := func(w io.Writer, r *http.Request) bool {
+		reply(w, r.Header.Get("X-Request"), "503 Service Unavailable", "", "X-Not-Run", "1")
+		return true
+	}
+	one, two := serve(t, refuse), serve(t, refuse)
+	good := serve(t, wholeStream(8))
+	r := newRig(t, bad.head("s1"))
+	go func() {
+		for len(bad.requests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.show(bad.head("s1"), one.head("s2"), two.head("s3"), good.head("s4"))
+		close(shown)
+	}()
+	_, body, err := r.do(r.request("POST", "/s/", "prompt"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 8))
+}
