--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -5,12 +5,14 @@
 package beacon
 
 import (
+	"bytes"
 	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -18,12 +20,32 @@
 	"github.com/bulrushfall/bulrushfall/mirror"
 )
 
-// Load is the number of requests under way at a backend server.
+// Load is the number of requests under way at a backend server. The server is
+// named by a hash: loads are most of a message, and a message goes to each entry
+// instance. Two servers with one hash share their loads, which only makes both
+// look busier.
 type Load struct {
-	Server   ident.InstanceID `msgpack:"s"`
-	InFlight int              `msgpack:"n"`
+	Server   uint32
+	InFlight int
 }
 
+// EncodeMsgpack writes the two numbers without names.
+func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return errors.Wrap(enc.EncodeMulti(l.Server, l.InFlight), "encode load")
+}
+
+// DecodeMsgpack reads what EncodeMsgpack writes.
+func (l *Load) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return errors.Wrap(dec.DecodeMulti(&l.Server, &l.InFlight), "decode load")
+}
+
+// NewLoad returns the load of a backend server.
+func NewLoad(id ident.InstanceID, inFlight int) Load {
+	return Load{Server: hash(id), InFlight: inFlight}
+}
+
+func hash(id ident.InstanceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
 // Suspicion names a group without progress.
 type Suspicion struct {
 	Group ident.GroupID `msgpack:"g"`
@@ -61,8 +83,14 @@
 
 // Encode returns the datagram of a message.
 func Encode(m *Message) ([]byte, error) {
-	b, err := msgpack.Marshal(m)
-	return b, errors.Wrap(err, "encode beacon")
+	var b bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&b)
+	enc.UseCompactInts(true)
+	enc.SetOmitEmpty(true)
+	err := enc.Encode(m)
+	return b.Bytes(), errors.Wrap(err, "encode beacon")
 }
 
 // Decode reads a datagram.
@@ -98,7 +126,7 @@
 	mu        sync.RWMutex
 	peers     map[ident.InstanceID]*peer
 	addresses map[netip.Addr]time.Duration
-	elsewhere map[ident.InstanceID]int
+	elsewhere map[uint32]int
 	alive     int
 }
 
@@ -108,7 +136,7 @@
 		self:      self,
 		peers:     make(map[ident.InstanceID]*peer),
 		addresses: make(map[netip.Addr]time.Duration),
-		elsewhere: make(map[ident.InstanceID]int),
+		elsewhere: make(map[uint32]int),
 		alive:     1,
 	}
 }
@@ -239,7 +267,7 @@
 func (t *Table) Elsewhere(id ident.InstanceID) int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.elsewhere[id]
+	return t.elsewhere[hash(id)]
 }
 
 // Entries is the number of entry instances alive, this one included.
--- a/beacon/beacon_test.go
+++ b/beacon/beacon_test.go
@@ -1,6 +1,7 @@
 package beacon
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -21,10 +22,10 @@
 // overtaken or repeated.
 func TestLoads(t *testing.T) {
 	table := NewTable("self")
-	table.Receive(0, message("a", "1", 2, Load{"s", 5}))
-	table.Receive(0, message("b", "1", 1, Load{"s", 3}, Load{"u", 1}))
+	table.Receive(0, message("a", "1", 2, NewLoad("s", 5)))
+	table.Receive(0, message("b", "1", 1, NewLoad("s", 3), NewLoad("u", 1)))
 	assert.Equal(t, table.Elsewhere("s"), 8)
-	assert.Assert(t, table.Receive(0, message("a", "1", 1, Load{"s", 50})).Stale)
+	assert.Assert(t, table.Receive(0, message("a", "1", 1, NewLoad("s", 50))).Stale)
 	assert.Equal(t, table.Elsewhere("s"), 8)
 	table.Receive(0, message("a", "1", 3))
 	assert.Equal(t, table.Elsewhere("s"), 3)
@@ -34,8 +35,8 @@
 // A silent instance's loads count no more, and its run is reported as ended.
 func TestSilence(t *testing.T) {
 	table := NewTable("self")
-	table.Receive(0, message("a", "1", 1, Load{"s", 5}))
-	table.Receive(AliveFor/2, message("b", "1", 1, Load{"s", 2}))
+	table.Receive(0, message("a", "1", 1, NewLoad("s", 5)))
+	table.Receive(AliveFor/2, message("b", "1", 1, NewLoad("s", 2)))
 	assert.Equal(t, len(table.Expire(AliveFor-time.Millisecond)), 0)
 	assert.Equal(t, table.Entries(), 3)
 	assert.DeepEqual(t, table.Expire(AliveFor), []Run{{"a", "1"}})
@@ -47,8 +48,8 @@
 // A process that has started again numbers its messages anew.
 func TestRestart(t *testing.T) {
 	table := NewTable("self")
-	assert.Assert(t, table.Receive(0, message("a", "1", 900, Load{"s", 5})).Appeared)
-	news := table.Receive(time.Millisecond, message("a", "2", 1, Load{"s", 1}))
+	assert.Assert(t, table.Receive(0, message("a", "1", 900, NewLoad("s", 5))).Appeared)
+	news := table.Receive(time.Millisecond, message("a", "2", 1, NewLoad("s", 1)))
 	assert.Equal(t, news.Ended, Run{"a", "1"})
 	assert.Assert(t, news.Appeared && !news.Stale)
 	assert.Equal(t, table.Elsewhere("s"), 1)
@@ -57,13 +58,13 @@
 // Own messages that come back count for nothing, and foreign datagrams fail.
 func TestForeignDatagrams(t *testing.T) {
 	table := NewTable("self")
-	assert.Assert(t, table.Receive(0, message("self", "1", 1, Load{"s", 5})).Stale)
+	assert.Assert(t, table.Receive(0, message("self", "1", 1, NewLoad("s", 5))).Stale)
 	assert.Equal(t, table.Elsewhere("s"), 0)
 	for _, b := range [][]byte{nil, {0xc1}, []byte("hello"), {0x80}} {
 		_, err := Decode(b)
 		assert.Assert(t, err != nil, "%q", b)
 	}
-	m := message("a", "1", 1, Load{"s", 2})
+	m := message("a", "1", 1, NewLoad("s", 2))
 	b, err := Encode(&m)
 	assert.NilError(t, err)
 	got, err := Decode(b)
@@ -72,7 +73,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	m := message("a", "1", 1, Load{"s", 2})
+	m := message("a", "1", 1, NewLoad("s", 2))
 	b, err := Encode(&m)
 	assert.NilError(f, err)
 	f.Add(b)
@@ -83,3 +84,20 @@
 		}
 	})
 }
+
+// A beacon of a busy entry instance stays small: each goes to all others, and the
+// bytes between data centres are priced.
+func TestSize(t *testing.T) {
+	m := message("front-brno-a-10", "0a1b2c3d", 12345)
+	m.Callers, m.DataCentre, m.Ready, m.Served, m.Capacity = "10.1.0.40:8227", "brno-a", true, true, 0.192
+	for i := range 20 {
+		m.Loads = append(m.Loads, NewLoad(ident.InstanceID(fmt.Sprint("i-", i)), 2))
+	}
+	b, err := Encode(&m)
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) <= 256, "%d bytes", len(b))
+	got, err := Decode(b)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Loads), 20)
+	assert.Assert(t, got.Ready && !got.Leaving)
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -29,8 +29,11 @@
 	behindFor = 600 * time.Millisecond
 	// keepReading is how long a reader that is not needed any more goes on.
 	keepReading = 700 * time.Millisecond
-	// firstReaders is the time in which entry instances learn of each other.
+	// firstReaders is the time in which an entry instance learns of the others
+	// after its start, and firstStart that at the first start of all of them,
+	// which the platform spreads over 0.3 s.
 	firstReaders = 200 * time.Millisecond
+	firstStart   = 700 * time.Millisecond
 	// followWait bounds one long poll of a reader, followSlack its way.
 	followWait  = time.Second
 	followSlack = 400 * time.Millisecond
@@ -119,7 +122,11 @@
 	if !behind {
 		n.behindSince = now
 	}
-	need := (before < readers && now >= firstReaders) || now-n.behindSince > behindFor
+	settled := firstReaders
+	if n.set.FirstStart {
+		settled = firstStart
+	}
+	need := (before < readers && now >= settled) || now-n.behindSince > behindFor
 	switch {
 	case need:
 		n.neededAt = now
--- a/edge/node.go
+++ b/edge/node.go
@@ -44,6 +44,9 @@
 	headerTimeout = 3 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 16 << 10
+	// incarnationLength is the length of the random part that tells two runs of an
+	// entry instance apart. It goes into each beacon.
+	incarnationLength = 8
 	// killMargin is how long before SIGKILL a leaving process ends by itself.
 	killMargin = 300 * time.Millisecond
 	// lingerSlack is added to the time in which callers learn that this instance
@@ -112,7 +115,7 @@
 func New(set Settings, plat Platform, log *logrus.Logger, metrics *telemetry.Metrics) *Node {
 	n := &Node{
 		set: set, plat: plat, log: log, metrics: metrics, start: time.Now(),
-		self:   lease.Identity{Instance: set.Instance, Incarnation: ident.Incarnation(uuid.NewString())},
+		self:   lease.Identity{Instance: set.Instance, Incarnation: ident.Incarnation(uuid.NewString()[:incarnationLength])},
 		peers:  beacon.NewTable(set.Instance),
 		events: make(chan event, 256), nudge: make(chan struct{}, 1),
 		mirror: mirror.New(),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -23,6 +23,8 @@
 	beaconMost = 400 * time.Millisecond
 	// beaconPeers is the number of other addresses in a beacon.
 	beaconPeers = 6
+	// beaconPeersEvery is the number of beacons of which one holds addresses.
+	beaconPeersEvery = 5
 	// maxDatagram bounds a beacon.
 	maxDatagram = 16 << 10
 	// entryTable lists the addresses of entry instances.
@@ -69,10 +71,13 @@
 		From: n.set.Instance, Incarnation: n.self.Incarnation, Number: number, Callers: n.set.Callers,
 		DataCentre: n.set.DataCentre, Capacity: n.set.Processor, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
 		Served: n.handler.Accepted() > 0, Holds: n.holds.Load(),
-		Direct: n.direct.Load(), StoreAge: n.age(n.now()), Tops: n.mirror.Tops(),
+		Direct: n.direct.Load(),
+	}
+	if m.Direct {
+		m.StoreAge, m.Tops = n.age(n.now()), n.mirror.Tops()
 	}
 	n.handler.Loads(func(id ident.InstanceID, inFlight int) {
-		m.Loads = append(m.Loads, beacon.Load{Server: id, InFlight: inFlight})
+		m.Loads = append(m.Loads, beacon.NewLoad(id, inFlight))
 	})
 	now := n.now()
 	n.suspects.Lock()
@@ -84,8 +89,10 @@
 		m.Suspects = append(m.Suspects, s)
 	}
 	n.suspects.Unlock()
-	for range min(beaconPeers, len(to)) {
-		m.Peers = append(m.Peers, to[rand.IntN(len(to))].String())
+	if number%beaconPeersEvery == 1 {
+		for range min(beaconPeers, len(to)) {
+			m.Peers = append(m.Peers, to[rand.IntN(len(to))].String())
+		}
 	}
 	b, err := beacon.Encode(&m)
 	if err != nil {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -46,13 +46,12 @@
 
 type simServer struct {
 	fleet.Server
-	dead    bool
-	listed  bool
-	list    []ident.InstanceID
-	seen    ident.Epoch
-	fence   ident.Epoch
-	last    string
-	readyAt time.Duration
+	dead   bool
+	listed bool
+	list   []ident.InstanceID
+	seen   ident.Epoch
+	fence  ident.Epoch
+	last   string
 	// readyAs are the epochs and lists under which the server was ready.
 	readyAs map[string]bool
 	born    int
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -109,8 +109,6 @@
 	resetPause = 300 * time.Millisecond
 	// stallPause is about the time in which a group is probed and repaired.
 	stallPause = 1200 * time.Millisecond
-	// fullPause is the pause after a refusal by a full backend server.
-	fullPause = 100 * time.Millisecond
 )
 
 // readHead reads the response that belongs to the request.
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -47,8 +47,6 @@
 	failures    int
 	// coldSent are the instants of requests sent while the server was cold.
 	coldSent []time.Duration
-	// slow is the smoothed ratio of measured to expected time of an answer.
-	slow float64
 }
 
 // backend returns the state of a server.
