--- a/control/groups.go
+++ b/control/groups.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/lease/leaseio"
 	"github.com/bulrushfall/bulrushfall/service"
 )
 
@@ -241,7 +242,7 @@
 			l.spawn(l.groups.ctx, func() event {
 				ctx, cancel := context.WithTimeout(l.groups.ctx, storeTimeout)
 				defer cancel()
-				row, err := getRow(ctx, l.opts.Table, a.Key)
+				row, err := leaseio.Get(ctx, l.opts.Table, a.Key)
 				return plannerEvent{c.name, group.RowRead{Attempt: a.Attempt, OK: err == nil, Row: row}}
 			})
 		case group.Transact:
@@ -256,7 +257,7 @@
 func (l *Loop) readAll(name ident.ServiceName) group.AllRead {
 	ctx, cancel := context.WithTimeout(l.groups.ctx, 5*storeTimeout)
 	defer cancel()
-	head, err := getRow(ctx, l.opts.Table, group.HeadKey(name))
+	head, err := leaseio.Get(ctx, l.opts.Table, group.HeadKey(name))
 	if err != nil {
 		return group.AllRead{}
 	}
--- a/control/lease.go
+++ b/control/lease.go
@@ -4,12 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bulrushfall/bulrushfall/group"
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
+	"github.com/bulrushfall/bulrushfall/lease/leaseio"
 	"github.com/bulrushfall/bulrushfall/membership"
 )
 
@@ -63,21 +61,11 @@
 	}
 }
 
-// readLease reads both rows, the lease row first: if the holder changes in
-// between, the next write conflicts.
 func (l *Loop) readLease(c *serviceControl) {
 	l.spawn(l.groups.ctx, func() event {
 		ctx, cancel := context.WithTimeout(l.groups.ctx, storeTimeout)
 		defer cancel()
-		row, err := getRow(ctx, l.opts.Table, lease.Key(c.name))
-		if err != nil {
-			return leaseEvent{c.name, lease.ReadFailed{}}
-		}
-		epoch, err := getRow(ctx, l.opts.Table, lease.EpochKey(c.name))
-		if err != nil {
-			return leaseEvent{c.name, lease.ReadFailed{}}
-		}
-		return leaseEvent{c.name, lease.RowsRead{Lease: row, Epoch: epoch}}
+		return leaseEvent{c.name, leaseio.Read(ctx, l.opts.Table, c.name)}
 	})
 }
 
@@ -85,22 +73,12 @@
 	l.spawn(l.groups.ctx, func() event {
 		ctx, cancel := context.WithTimeout(l.groups.ctx, storeTimeout)
 		defer cancel()
-		version, err := l.opts.Table.Txn(ctx, w.Txn)
+		written := leaseio.Write(ctx, l.opts.Table, w)
 		l.groups.counters.leaseWrites.Inc(1)
-		return leaseEvent{c.name, lease.Written{Attempt: w.Attempt, Outcome: infra.OutcomeOf(err), Version: version}}
+		return leaseEvent{c.name, written}
 	})
 }
 
-// getRow reads one row; an absent one has version 0.
-func getRow(ctx context.Context, table infra.Table, key infra.RowKey) (infra.Row, error) {
-	row, err := table.Get(ctx, key)
-	if errors.Is(err, infra.ErrRowNotFound) {
-		return infra.Row{RowKey: key}, nil
-	}
-	row.RowKey = key
-	return row, err
-}
-
 // leaseHolder returns the holder of a service's lease as last seen, or "".
 func (l *Loop) leaseHolder(name ident.ServiceName, now time.Duration) ident.InstanceID {
 	c, ok := l.groups.services[name]
--- /dev/null
+++ b/lease/leaseio/leaseio.go
@@ -0,0 +1,42 @@
+// Package leaseio performs the reads and writes of a lease on a table.
+package leaseio
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/infra"
+	"github.com/bulrushfall/bulrushfall/lease"
+)
+
+// Read answers lease.ReadRows. The lease row is read first: if the holder changes
+// in between, the next write conflicts.
+func Read(ctx context.Context, table infra.Table, name ident.ServiceName) lease.Event {
+	row, err := Get(ctx, table, lease.Key(name))
+	if err != nil {
+		return lease.ReadFailed{}
+	}
+	epoch, err := Get(ctx, table, lease.EpochKey(name))
+	if err != nil {
+		return lease.ReadFailed{}
+	}
+	return lease.RowsRead{Lease: row, Epoch: epoch}
+}
+
+// Write answers lease.WriteRows.
+func Write(ctx context.Context, table infra.Table, w lease.WriteRows) lease.Event {
+	version, err := table.Txn(ctx, w.Txn)
+	return lease.Written{Attempt: w.Attempt, Outcome: infra.OutcomeOf(err), Version: version}
+}
+
+// Get reads one row; an absent one has version 0.
+func Get(ctx context.Context, table infra.Table, key infra.RowKey) (infra.Row, error) {
+	row, err := table.Get(ctx, key)
+	if errors.Is(err, infra.ErrRowNotFound) {
+		return infra.Row{RowKey: key}, nil
+	}
+	row.RowKey = key
+	return row, err
+}
