Epochs grow across dissolved groups and holders

Cause: found by reading: the next epoch was one above those of rows and entries, but a server that has left a dissolved group names no epoch and still refuses lower ones, so the group of its next join could never form. Change: the planner keeps its last epoch, and each holder begins above those of former ones. TestEpochsGrowAcrossDissolvedGroups fails before and passes after. Remembered log lines are bounded.

--- a/edge/control.go
+++ b/edge/control.go
@@ -238,10 +238,21 @@
 	if at, ok := n.notes[key]; ok && now-at < logEvery {
 		return
 	}
-	n.notes[key] = now
+	n.remember(key, now)
 	n.log.WithError(err).Warn(text)
 }
 
+// maxNotes bounds the remembered lines.
+const maxNotes = 1024
+
+// remember takes note of when a line was written.
+func (n *Node) remember(key string, now time.Duration) {
+	if len(n.notes) >= maxNotes {
+		clear(n.notes)
+	}
+	n.notes[key] = now
+}
+
 // publish puts changes in force.
 func (n *Node) publish() {
 	if !n.dirty || n.routes == nil || !n.listed {
--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -88,7 +88,7 @@
 	if at, ok := n.notes[key]; ok && n.now()-at < suspectEvery {
 		return
 	}
-	n.notes[key] = n.now()
+	n.remember(key, n.now())
 	n.log.WithFields(logrus.Fields{"group": s.Group, "epoch": s.Epoch}).Info("group makes no progress")
 	n.handler.Pause(n.snapshot.Servers[i].ID, s.Epoch, n.now()+pauseSuspect)
 	n.stepPlanner(formation.Suspected{Group: s.Group, Epoch: s.Epoch})
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -39,6 +39,7 @@
 	starts    []time.Duration
 	served    bool
 	counter   int
+	epoch     ident.Epoch
 	summaryAt time.Duration
 
 	out []Action
@@ -336,19 +337,22 @@
 	return ok && d.incarnation == inc
 }
 
-// nextEpoch returns an epoch above all that a server may have seen.
+// epochsPerHolder is the number of epochs that one holder of the lease can give.
+const epochsPerHolder = 1 << 20
+
+// nextEpoch returns an epoch above all that a server may have seen. Servers that
+// have left a dissolved group do not name its epoch any more, so the last one is
+// kept, and each holder begins above those of former holders.
 func (p *Planner) nextEpoch() ident.Epoch {
-	top := ident.Epoch(0)
+	p.epoch = max(p.epoch, p.grant.Epoch*epochsPerHolder)
 	for _, g := range p.groups {
-		top = max(top, g.Epoch)
-		if g.pending != nil {
-			top = max(top, g.pending.Epoch)
-		}
+		p.epoch = max(p.epoch, g.row().Epoch)
 	}
 	for _, s := range p.servers.Servers {
-		top = max(top, s.Epoch)
+		p.epoch = max(p.epoch, s.Epoch)
 	}
-	return top + 1
+	p.epoch++
+	return p.epoch
 }
 
 // write stores a group's next row. A nil row deletes it.
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -234,3 +234,23 @@
 	whole := w.serving("m0")*4 + w.serving("m1")*3
 	assert.Assert(t, whole >= 27, "seed %d: only %d of 36 servers serve", seed, whole)
 }
+
+// The members of a dissolved group have seen its epoch, which no row and no entry
+// names any more. They refused each join of a next holder that began below it.
+func TestEpochsGrowAcrossDissolvedGroups(t *testing.T) {
+	w := newWorld(t, 1, 1, 9)
+	w.run(time.Minute)
+	w.step(Served{})
+	for range 3 {
+		for _, s := range w.servers {
+			s.Membership = fleet.Membership{}
+			s.seen += 5 // Groups between, which are dissolved too.
+		}
+		clear(w.rows)
+		w.takeOver()
+		w.step(Served{})
+		w.run(10 * time.Second)
+		assert.Equal(t, w.serving("m0"), 1)
+		assert.Equal(t, w.serving("m1"), 1)
+	}
+}
