--- a/gateway/route_test.go
+++ b/gateway/route_test.go
@@ -20,11 +20,14 @@
 const testLimit = 4
 
 // balance makes a harness route through a Balancer whose credit owner runs in
-// the test.
-func balance(t testing.TB, out **Balancer, every time.Duration) func(*Options) {
+// the test. Prepare is called before the Balancer runs.
+func balance(t testing.TB, out **Balancer, every time.Duration, prepare ...func(*Balancer)) func(*Options) {
 	return func(o *Options) {
 		b := NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
 		*out, o.Router = b, b
+		for _, p := range prepare {
+			p(b)
+		}
 		o.Filters = []Filter{b.AccountLimits}
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
--- a/gateway/trace_test.go
+++ b/gateway/trace_test.go
@@ -29,8 +29,7 @@
 	h := newHarness(t, 2, cfg, func(o *Options) {
 		r = trace.NewRecorder(1<<20, o.Now)
 		o.Recorder = r
-		balance(t, &b, 20*time.Millisecond)(o)
-		b.Trace(r)
+		balance(t, &b, 20*time.Millisecond, func(b *Balancer) { b.Trace(r) })(o)
 	})
 	_, body := completionBody(4, true)
 	h.waitFor("an answer before the recording", func() bool {
@@ -41,6 +40,9 @@
 	r.Start()
 	_, _, done := readText(h.post(body, HeaderIdempotencyKey, "secret-key").Body)
 	assert.Assert(t, done)
+	// The caller has the whole answer before the entry instance has recorded its
+	// end: the next request may only be recorded after that.
+	h.waitFor("the end of the answer in the recording", func() bool { return r.Stats().Events >= 4 })
 	_, unfinished := completionBody(1<<20, true)
 	_, err := io.ReadAll(h.post(unfinished).Body) // refused: too many tokens
 	assert.NilError(t, err)
