--- a/gateway/trace_test.go
+++ b/gateway/trace_test.go
@@ -42,7 +42,11 @@
 	assert.Assert(t, done)
 	// The caller has the whole answer before the entry instance has recorded its
 	// end: the next request may only be recorded after that.
-	h.waitFor("the end of the answer in the recording", func() bool { return r.Stats().Events >= 4 })
+	h.waitFor("the end of the answer in the recording", func() bool {
+		var text bytes.Buffer
+		assert.NilError(t, r.Write(&text, trace.Header{}))
+		return strings.Contains(text.String(), string(trace.KindAnswer))
+	})
 	_, unfinished := completionBody(1<<20, true)
 	_, err := io.ReadAll(h.post(unfinished).Body) // refused: too many tokens
 	assert.NilError(t, err)
