Leave: take no connection later than 2.9 s after SIGTERM

The platform excuses that only for requests sent within 3 s. Change: the listener closes after 2.9 s at the latest; TestLatestConnection.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -152,3 +152,19 @@
 		return len(now) == 2 && !slices.ContainsFunc(now, func(s fleet.Server) bool { return s.ID == victim.ID })
 	})
 }
+
+// A request that a leaving process takes later than 3 s after its SIGTERM has to
+// end within the grace period, whatever its backend server does: one that was
+// taken after 3.14 s was cut.
+func TestLatestConnection(t *testing.T) {
+	for _, s := range []Settings{
+		{Grace: 8 * time.Second, LookupTTL: 5 * time.Second},
+		{Grace: 8 * time.Second, LookupTTL: time.Second},
+		{Grace: 30 * time.Second, LookupTTL: 10 * time.Second},
+		{Grace: 2 * time.Second, LookupTTL: 5 * time.Second},
+	} {
+		linger := lingerTime(s)
+		assert.Assert(t, linger < 3*time.Second, "%v", linger)
+		assert.Assert(t, linger <= s.Grace/2, "%v", linger)
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -49,9 +49,10 @@
 	incarnationLength = 8
 	// killMargin is how long before SIGKILL a leaving process ends by itself.
 	killMargin = 300 * time.Millisecond
-	// lingerSlack is added to the time in which callers learn that this instance
-	// leaves.
-	lingerSlack = 300 * time.Millisecond
+	// latestTaken is how long after its SIGTERM a process takes connections. The
+	// platform excuses a request that outlasts the grace period only if it was
+	// sent within 3 s.
+	latestTaken = 2900 * time.Millisecond
 	// staleLookups is how many times longer than the TTL callers may keep a
 	// look-up.
 	staleLookups = 3
@@ -316,5 +317,5 @@
 // that callers keep are over, but no longer than leaves most of the grace period
 // to the requests.
 func lingerTime(s Settings) time.Duration {
-	return min(staleLookups*min(lookupTTL, s.LookupTTL)+lingerSlack, s.Grace/2)
+	return min(staleLookups*min(lookupTTL, s.LookupTTL), latestTaken, s.Grace/2)
 }
