--- a/edge/follow.go
+++ b/edge/follow.go
@@ -104,21 +104,19 @@
 // lacks what a reader has.
 func (n *Node) chooseRole(now time.Duration) {
 	before, fresh := 0, 0
-	behind := false
+	covered := false
 	known := n.mirror.Tops()
 	for _, p := range n.peers.Seen(now) {
 		failing := p.Direct && p.Silent+p.StoreAge >= staleAfter
 		if p.Direct && !p.Leaving && !failing {
 			fresh++
-			behind = fresh == 1 || behind
-			if mirror.Covers(known, p.Tops) {
-				behind = false
-			}
+			covered = covered || mirror.Covers(known, p.Tops)
 		}
 		if !p.Leaving && !failing && n.ranksBefore(mirrorDuty, p.Message) {
 			before++
 		}
 	}
+	behind := fresh > 0 && !covered
 	if !behind {
 		n.behindSince = now
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -132,7 +132,7 @@
 	n.lease = lease.New(dutyLease(), n.self, formation.Duty)
 	plan := formation.DefaultConfig()
 	plan.LoadWindow = set.LoadWindow
-	n.planner = formation.New(plan, set.Instance)
+	n.planner = formation.New(plan)
 	n.handler = forward.New(forward.Options{
 		Headers: plat.Headers, Now: n.now, Loads: n.peers, Log: log, Metrics: metrics,
 		DataCentre: set.DataCentre, ColdFactor: set.ColdFactor, ColdSlack: set.ColdSlack,
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -283,7 +283,7 @@
 	n := &testNode{view: view, stop: stop, done: make(chan struct{})}
 	n.Node = New(set, Platform{
 		Table: view, Watcher: view, Servers: r.engines,
-		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model", Tokens: "X-Tokens"},
+		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model"},
 		OperatorTable: "op", ServerTable: "servers", ConfigKey: "config", EvacuatePrefix: "out/",
 		DecodeConfig: func(b []byte) (route.Config, []error, error) {
 			var c route.Config
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,7 +24,6 @@
 type Settings struct {
 	Instance   ident.InstanceID
 	DataCentre ident.DataCentre
-	Region     ident.Region
 	IP         netip.Addr
 	// Processor is this instance's share of a core.
 	Processor float64
@@ -39,8 +38,6 @@
 	IsSeed       bool
 	FirstStart   bool
 	StoreAddress string
-	// Heartbeat is the time between the signs of life of backend servers.
-	Heartbeat time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// LookupTTL is the longest time for which callers keep a look-up.
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -16,8 +16,7 @@
 
 // Planner plans the groups of one service.
 type Planner struct {
-	cfg  Config
-	self ident.InstanceID
+	cfg Config
 
 	held    bool
 	grant   lease.Grant
@@ -74,10 +73,10 @@
 	since       time.Duration
 }
 
-// New returns a planner of an entry instance.
-func New(cfg Config, self ident.InstanceID) *Planner {
+// New returns a planner that does not hold the lease.
+func New(cfg Config) *Planner {
 	return &Planner{
-		cfg: cfg, self: self,
+		cfg:     cfg,
 		groups:  make(map[ident.GroupID]*group),
 		dead:    make(map[ident.InstanceID]deadMark),
 		probes:  make(map[ident.InstanceID]time.Duration),
--- a/formation/tend.go
+++ b/formation/tend.go
@@ -238,7 +238,7 @@
 	if len(chosen) < need || len(left) == 0 {
 		p.emit(Note{
 			Text: "group dissolved", Group: g.Group, Epoch: g.Epoch, Model: g.Model,
-			Detail: fmt.Sprintf("%s; %d of %d members left, %d spares", why, len(left), m.Size, len(chosen)),
+			Detail: fmt.Sprintf("%s; %d of %d members left, %d spares in domain %s", why, len(left), m.Size, len(chosen), g.Domain),
 		})
 		p.write(g, nil)
 		return
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -95,7 +95,7 @@
 func (w *world) takeOver() {
 	w.fence++
 	w.version++
-	w.planner = New(DefaultConfig(), "entry")
+	w.planner = New(DefaultConfig())
 	w.step(Configured{Service: &w.service})
 	w.step(Observed{Servers: w.snapshot()})
 	w.step(LeaseChanged{Held: true, Grant: lease.Grant{Epoch: w.fence, EpochVersion: w.version, Expires: time.Hour}})
--- a/forward/call.go
+++ b/forward/call.go
@@ -47,7 +47,6 @@
 	id      string
 	target  string
 	model   string
-	prompt  int
 	body    []byte
 
 	// tried are the backend servers that the request was sent to, sent the
@@ -88,7 +87,6 @@
 	}
 	c.service = rt.Target(c.id)
 	c.model = r.Header.Get(h.opts.Headers.Model)
-	c.prompt = promptTokens(r.Header.Get(h.opts.Headers.Tokens))
 	c.lastEvent = r.Header.Get(headerLastEvent)
 	limit := rt.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(h.opts.Headers.Deadline), 64); err == nil {
@@ -121,16 +119,6 @@
 	return http.StatusBadRequest
 }
 
-// promptTokens reads the first number of a token count.
-func promptTokens(s string) int {
-	first, _, _ := strings.Cut(s, ",")
-	n, err := strconv.Atoi(strings.TrimSpace(first))
-	if err != nil {
-		return 0 // Only an estimate depends on it.
-	}
-	return n
-}
-
 func (c *call) now() time.Duration { return c.h.opts.Now() }
 
 // gone reports whether the caller has left.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,8 +32,8 @@
 	NotRun string
 	// Attestation is the backend server's proof on an answer.
 	Attestation string
-	// Model names the model, Tokens the prompt's and the most output tokens.
-	Model, Tokens string
+	// Model names the model.
+	Model string
 	// Priority ranks a request at a backend server.
 	Priority string
 	// Culprit names the member at fault on refusals.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -22,7 +22,7 @@
 func testHeaders() Headers {
 	return Headers{
 		RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run",
-		Attestation: "X-Proof", Model: "X-Model", Tokens: "X-Tokens", Priority: "X-Priority", Culprit: "X-Culprit",
+		Attestation: "X-Proof", Model: "X-Model", Priority: "X-Priority", Culprit: "X-Culprit",
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -55,8 +55,6 @@
 	Pause time.Duration
 	// Attempts is the largest number of backend servers for one request.
 	Attempts int
-	// Priority ranks requests; 0 is the most urgent.
-	Priority int
 	// Public routes need no key.
 	Public bool
 	// Grouped routes name a model, and groups of instances answer them.
@@ -89,9 +87,6 @@
 // Service describes the backend servers of a service.
 type Service struct {
 	Name ident.ServiceName
-	// MaxConnections bounds the connections to a backend server from all entry
-	// instances together.
-	MaxConnections int
 	// Cold is how long a backend server stays cold after its start, and
 	// ColdRate the requests a second that it bears meanwhile.
 	Cold     time.Duration
@@ -104,19 +99,12 @@
 	// store; LoadsAtOnce the number that run at full speed.
 	LoadRate    float64
 	LoadsAtOnce int
-	// Step is the time of one decoding step, and Stride the number of steps
-	// between two events of a stream.
-	Step   time.Duration
-	Stride int
-	// ReadRate is the number of prompt tokens that a group reads a second.
-	ReadRate float64
 }
 
 // Account is a client account with its keys.
 type Account struct {
-	Name     ident.Account
-	Keys     []string
-	Priority int
+	Name ident.Account
+	Keys []string
 }
 
 // Limits bound what a caller may send.
