One connection type for engines and backend servers; read errors once

Cause: a read of the whole change. forward/conn.go wrote again what engine/conn.go and engine/response.go had: the bound of response headers and the check of an idle connection. platform/store.go copied readError of infra, and the freshness of a reader was tested in two places, with an age that nothing read. Change: internal/httpconn.Conn serves both; infra.ReadError; isSource and fails in edge/follow.go. Two errors of the request path say what they are for.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -1,7 +1,7 @@
 // Package beacon keeps entry instances informed of each other by datagrams: who
 // is alive and takes callers, what each has under way at backend servers, and
-// which groups make no progress. Loss of datagrams costs freshness only; nothing
-// that must hold depends on them.
+// which groups make no progress. Loss of datagrams costs freshness only; no
+// invariant depends on them.
 package beacon
 
 import (
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -82,21 +83,15 @@
 	return now - last
 }
 
-// source is a reader that this instance may follow.
-type source struct {
-	beacon.Message
-	age time.Duration
-}
+// fails reports whether an entry instance reads the store and is out of date.
+func fails(p beacon.Seen) bool { return p.Direct && p.Silent+p.StoreAge >= staleAfter }
+
+// isSource reports whether an entry instance is a reader to follow.
+func isSource(p beacon.Seen) bool { return p.Direct && !p.Leaving && !fails(p) }
 
 // sources returns the readers that are alive and up to date.
-func (n *Node) sources(now time.Duration) []source {
-	var out []source
-	for _, p := range n.peers.Seen(now) {
-		if age := p.Silent + p.StoreAge; p.Direct && !p.Leaving && age < staleAfter {
-			out = append(out, source{p.Message, age})
-		}
-	}
-	return out
+func (n *Node) sources(now time.Duration) []beacon.Seen {
+	return slices.DeleteFunc(n.peers.Seen(now), func(p beacon.Seen) bool { return !isSource(p) })
 }
 
 // chooseRole decides whether this instance reads the store itself: if it ranks
@@ -107,12 +102,11 @@
 	covered := false
 	known := n.mirror.Tops()
 	for _, p := range n.peers.Seen(now) {
-		failing := p.Direct && p.Silent+p.StoreAge >= staleAfter
-		if p.Direct && !p.Leaving && !failing {
+		if isSource(p) {
 			fresh++
 			covered = covered || mirror.Covers(known, p.Tops)
 		}
-		if !p.Leaving && !failing && n.ranksBefore(mirrorDuty, p.Message) {
+		if !p.Leaving && !fails(p) && n.ranksBefore(mirrorDuty, p.Message) {
 			before++
 		}
 	}
@@ -169,7 +163,7 @@
 }
 
 // pickSource prefers readers in the same data centre.
-func (n *Node) pickSource(sources []source) source {
+func (n *Node) pickSource(sources []beacon.Seen) beacon.Seen {
 	for _, s := range sources {
 		if s.DataCentre == n.set.DataCentre && rand.IntN(8) > 0 {
 			return s
--- a/engine/conn.go
+++ b/engine/conn.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,36 +27,16 @@
 // alone: net/http's transport has a reading and a writing goroutine per
 // connection, and each hand-over to them delayed the first token.
 type dataConn struct {
-	*responseConn
+	responseConn
 	key       poolKey
 	writer    *bufio.Writer
 	idleSince time.Time
-	// raw and probe look at the connection without a wait; open is the result.
-	raw   syscall.RawConn
-	probe func(fd uintptr) bool
-	open  bool
 }
 
 func newDataConn(c net.Conn, key poolKey) *dataConn {
-	d := &dataConn{
+	return &dataConn{
 		responseConn: newResponseConn(c, readerBytes), key: key, writer: bufio.NewWriterSize(c, writerBytes),
 	}
-	if s, ok := c.(syscall.Conn); ok {
-		d.raw, _ = s.SyscallConn() // nil means that the connection is not reused
-	}
-	var b [1]byte
-	d.probe = func(fd uintptr) bool {
-		n, err := syscall.Read(int(fd), b[:])
-		d.open = n < 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-		return true
-	}
-	return d
-}
-
-// alive reports whether an idle connection is open and silent. A leader that
-// ended has closed it.
-func (c *dataConn) alive() bool {
-	return c.raw != nil && c.reader.Buffered() == 0 && c.raw.Read(c.probe) == nil && c.open
 }
 
 // postRequest tells http.ReadResponse the method of the requests.
@@ -162,5 +141,5 @@
 // carry another request.
 func (c *dataConn) finish(resp *http.Response) bool {
 	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil && !resp.Close && c.reader.Buffered() == 0
+	return err == nil && !resp.Close && c.Reader.Buffered() == 0
 }
--- a/engine/conn_test.go
+++ b/engine/conn_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 )
 
 // leader is a group leader that counts its connections.
@@ -95,19 +97,19 @@
 // and against a value that adds a header field to a request.
 func TestHeaderBounds(t *testing.T) {
 	l := startLeader(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Long", strings.Repeat("x", 2*maxResponseHeader))
+		w.Header().Set("Long", strings.Repeat("x", 2*httpconn.MaxHeader))
 	})
 	d := NewData()
 	defer d.Close()
 	_, err := d.Open(t.Context(), l.request())
 	assert.ErrorIs(t, err, ErrBroken)
-	assert.ErrorContains(t, err, errHeaderTooLarge.Error())
+	assert.ErrorContains(t, err, httpconn.ErrHeaderTooLarge.Error())
 	status := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Long", strings.Repeat("x", 2*maxResponseHeader))
+		w.Header().Set("Long", strings.Repeat("x", 2*httpconn.MaxHeader))
 	}))
 	defer status.Close()
 	_, err = NewControl().Status(t.Context(), status.Listener.Addr().String())
-	assert.ErrorContains(t, err, errHeaderTooLarge.Error())
+	assert.ErrorContains(t, err, httpconn.ErrHeaderTooLarge.Error())
 	r := l.request()
 	r.Attempt = "a\r\nInjected: 1"
 	_, err = d.Open(t.Context(), r)
--- a/engine/data.go
+++ b/engine/data.go
@@ -95,7 +95,7 @@
 func (d *Data) conn(ctx context.Context, t Target) (*dataConn, error) {
 	key := poolKey{address: t.Address, incarnation: t.Incarnation}
 	for c := d.pool.get(key); c != nil; c = d.pool.get(key) {
-		if c.alive() {
+		if c.Alive() {
 			return c, nil
 		}
 		_ = c.Close()
--- a/engine/poll.go
+++ b/engine/poll.go
@@ -31,7 +31,7 @@
 
 // pollConn is a connection to one engine. One poll at a time uses it.
 type pollConn struct {
-	*responseConn
+	responseConn
 	request []byte
 	// body is the last report as it came, and status what it says.
 	body   []byte
@@ -143,7 +143,7 @@
 	if _, err = c.Write(c.request); err != nil {
 		return false, false, err
 	}
-	if _, err = c.reader.Peek(1); err != nil {
+	if _, err = c.Reader.Peek(1); err != nil {
 		return false, false, err
 	}
 	resp, err := c.response(nil)
@@ -166,5 +166,5 @@
 		}
 		c.status, c.body = s, append(c.body[:0], buf.Bytes()...)
 	}
-	return true, !resp.Close && buf.Len() < maxControlBytes && c.reader.Buffered() == 0, nil
+	return true, !resp.Close && buf.Len() < maxControlBytes && c.Reader.Buffered() == 0, nil
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -133,7 +133,7 @@
 		a.backend.touch(a.c.now())
 		return a.judge()
 	}
-	return a.broken("stray", errHeadTooLarge)
+	return a.broken("stray", errStrayAnswers)
 }
 
 // judge tells what the head of a response says about the run.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -170,7 +170,7 @@
 		case err != nil:
 			return a.broken("stream", err)
 		case len(r.buf) > maxEventBytes:
-			return a.broken("stream", errHeadTooLarge)
+			return a.broken("stream", errEventTooLarge)
 		}
 	}
 }
--- a/infra/client.go
+++ b/infra/client.go
@@ -91,7 +91,7 @@
 // Get implements Table.
 func (c *Client) Get(ctx context.Context, key RowKey) (Row, error) {
 	var row Row
-	err := readError(c.call(ctx, "/table/get", GetRequest{key}, &row))
+	err := ReadError(c.call(ctx, "/table/get", GetRequest{key}, &row))
 	return row, err
 }
 
@@ -99,7 +99,7 @@
 func (c *Client) Scan(ctx context.Context, table, after string, limit int) ([]Row, error) {
 	var out ScanResponse
 	req := ScanRequest{Table: table, After: after, Limit: limit}
-	err := readError(c.call(ctx, "/table/scan", req, &out))
+	err := ReadError(c.call(ctx, "/table/scan", req, &out))
 	return out.Rows, err
 }
 
@@ -114,12 +114,12 @@
 	a, err := c.send(ctx, http.MethodGet, "/instances", nil, header)
 	switch {
 	case err != nil:
-		return Listing{}, readError(err)
+		return Listing{}, ReadError(err)
 	case a.status == http.StatusNotModified && known != "":
 		return Listing{Version: known, Unchanged: true}, nil
 	}
 	if err := statusError(a.status, a.body); err != nil {
-		return Listing{}, readError(err)
+		return Listing{}, ReadError(err)
 	}
 	version := a.tag
 	if version == "" {
@@ -151,7 +151,7 @@
 	if errors.Is(err, ErrRowNotFound) {
 		return nil, ErrObjectNotFound
 	}
-	return b, readError(err)
+	return b, ReadError(err)
 }
 
 // DeleteObject implements ObjectStore.
@@ -160,9 +160,9 @@
 	return err
 }
 
-// readError maps an unknown outcome to unavailability: a read has no effect,
+// ReadError maps an unknown outcome to unavailability: a read has no effect,
 // so its outcome does not matter.
-func readError(err error) error {
+func ReadError(err error) error {
 	if errors.Is(err, ErrOutcomeUnknown) {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
