Readers of the store follow each other, and ask soon after an outage

Change: readers follow each other too; while the store does not answer, a poll waits 0.2 s and the pause is at most 0.9 s. TestHungReaderFollowsTheOther and TestPollAfterOutage fail before and pass after.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -168,3 +168,30 @@
 		assert.Assert(t, linger <= s.Grace/2, "%v", linger)
 	}
 }
+
+// A reader whose own path to the store hangs takes changes from the other one. It
+// waited for its own call alone, and a configuration was in force too late.
+func TestHungReaderFollowsTheOther(t *testing.T) {
+	r := newRig(t, 5, 2)
+	r.plainServer("p1", "a")
+	r.store.put("op", "config", config(1, "k1"))
+	r.eventually(5*time.Second, "both read the store", func() bool {
+		return r.everywhere("/l/", "k1", http.StatusOK) && r.nodes[0].direct.Load() && r.nodes[1].direct.Load()
+	})
+	r.nodes[0].view.silence()
+	r.store.put("op", "config", config(2, "k2"))
+	r.eventually(changeLimit, "both have the change", func() bool { return r.everywhere("/l/", "k2", http.StatusOK) })
+}
+
+// After an outage the store is asked again soon enough: the platform counts
+// processes as in touch 3 s after its return, and the call that began last may
+// have to time out first.
+func TestPollAfterOutage(t *testing.T) {
+	const inTouch = 3 * time.Second
+	const callSlack = 800 * time.Millisecond // of the adapter, beyond the wait
+	r := reader{wait: operatorWait, lost: true}
+	longestPause := watchRetryMost + watchRetryMost/2
+	assert.Assert(t, r.pollWait()+callSlack+longestPause < inTouch-500*time.Millisecond)
+	r.lost = false
+	assert.Equal(t, r.pollWait(), operatorWait)
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -139,11 +139,12 @@
 	return lease.Rank(duty, n.set.Instance, []ident.InstanceID{m.From}) > 0
 }
 
-// follow takes changes from a reader while this instance does not read itself.
+// follow takes changes from a reader. Readers follow each other too: the path of
+// one to the store may hang.
 func (n *Node) follow(ctx context.Context, node *wire.Node) {
 	for ctx.Err() == nil {
 		sources := n.sources(n.now())
-		if n.direct.Load() || len(sources) == 0 {
+		if len(sources) == 0 {
 			sleep(ctx, followRetry)
 			continue
 		}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -26,7 +26,9 @@
 	watchRetry = 150 * time.Millisecond
 	// watchRetryMost bounds the pause, which doubles with each failure: each call
 	// to the store is priced, and most readers fail together.
-	watchRetryMost = time.Second
+	watchRetryMost = 600 * time.Millisecond
+	// lostWait bounds a long poll while the store does not answer.
+	lostWait = 200 * time.Millisecond
 	// roleCheck is how often a reader looks whether it should read.
 	roleCheck = 50 * time.Millisecond
 )
@@ -86,12 +88,21 @@
 	}
 }
 
+// pollWait is the wait of the next long poll. It is short while the store does
+// not answer, because a call that began before the store's return hangs.
+func (r *reader) pollWait() time.Duration {
+	if r.lost {
+		return min(r.wait, lostWait)
+	}
+	return r.wait
+}
+
 func (r *reader) next(ctx context.Context) (infra.Changes, bool, error) {
 	if r.known == 0 {
 		c, err := r.n.plat.Watcher.Snapshot(ctx, r.table)
 		return c, true, err
 	}
-	c, err := r.n.plat.Watcher.Watch(ctx, r.table, r.known, r.wait)
+	c, err := r.n.plat.Watcher.Watch(ctx, r.table, r.known, r.pollWait())
 	return c, false, err
 }
 
