--- a/formation/demand.go
+++ b/formation/demand.go
@@ -26,9 +26,9 @@
 const (
 	// noGroupNeed stands for the need of a model that no group serves.
 	noGroupNeed = 10
-	// farWorth is what a load is worth that completes no group inside its
-	// domain, relative to one that does: it may serve in a group across domains.
-	farWorth = 0.2
+	// spareWorth is what the load of a spare is worth, relative to one of several
+	// that complete a group.
+	spareWorth = 0.2
 	// claimNeed is the need from which a model's weights are loaded in the
 	// domains of other models too.
 	claimNeed = 0.9
@@ -40,11 +40,7 @@
 func (p *Planner) need(m route.Model, ahead bool) float64 {
 	groups := 0.0
 	for _, g := range p.groups {
-		switch row := g.row(); {
-		case row.Model != m.Name:
-		case row.Spread:
-			groups += 1 / max(1, p.service.FarFactor)
-		default:
+		if g.row().Model == m.Name {
 			groups++
 		}
 	}
@@ -121,7 +117,7 @@
 		best, count := -1.0, 1
 		for _, m := range models {
 			missing := m.Size - held[m.Name]%m.Size
-			worth, n := p.need(m, true)*farWorth/float64(m.Size), 1
+			worth, n := p.need(m, true)*spareWorth/float64(m.Size), 1
 			if missing <= len(empty) {
 				worth, n = p.need(m, true)/float64(missing), missing
 			}
@@ -161,8 +157,7 @@
 	})
 }
 
-// heldIn counts the servers of a domain that hold or load a model's weights and
-// are not in a group inside the domain.
+// heldIn counts the free servers of a domain that hold or load a model's weights.
 func (p *Planner) heldIn(d domain, m route.Model) int {
 	n := 0
 	for _, s := range d.idle {
@@ -170,11 +165,6 @@
 			n++
 		}
 	}
-	for _, g := range p.groups {
-		if row := g.row(); row.Model == m.Name && row.Spread {
-			n += p.membersByDomain(g)[d.name]
-		}
-	}
 	return n
 }
 
--- a/formation/grow.go
+++ b/formation/grow.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -22,7 +21,7 @@
 
 // mixedBelow is the part of a domain below which the shortage of a model does not
 // claim a domain as a whole.
-const mixedBelow = 0.5
+const mixedBelow = 0.75
 
 // domains returns the domains in the order of their names. Each is for one model,
 // because then the members that a lost group leaves behind can replace members
@@ -185,7 +184,7 @@
 	taken := p.taken()
 	var out []Member
 	for _, s := range p.servers.Servers {
-		if len(out) < need && (s.Domain == g.Domain || g.Spread) && p.isIdle(s) && !taken[s.ID] && s.HasStaged(g.Model) {
+		if len(out) < need && s.Domain == g.Domain && p.isIdle(s) && !taken[s.ID] && s.HasStaged(g.Model) {
 			out = append(out, Member{ID: s.ID, Incarnation: s.Incarnation})
 		}
 	}
@@ -299,22 +298,13 @@
 
 func (p *Planner) form(m route.Model, members []*fleet.Server) {
 	name := members[0].Domain
-	row := Row{
-		Group: p.newID(), Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: name,
-		Spread: slices.ContainsFunc(members, func(s *fleet.Server) bool { return s.Domain != name }),
-	}
+	row := Row{Group: p.newID(), Service: p.service.Name, Epoch: p.nextEpoch(), Model: m.Name, Domain: name}
 	for _, s := range members {
 		row.Members = append(row.Members, Member{ID: s.ID, Incarnation: s.Incarnation})
 	}
-	g := &group{
-		Row:  Row{Group: row.Group, Model: m.Name, Domain: name, Spread: row.Spread},
-		sent: make(map[ident.InstanceID]time.Duration),
-	}
+	g := &group{Row: Row{Group: row.Group, Model: m.Name, Domain: name}, sent: make(map[ident.InstanceID]time.Duration)}
 	p.groups[row.Group] = g
-	p.emit(Note{
-		Text: "group formed", Group: row.Group, Epoch: row.Epoch, Model: m.Name,
-		Detail: fmt.Sprintf("domain %s, spread %t", name, row.Spread),
-	})
+	p.emit(Note{Text: "group formed", Group: row.Group, Epoch: row.Epoch, Model: m.Name, Detail: string(name)})
 	p.write(g, &row)
 }
 
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -35,8 +35,6 @@
 	probes    map[ident.InstanceID]time.Duration
 	staging   map[ident.InstanceID]staging
 	leaves    map[ident.InstanceID]time.Duration
-	// leftSince is since when spares of several domains could form a group.
-	leftSince map[string]time.Duration
 	// demand is the number of slots that callers ask of each model.
 	demand    map[string]float64
 	starts    []time.Duration
@@ -64,8 +62,6 @@
 	drainedAt time.Duration
 	suspect   bool
 	seenGood  bool
-	// retire tells that the group is to be dissolved when its head has finished.
-	retire bool
 }
 
 type deadMark struct {
@@ -82,14 +78,13 @@
 // New returns a planner that does not hold the lease.
 func New(cfg Config) *Planner {
 	return &Planner{
-		cfg:       cfg,
-		groups:    make(map[ident.GroupID]*group),
-		dead:      make(map[ident.InstanceID]deadMark),
-		probes:    make(map[ident.InstanceID]time.Duration),
-		staging:   make(map[ident.InstanceID]staging),
-		leaves:    make(map[ident.InstanceID]time.Duration),
-		leftSince: make(map[string]time.Duration),
-		demand:    make(map[string]float64),
+		cfg:     cfg,
+		groups:  make(map[ident.GroupID]*group),
+		dead:    make(map[ident.InstanceID]deadMark),
+		probes:  make(map[ident.InstanceID]time.Duration),
+		staging: make(map[ident.InstanceID]staging),
+		leaves:  make(map[ident.InstanceID]time.Duration),
+		demand:  make(map[string]float64),
 	}
 }
 
@@ -168,7 +163,7 @@
 		}
 		p.releaseFormer(now, g)
 		g.Row, g.version, g.joined = *g.pending, e.Version, now
-		g.opened, g.closed, g.lostAt, g.drainedAt, g.suspect, g.seenGood, g.retire = 0, 0, 0, 0, false, false, false
+		g.opened, g.closed, g.lostAt, g.drainedAt, g.suspect, g.seenGood = 0, 0, 0, 0, false, false
 		clear(g.sent)
 	case infra.OutcomeNotApplied:
 		if g.version == 0 {
@@ -263,8 +258,6 @@
 	if !p.grow(now) {
 		p.stage(now)
 	}
-	p.regather()
-	p.spread(now)
 	p.summarize(now)
 }
 
--- a/formation/tend.go
+++ b/formation/tend.go
@@ -91,8 +91,6 @@
 		p.tendAbsent(now, g, serving, away)
 	case len(drained) > 0:
 		p.tendDrained(now, g, head)
-	case g.retire:
-		p.tendRetired(now, g)
 	case pending > 0:
 	case head == broken:
 		p.rejoinBroken(now, g)
@@ -180,10 +178,18 @@
 	if g.drainedAt == 0 {
 		g.drainedAt = now
 	}
-	if head == open && !p.canRepair(g) && now-g.drainedAt < p.cfg.DrainWait {
-		return
-	}
-	if p.finish(now, g) {
+	s, ok := p.servers.Get(g.Members[0].ID)
+	switch {
+	case ok && s.State == fleet.Open:
+		if head == open && !p.canRepair(g) && now-g.drainedAt < p.cfg.DrainWait {
+			return
+		}
+		if g.closed == 0 || now-g.closed >= p.cfg.Resend {
+			g.closed = now
+			p.send(s, Order{Kind: Close, Group: g.Group, Epoch: g.Epoch})
+		}
+	case ok && s.State == fleet.Closing:
+	default:
 		p.repair(now, g, "member leaves")
 	}
 }
--- a/formation/types.go
+++ b/formation/types.go
@@ -86,8 +86,6 @@
 	Epoch   ident.Epoch       `json:"epoch"`
 	Model   string            `json:"model"`
 	Domain  ident.Domain      `json:"domain"`
-	// Spread groups have members in several domains; Domain is the head's.
-	Spread bool `json:"spread,omitempty"`
 	// Members in rank order; the first is the head.
 	Members []Member `json:"members"`
 }
@@ -231,9 +229,6 @@
 	// Settle is how long a new holder waits for the list before it judges
 	// members, because its first list may lag.
 	Settle time.Duration
-	// SpreadAfter is how long loaded servers have to be left over in several
-	// domains before they form a group across them.
-	SpreadAfter time.Duration
 	// Summary is the time between lines on the state of all groups.
 	Summary time.Duration
 	// LoadWindow is the window over which starts of loads are limited.
@@ -243,15 +238,14 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		Resend:      1300 * time.Millisecond,
-		DrainWait:   1200 * time.Millisecond,
-		ProbeEvery:  600 * time.Millisecond,
-		DeadFor:     6 * time.Second,
-		HeadGone:    1500 * time.Millisecond,
-		CutFor:      8 * time.Second,
-		Settle:      300 * time.Millisecond,
-		SpreadAfter: 500 * time.Hour,
-		Summary:     2 * time.Second,
-		LoadWindow:  5 * time.Second,
+		Resend:     1300 * time.Millisecond,
+		DrainWait:  1200 * time.Millisecond,
+		ProbeEvery: 600 * time.Millisecond,
+		DeadFor:    6 * time.Second,
+		HeadGone:   1500 * time.Millisecond,
+		CutFor:     8 * time.Second,
+		Settle:     300 * time.Millisecond,
+		Summary:    2 * time.Second,
+		LoadWindow: 5 * time.Second,
 	}
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -61,7 +61,7 @@
 
 func testService() route.Service {
 	return route.Service{
-		Name: "llm", Slots: 26, LoadRate: 4.5, LoadsAtOnce: 6, FarFactor: 2.5,
+		Name: "llm", Slots: 26, LoadRate: 4.5, LoadsAtOnce: 6,
 		Models: []route.Model{
 			{Name: "m0", Size: 4, Share: 0.57, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
 			{Name: "m1", Size: 3, Share: 0.43, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -18,8 +18,6 @@
 	// queueFactor times a server's slots is the load up to which requests are
 	// sent to it: the rest would wait in its queue past their goal.
 	queueFactor = 1.1
-	// slowLoad is the load of others from which a slower server gets requests.
-	slowLoad = 0.6
 	// draws is the number of backend servers that are drawn; the least loaded of
 	// them is taken. Taking the least loaded of all would send the requests of all
 	// entry instances to one, because each sees the loads of the others late.
@@ -64,8 +62,7 @@
 func (c *call) options(now time.Duration) ([]option, noChoice) {
 	why := noServer
 	var out []option
-	view := c.h.view.Load()
-	for _, s := range view.candidates(c) {
+	for _, s := range c.h.view.Load().candidates(c) {
 		if slices.Contains(c.tried, s.ID) {
 			continue
 		}
@@ -78,10 +75,6 @@
 			continue
 		}
 		load := float64(int(b.inFlight.Load())+c.h.opts.Loads.Elsewhere(s.ID)) / float64(max(1, s.Slots))
-		if slow := view.slowness(s); slow > 1 {
-			// Fewer requests at once keep its pauses short.
-			load = slowLoad + (queueFactor-slowLoad)/queueFactor*load*slow
-		}
 		if load >= queueFactor {
 			why = max(why, allBusy)
 			continue
--- a/forward/view.go
+++ b/forward/view.go
@@ -21,8 +21,6 @@
 	servers *fleet.Snapshot
 	plain   map[ident.ServiceName][]*fleet.Server
 	heads   map[modelKey][]*fleet.Server
-	// spread are the heads of groups whose members are in several domains.
-	spread map[ident.InstanceID]bool
 }
 
 // NewView selects the usable backend servers: those that are not leaving and not
@@ -30,9 +28,8 @@
 func NewView(routes *route.Table, servers *fleet.Snapshot, evacuated []ident.DataCentre) *View {
 	v := &View{
 		Routes: routes, servers: servers,
-		plain:  make(map[ident.ServiceName][]*fleet.Server),
-		heads:  make(map[modelKey][]*fleet.Server),
-		spread: spreadHeads(servers),
+		plain: make(map[ident.ServiceName][]*fleet.Server),
+		heads: make(map[modelKey][]*fleet.Server),
 	}
 	for _, s := range servers.Servers {
 		if s.Draining || slices.Contains(evacuated, s.DataCentre) {
@@ -63,39 +60,3 @@
 	}
 	return v.plain[c.service]
 }
-
-// memberKey names a group as its members know it.
-type memberKey struct {
-	group ident.GroupID
-	epoch ident.Epoch
-}
-
-// spreadHeads returns the heads of the groups whose members are in several
-// domains.
-func spreadHeads(servers *fleet.Snapshot) map[ident.InstanceID]bool {
-	heads := make(map[memberKey]*fleet.Server)
-	for _, s := range servers.Servers {
-		if s.Group != "" && s.Rank == 0 {
-			heads[memberKey{s.Group, s.Epoch}] = s
-		}
-	}
-	out := make(map[ident.InstanceID]bool)
-	for _, s := range servers.Servers {
-		if head, ok := heads[memberKey{s.Group, s.Epoch}]; ok && head.Domain != s.Domain {
-			out[head.ID] = true
-		}
-	}
-	return out
-}
-
-// slowness is how many times slower than others a server is.
-func (v *View) slowness(s *fleet.Server) float64 {
-	if !v.spread[s.ID] {
-		return 1
-	}
-	service, ok := v.Routes.Service(s.Service)
-	if !ok {
-		return 1
-	}
-	return max(1, service.FarFactor)
-}
--- a/route/route.go
+++ b/route/route.go
@@ -99,9 +99,6 @@
 	// store; LoadsAtOnce the number that run at full speed.
 	LoadRate    float64
 	LoadsAtOnce int
-	// FarFactor is how many times slower a group is whose members are in several
-	// domains.
-	FarFactor float64
 }
 
 // Account is a client account with its keys.
