--- a/formation/grow.go
+++ b/formation/grow.go
@@ -21,7 +21,7 @@
 
 // mixedBelow is the part of a domain below which the shortage of a model does not
 // claim a domain as a whole.
-const mixedBelow = 0.75
+const mixedBelow = 0.5
 
 // domains returns the domains in the order of their names. Each is for one model,
 // because then the members that a lost group leaves behind can replace members
