Heads that fail all requests are shunned and replaced; store calls back off

Beacons now carry complaints and vouchers; a server that three complain of and nobody vouches for gets no requests, and the planner puts another member at the head after half a second. Cause 3: weights of a model that were loaded in another model's domain were never used, because groups were formed in a model's own domains only (TestLoadsFollowDemand). A stream's failure status goes to another server if the route may be repeated.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -44,6 +44,9 @@
 	return Load{Server: hash(id), InFlight: inFlight}
 }
 
+// Hash names a backend server in messages.
+func Hash(id ident.InstanceID) uint32 { return hash(id) }
+
 func hash(id ident.InstanceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
 // Suspicion names a group without progress.
@@ -77,6 +80,12 @@
 	Served   bool        `msgpack:"v"`
 	Loads    []Load      `msgpack:"o"`
 	Suspects []Suspicion `msgpack:"u"`
+	// Failing are the hashes of backend servers whose last request from the sender
+	// failed.
+	Failing []uint32 `msgpack:"z"`
+	// Vouched are those that others name as failing and that have answered the
+	// sender lately.
+	Vouched []uint32 `msgpack:"y"`
 	// Peers are addresses of other entry instances.
 	Peers []string `msgpack:"p"`
 }
@@ -127,17 +136,22 @@
 	peers     map[ident.InstanceID]*peer
 	addresses map[netip.Addr]time.Duration
 	elsewhere map[uint32]int
-	alive     int
+	// complaints counts the instances that name a backend server as failing,
+	// vouchers those that vouch for it.
+	complaints, vouchers map[uint32]int
+	alive                int
 }
 
 // NewTable returns the table of an entry instance.
 func NewTable(self ident.InstanceID) *Table {
 	return &Table{
-		self:      self,
-		peers:     make(map[ident.InstanceID]*peer),
-		addresses: make(map[netip.Addr]time.Duration),
-		elsewhere: make(map[uint32]int),
-		alive:     1,
+		self:       self,
+		peers:      make(map[ident.InstanceID]*peer),
+		addresses:  make(map[netip.Addr]time.Duration),
+		elsewhere:  make(map[uint32]int),
+		complaints: make(map[uint32]int),
+		vouchers:   make(map[uint32]int),
+		alive:      1,
 	}
 }
 
@@ -192,11 +206,13 @@
 	news := News{Appeared: !ok || now-old.heard >= AliveFor || old.Incarnation != m.Incarnation}
 	if ok {
 		t.addLoads(old.Loads, -1)
+		t.addOpinions(&old.Message, -1)
 		if old.Incarnation != m.Incarnation {
 			news.Ended = Run{old.From, old.Incarnation}
 		}
 	}
 	t.addLoads(m.Loads, 1)
+	t.addOpinions(&m, 1)
 	t.peers[m.From] = &peer{Message: m, heard: now}
 	t.addresses[m.Address] = now
 	for _, p := range m.Peers {
@@ -209,6 +225,21 @@
 	return news
 }
 
+func (t *Table) addOpinions(m *Message, sign int) {
+	count(t.complaints, m.Failing, sign)
+	count(t.vouchers, m.Vouched, sign)
+}
+
+func count(counts map[uint32]int, servers []uint32, sign int) {
+	for _, s := range servers {
+		if n := counts[s] + sign; n > 0 {
+			counts[s] = n
+		} else {
+			delete(counts, s)
+		}
+	}
+}
+
 func (t *Table) addLoads(loads []Load, sign int) {
 	for _, l := range loads {
 		if n := t.elsewhere[l.Server] + sign*l.InFlight; n > 0 {
@@ -230,6 +261,7 @@
 			continue
 		}
 		t.addLoads(p.Loads, -1)
+		t.addOpinions(&p.Message, -1)
 		delete(t.peers, id)
 		silent = append(silent, Run{id, p.Incarnation})
 	}
@@ -270,6 +302,15 @@
 	return t.elsewhere[hash(id)]
 }
 
+// Opinions returns the number of other entry instances to which a backend server's
+// last answer was a failure, and of those that it has answered lately although some
+// complain.
+func (t *Table) Opinions(id ident.InstanceID) (complaints, vouchers int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.complaints[hash(id)], t.vouchers[hash(id)]
+}
+
 // Entries is the number of entry instances alive, this one included.
 func (t *Table) Entries() int {
 	t.mu.RLock()
--- a/edge/control.go
+++ b/edge/control.go
@@ -140,6 +140,7 @@
 		n.stepLease(lease.Tick{})
 	}
 	n.measureDemand(now)
+	n.replaceHeads(now)
 	n.stepPlanner(formation.Tick{})
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -103,6 +103,8 @@
 	demands               map[string]*modelDemand
 	demandAt              time.Duration
 
+	// failing are the groups whose heads fail all requests, with the time since.
+	failing  map[beacon.Suspicion]time.Duration
 	suspects suspicions
 	reports  []report
 }
--- a/edge/suspect.go
+++ b/edge/suspect.go
@@ -18,6 +18,9 @@
 	// suspectEvery is how often a suspicion of one group is acted on: beacons
 	// repeat it.
 	suspectEvery = time.Second
+	// failingFor is how long a head has to fail all requests before another member
+	// takes its place. Those that vouch for it are heard within that time.
+	failingFor = 500 * time.Millisecond
 	// pauseSuspect is how long a group takes no requests after several entry
 	// instances found it without progress; a repair ends it earlier.
 	pauseSuspect = 1200 * time.Millisecond
@@ -77,6 +80,32 @@
 	}
 }
 
+// replaceHeads has the planner give groups another head whose head fails all
+// requests for a while.
+func (n *Node) replaceHeads(now time.Duration) {
+	if !n.holds.Load() || n.handler.View() == nil {
+		return
+	}
+	failing := make(map[beacon.Suspicion]time.Duration)
+	n.handler.FailingHeads(now, func(s *fleet.Server) {
+		key := beacon.Suspicion{Group: s.Group, Epoch: s.Epoch}
+		since, ok := n.failing[key]
+		switch {
+		case !ok:
+			since = now
+		case now-since >= failingFor:
+			complaints, vouchers := n.peers.Opinions(s.ID)
+			n.log.WithFields(logrus.Fields{
+				"group": s.Group, "epoch": s.Epoch, "server": s.ID, "complaints": complaints, "vouchers": vouchers,
+			}).Info("head fails all requests")
+			n.stepPlanner(formation.HeadFailing{Group: s.Group, Epoch: s.Epoch})
+			since = now + suspectEvery
+		}
+		failing[key] = since
+	})
+	n.failing = failing
+}
+
 func (n *Node) confirmed(s beacon.Suspicion) {
 	i := slices.IndexFunc(n.snapshot.Servers, func(o *fleet.Server) bool {
 		return o.Group == s.Group && o.Epoch == s.Epoch && o.Rank == 0
--- a/formation/grow.go
+++ b/formation/grow.go
@@ -243,6 +243,9 @@
 // spares come after groups.
 func (p *Planner) grow(now time.Duration) (waits bool) {
 	for range len(p.servers.Servers) {
+		if now < p.storeAt {
+			return false
+		}
 		m, members, ok := p.nextGroup()
 		if !ok {
 			return false
@@ -270,7 +273,7 @@
 	for _, m := range p.byNeed() {
 		var best []*fleet.Server
 		for _, d := range domains {
-			if !allows(d, m) {
+			if !p.served && !allows(d, m) {
 				continue
 			}
 			usable := slices.Clone(d.idle)
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -23,6 +23,9 @@
 	since   time.Duration
 	loaded  bool
 	reading bool
+	// storeAt is when the table may be asked again after a failure, storePause the
+	// time between two such attempts.
+	storeAt, storePause time.Duration
 	// paused stops orders after a refusal by a newer token, until the lease was
 	// renewed.
 	paused bool
@@ -61,7 +64,9 @@
 	// drainedAt is when a member was first seen to leave.
 	drainedAt time.Duration
 	suspect   bool
-	seenGood  bool
+	// failing is when all requests to the head were first found to fail.
+	failing  time.Duration
+	seenGood bool
 }
 
 type deadMark struct {
@@ -102,12 +107,15 @@
 		p.rowsRead(now, e)
 	case ReadFailed:
 		p.reading = false
+		p.storeFailed(now)
 	case Written:
 		p.written(now, e)
 	case Ordered:
 		p.ordered(e)
 	case Suspected:
 		p.suspected(e)
+	case HeadFailing:
+		p.headFailing(now, e)
 	case Probed:
 		p.probed(now, e)
 	case Served:
@@ -135,7 +143,7 @@
 }
 
 func (p *Planner) rowsRead(now time.Duration, e RowsRead) {
-	p.reading, p.loaded = false, true
+	p.reading, p.loaded, p.storePause = false, true, 0
 	clear(p.groups)
 	for _, r := range e.Rows {
 		row, err := decodeRow(r)
@@ -156,6 +164,7 @@
 	defer func() { g.pending = nil }()
 	switch e.Outcome {
 	case infra.OutcomeApplied:
+		g.failing, p.storePause = 0, 0
 		if g.pending == nil {
 			p.release(now, g)
 			delete(p.groups, e.Group)
@@ -166,15 +175,24 @@
 		g.opened, g.closed, g.lostAt, g.drainedAt, g.suspect, g.seenGood = 0, 0, 0, 0, false, false
 		clear(g.sent)
 	case infra.OutcomeNotApplied:
+		p.storeFailed(now)
 		if g.version == 0 {
 			delete(p.groups, e.Group)
 		}
 	default:
 		// The row may have been written, here or by another holder.
+		p.storeFailed(now)
 		p.loaded = false
 	}
 }
 
+// storeFailed puts the next attempt off: calls that are refused cost the store as
+// much as others, and each event would cause one.
+func (p *Planner) storeFailed(now time.Duration) {
+	p.storePause = min(max(p.cfg.StoreRetry, 2*p.storePause), p.cfg.StoreRetryMost)
+	p.storeAt = now + p.storePause
+}
+
 // releaseFormer orders members that the new row lacks to leave, if they live.
 func (p *Planner) releaseFormer(now time.Duration, g *group) {
 	for _, m := range g.Members {
@@ -222,6 +240,13 @@
 	}
 }
 
+func (p *Planner) headFailing(now time.Duration, e HeadFailing) {
+	if g, ok := p.groups[e.Group]; ok && g.Epoch == e.Epoch && g.failing == 0 && !g.writing && p.held {
+		g.failing = now
+		p.probe(now, g.Members[0])
+	}
+}
+
 func (p *Planner) probed(now time.Duration, e Probed) {
 	if e.Alive {
 		if d, ok := p.dead[e.Member.ID]; ok && d.incarnation == e.Member.Incarnation {
@@ -241,7 +266,7 @@
 		return
 	}
 	if !p.loaded {
-		if !p.reading {
+		if !p.reading && now >= p.storeAt {
 			p.reading = true
 			p.emit(ReadRows{})
 		}
@@ -274,6 +299,9 @@
 func (p *Planner) expire(now time.Duration) {
 	for id, d := range p.dead {
 		s, ok := p.servers.Get(id)
+		if !ok && now < d.until+p.cfg.Forget {
+			continue // Silent, and its entry is gone too.
+		}
 		if now >= d.until || (ok && s.Incarnation != d.incarnation) {
 			delete(p.dead, id)
 		}
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -254,3 +255,93 @@
 		assert.Equal(t, w.serving("m1"), 1)
 	}
 }
+
+// Pattern: false health of a head. It fails all requests although it lives and its
+// entry says that it serves: another member takes its place within a second, and
+// no server is loaded anew.
+func TestFailingHeadIsReplaced(t *testing.T) {
+	w := newWorld(t, 1, 2, 9)
+	w.run(2 * time.Minute)
+	w.step(Served{})
+	before, loads := w.serving("m0"), w.loads
+	head := w.servers[w.memberOf("m0", 0)]
+	w.step(HeadFailing{Group: head.Group, Epoch: head.Epoch})
+	w.run(1500 * time.Millisecond)
+	assert.Assert(t, head.Rank != 0, "the failing head is still the head")
+	assert.Equal(t, w.serving("m0"), before)
+	assert.Equal(t, w.loads, loads)
+}
+
+// A head that fails all requests because it is dead is replaced by a spare, not by
+// another order of the same members.
+func TestDeadHeadIsNotReordered(t *testing.T) {
+	w := newWorld(t, 1, 2, 9)
+	w.run(2 * time.Minute)
+	w.step(Served{})
+	before := w.serving("m0")
+	head := w.servers[w.memberOf("m0", 0)]
+	head.dead = true
+	w.step(HeadFailing{Group: head.Group, Epoch: head.Epoch})
+	w.run(3500 * time.Millisecond)
+	assert.Equal(t, w.serving("m0"), before)
+	for _, r := range w.rows {
+		row, err := decodeRow(r)
+		assert.NilError(t, err)
+		assert.Assert(t, !slices.ContainsFunc(row.Members, func(m Member) bool { return m.ID == head.ID }))
+	}
+}
+
+// Pattern: the weight store takes a tenth of the time before the first request, and
+// the list shows the end of a load late. All servers hold weights within the time
+// that the loads take without gaps, and a tenth more.
+func TestLoadsAheadOfTraffic(t *testing.T) {
+	w := newWorld(t, 1, 6, 9)
+	w.listLag = 400 * time.Millisecond
+	for i := range w.service.Models {
+		w.service.Models[i].Load /= 10
+	}
+	const servers = 54
+	atOnce := time.Duration(w.service.LoadsAtOnce)
+	longest := servers * w.service.Models[0].Load / atOnce
+	w.run(longest + longest/10)
+	loaded := 0
+	for _, s := range w.servers {
+		if len(s.Staged) > 0 {
+			loaded++
+		}
+	}
+	assert.Equal(t, loaded, servers)
+}
+
+// Pattern: callers ask more of one model than its groups can serve. Its weights
+// are loaded onto free servers, also in a domain that is for the other model.
+func TestLoadsFollowDemand(t *testing.T) {
+	w := newWorld(t, 1, 2, 9)
+	w.run(2 * time.Minute)
+	w.step(Served{})
+	before := w.serving("m0")
+	w.step(Demand{Uses: []Use{{Model: "m0", Slots: 100}, {Model: "m1", Slots: 20}}})
+	for i := range 4 {
+		w.add(fmt.Sprint("new", i), "d1")
+	}
+	w.run(time.Minute)
+	assert.Equal(t, w.serving("m0"), before+1)
+}
+
+// Pattern: the store refuses all calls for seconds while groups lose members. The
+// planner asks a few times a second; each event of the list asked once before,
+// 160 times a second.
+func TestStoreRefuses(t *testing.T) {
+	w := newWorld(t, 1, 2, 9)
+	w.run(2 * time.Minute)
+	w.step(Served{})
+	before := w.serving("m0")
+	w.refuse = true
+	w.writes = 0
+	w.kill(w.servers[w.memberOf("m0", 0)].list[1])
+	w.run(8 * time.Second)
+	assert.Assert(t, w.writes <= 20, "%d calls in 8 s", w.writes)
+	w.refuse = false
+	w.run(4 * time.Second)
+	assert.Equal(t, w.serving("m0"), before)
+}
--- a/formation/tend.go
+++ b/formation/tend.go
@@ -96,6 +96,10 @@
 		p.rejoinBroken(now, g)
 	case head == ready:
 		p.open(now, g)
+	case serving && g.failing != 0:
+		if now-g.failing >= p.cfg.HeadCheck && now >= p.storeAt {
+			p.replaceHead(g)
+		}
 	case serving:
 		if !g.seenGood {
 			g.seenGood = true
@@ -205,6 +209,23 @@
 	}
 }
 
+// replaceHead puts the head last. It stays a member: it is the requests that it
+// fails, and only the head gets any.
+func (p *Planner) replaceHead(g *group) {
+	g.failing = 0
+	if len(g.Members) < 2 {
+		return
+	}
+	next := g.Row
+	next.Epoch = p.nextEpoch()
+	next.Members = append(slices.Clone(g.Members[1:]), g.Members[0])
+	p.emit(Note{
+		Text: "head replaced", Group: g.Group, Epoch: next.Epoch, Model: g.Model,
+		Detail: fmt.Sprintf("%s fails all requests", g.Members[0].ID),
+	})
+	p.write(g, &next)
+}
+
 // survivors are the members that may stay.
 func (p *Planner) survivors(g *group) []Member {
 	var out []Member
@@ -229,7 +250,7 @@
 // other groups then, and form a new group when enough are loaded.
 func (p *Planner) repair(now time.Duration, g *group, why string) {
 	m, ok := p.model(g.Model)
-	if !ok {
+	if !ok || now < p.storeAt {
 		return
 	}
 	left := p.survivors(g)
--- a/formation/types.go
+++ b/formation/types.go
@@ -151,6 +151,12 @@
 	Epoch ident.Epoch
 }
 
+// HeadFailing tells that all requests to a group's head fail.
+type HeadFailing struct {
+	Group ident.GroupID
+	Epoch ident.Epoch
+}
+
 // Probed answers Probe.
 type Probed struct {
 	Member Member
@@ -169,6 +175,7 @@
 func (Written) formationEvent()      {}
 func (Ordered) formationEvent()      {}
 func (Suspected) formationEvent()    {}
+func (HeadFailing) formationEvent()  {}
 func (Probed) formationEvent()       {}
 func (Served) formationEvent()       {}
 
@@ -218,14 +225,22 @@
 	DrainWait time.Duration
 	// ProbeEvery is the time between probes of one member.
 	ProbeEvery time.Duration
+	// HeadCheck is how long a failing head's sign of life is awaited before another
+	// member takes its place. It exceeds a probe's timeout.
+	HeadCheck time.Duration
 	// DeadFor is how long a member without a sign of life counts as dead.
 	DeadFor time.Duration
+	// Forget is how much longer one counts as dead whose entry is gone as well.
+	Forget time.Duration
 	// HeadGone is how long running requests may go on at a head whose entry was
 	// removed before its members are taken.
 	HeadGone time.Duration
 	// CutFor is how long a group serves on with a live member whose entry was
 	// removed.
 	CutFor time.Duration
+	// StoreRetry is the pause after a call to the table that failed; it doubles up
+	// to StoreRetryMost.
+	StoreRetry, StoreRetryMost time.Duration
 	// Settle is how long a new holder waits for the list before it judges
 	// members, because its first list may lag.
 	Settle time.Duration
@@ -238,14 +253,18 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		Resend:     1300 * time.Millisecond,
-		DrainWait:  1200 * time.Millisecond,
-		ProbeEvery: 600 * time.Millisecond,
-		DeadFor:    6 * time.Second,
-		HeadGone:   1500 * time.Millisecond,
-		CutFor:     8 * time.Second,
-		Settle:     300 * time.Millisecond,
-		Summary:    2 * time.Second,
-		LoadWindow: 5 * time.Second,
+		Resend:         1300 * time.Millisecond,
+		DrainWait:      1200 * time.Millisecond,
+		ProbeEvery:     600 * time.Millisecond,
+		HeadCheck:      200 * time.Millisecond,
+		DeadFor:        6 * time.Second,
+		Forget:         time.Minute,
+		HeadGone:       1500 * time.Millisecond,
+		CutFor:         8 * time.Second,
+		StoreRetry:     100 * time.Millisecond,
+		StoreRetryMost: 800 * time.Millisecond,
+		Settle:         300 * time.Millisecond,
+		Summary:        2 * time.Second,
+		LoadWindow:     5 * time.Second,
 	}
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -33,10 +33,13 @@
 	// of those that are carried out seconds later.
 	loseOrders, lateOrders float64
 	loseWrites             float64
-	queue                  []simEvent
-	listLag                time.Duration
-	loads                  int
-	orders                 map[OrderKind]int
+	// refuse has the store refuse all writes; writes counts them.
+	refuse  bool
+	writes  int
+	queue   []simEvent
+	listLag time.Duration
+	loads   int
+	orders  map[OrderKind]int
 }
 
 type simEvent struct {
@@ -157,6 +160,11 @@
 
 func (w *world) write(p *Planner, a WriteRow) {
 	outcome := infra.OutcomeApplied
+	w.writes++
+	if w.refuse {
+		w.answer(p, 6*time.Millisecond, Written{Group: a.Group, Outcome: infra.OutcomeNotApplied})
+		return
+	}
 	for _, c := range a.Txn.Conditions[1:] {
 		if w.rows[ident.GroupID(c.Key)].Version != c.Version {
 			outcome = infra.OutcomeConflict
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -151,6 +151,9 @@
 		a.c.note("garbled:" + string(a.server.ID))
 		return unknown
 	}
+	if a.resp.StatusCode < http.StatusInternalServerError {
+		a.backend.answers(a.c.now())
+	}
 	return answered
 }
 
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -38,6 +38,9 @@
 	inFlight atomic.Int32
 	// progress is when the server last sent anything.
 	progress atomic.Int64
+	// failedAt is when a request failed after which none was answered, answeredAt
+	// when the last answer began.
+	failedAt, answeredAt atomic.Int64
 
 	mu   sync.Mutex
 	idle []*conn
@@ -104,6 +107,7 @@
 // failed takes note of a failure. Repeated ones pause the server for longer;
 // those of requests that were under way together count once.
 func (b *Backend) failed(epoch ident.Epoch, now time.Duration, pause time.Duration) {
+	b.complained(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.epoch == epoch && now < b.pausedUntil {
--- /dev/null
+++ b/forward/complaint.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// Parameters of complaints. An entry instance complains of a server whose last
+// answer to it was a failure, and vouches for one that has answered it lately and
+// that others complain of. A server that fails all requests, whatever its health
+// checks say, has nobody to vouch for it; one that loses a part of its answers has.
+const (
+	// complainFor is how long an outcome counts. It spans several beacons.
+	complainFor = 1200 * time.Millisecond
+	// shunFrom is the number of entry instances that have to complain, this one
+	// included.
+	shunFrom = 3
+	// shunRatio is how many times more than those that vouch they have to be.
+	shunRatio = 4
+)
+
+// complained notes a failure of a server.
+func (b *Backend) complained(now time.Duration) { b.failedAt.Store(int64(now)) }
+
+// answers notes the beginning of an answer that is no failure.
+func (b *Backend) answers(now time.Duration) {
+	b.answeredAt.Store(int64(now))
+	b.failedAt.Store(0)
+}
+
+// complains reports whether the server's last answer was a failure, lately.
+func (b *Backend) complains(now time.Duration) bool { return recent(b.failedAt.Load(), now) }
+
+// vouches reports whether the server has answered lately.
+func (b *Backend) vouches(now time.Duration) bool { return recent(b.answeredAt.Load(), now) }
+
+func recent(at int64, now time.Duration) bool {
+	return at != 0 && now-time.Duration(at) < complainFor
+}
+
+// Complaints visits the servers whose last request failed lately.
+func (h *Handler) Complaints(now time.Duration, visit func(ident.InstanceID)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, b := range h.backends {
+		if b.complains(now) {
+			visit(key.id)
+		}
+	}
+}
+
+// Vouchers visits the servers that answered lately and that others complain of.
+func (h *Handler) Vouchers(now time.Duration, visit func(ident.InstanceID)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, b := range h.backends {
+		if complaints, _ := h.opts.Loads.Opinions(key.id); complaints > 0 && b.vouches(now) {
+			visit(key.id)
+		}
+	}
+}
+
+// failsAll reports whether a server fails all requests, by what entry instances
+// say.
+func (h *Handler) failsAll(s *fleet.Server, b *Backend, now time.Duration) bool {
+	complaints, vouchers := h.opts.Loads.Opinions(s.ID)
+	if b.complains(now) {
+		complaints++
+	}
+	if b.vouches(now) {
+		vouchers++
+	}
+	return complaints >= shunFrom && complaints >= shunRatio*vouchers
+}
+
+// FailingHeads visits the heads of groups that fail all requests.
+func (h *Handler) FailingHeads(now time.Duration, visit func(*fleet.Server)) {
+	for _, heads := range h.view.Load().heads {
+		for _, s := range heads {
+			if h.failsAll(s, h.backend(s), now) {
+				visit(s)
+			}
+		}
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -54,6 +54,9 @@
 // Loads tells what other entry instances have under way at a backend server.
 type Loads interface {
 	Elsewhere(id ident.InstanceID) int
+	// Opinions is the number of other entry instances to which a backend server's
+	// last answer was a failure, and of those that it has answered lately.
+	Opinions(id ident.InstanceID) (complaints, vouchers int)
 	// Entries is the number of entry instances alive, this one included.
 	Entries() int
 }
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -29,8 +29,9 @@
 // alone is an entry instance without others.
 type alone struct{ elsewhere int }
 
-func (a alone) Elsewhere(ident.InstanceID) int { return a.elsewhere }
-func (a alone) Entries() int                   { return 1 }
+func (a alone) Elsewhere(ident.InstanceID) int       { return a.elsewhere }
+func (a alone) Opinions(ident.InstanceID) (int, int) { return 0, 0 }
+func (a alone) Entries() int                         { return 1 }
 
 // backend is a backend server that follows a script.
 type backend struct {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -40,6 +40,8 @@
 	backend *Backend
 	// load is the part of the slots in use, weight that of the draw.
 	load, weight float64
+	// shunned servers fail all requests.
+	shunned bool
 }
 
 // pick chooses a backend server among those not tried.
@@ -62,6 +64,7 @@
 func (c *call) options(now time.Duration) ([]option, noChoice) {
 	why := noServer
 	var out []option
+	sound := false
 	for _, s := range c.h.view.Load().candidates(c) {
 		if slices.Contains(c.tried, s.ID) {
 			continue
@@ -79,7 +82,8 @@
 			why = max(why, allBusy)
 			continue
 		}
-		o := option{server: s, backend: b, load: load, weight: 1}
+		o := option{server: s, backend: b, load: load, weight: 1, shunned: c.h.failsAll(s, b, now)}
+		sound = sound || !o.shunned
 		if s.DataCentre == c.h.opts.DataCentre {
 			o.weight *= localWeight
 		}
@@ -88,6 +92,9 @@
 		}
 		out = append(out, o)
 	}
+	if sound {
+		out = slices.DeleteFunc(out, func(o option) bool { return o.shunned })
+	}
 	return out, why
 }
 
--- a/forward/pick_test.go
+++ b/forward/pick_test.go
@@ -16,12 +16,17 @@
 
 // lateLoads are the loads of other entry instances as of some time ago.
 type lateLoads struct {
-	entries int
-	known   func(ident.InstanceID) int
+	entries    int
+	known      func(ident.InstanceID) int
+	complaints map[ident.InstanceID]int
+	vouchers   map[ident.InstanceID]int
 }
 
 func (l *lateLoads) Elsewhere(id ident.InstanceID) int { return l.known(id) }
-func (l *lateLoads) Entries() int                      { return l.entries }
+func (l *lateLoads) Opinions(id ident.InstanceID) (int, int) {
+	return l.complaints[id], l.vouchers[id]
+}
+func (l *lateLoads) Entries() int { return l.entries }
 
 // Pattern: many entry instances see each other's loads late, and one group has
 // just become free. If each takes the least loaded group, all requests of the
@@ -34,16 +39,9 @@
 		busy     = 10
 	)
 	loads := make(map[ident.InstanceID]int)
-	var servers []fleet.Server
-	for i := range groups {
-		id := ident.InstanceID(fmt.Sprint("h", i))
-		servers = append(servers, fleet.Server{
-			ID: id, Incarnation: "1", Service: "llm", Model: "m", Slots: 23, Version: 1,
-			Membership: fleet.Membership{Group: ident.GroupID(id), Epoch: 1, State: fleet.Open},
-		})
-		if i > 0 {
-			loads[id] = busy
-		}
+	servers := testHeads(groups)
+	for _, s := range servers[1:] {
+		loads[s.ID] = busy
 	}
 	late := &lateLoads{entries: entries, known: func(id ident.InstanceID) int { return loads[id] }}
 	var worst int
@@ -139,3 +137,57 @@
 	s.Epoch = 2
 	assert.Assert(t, !b.paused(&s, time.Second))
 }
+
+// Pattern: false health. A head resets each request although its entry says that
+// it serves. It looks the least loaded of all, so that it would get most requests
+// of entry instances that have not met it; what the others say keeps them away.
+func TestHeadThatFailsAllIsShunned(t *testing.T) {
+	servers := testHeads(4)
+	loads := &lateLoads{
+		entries: 84,
+		known: func(id ident.InstanceID) int {
+			if id == "h0" {
+				return 0
+			}
+			return 12
+		},
+		complaints: map[ident.InstanceID]int{"h0": shunFrom},
+	}
+	for range 200 {
+		s, _, why := newEntry(loads, servers).pick(0)
+		assert.Equal(t, why, chosen)
+		assert.Assert(t, s.ID != "h0")
+	}
+	// One that loses a part of its answers has some to vouch for it, and is used.
+	loads.complaints["h1"], loads.vouchers = 20, map[ident.InstanceID]int{"h1": 10}
+	got := 0
+	for range 200 {
+		if s, _, _ := newEntry(loads, servers).pick(0); s.ID == "h1" {
+			got++
+		}
+	}
+	assert.Assert(t, got > 0)
+}
+
+// Servers that all fail are used all the same: there is no better one.
+func TestAllServersFail(t *testing.T) {
+	loads := &lateLoads{entries: 84, known: func(ident.InstanceID) int { return 0 }, complaints: map[ident.InstanceID]int{}}
+	for i := range 3 {
+		loads.complaints[ident.InstanceID(fmt.Sprint("h", i))] = 9
+	}
+	_, _, why := newEntry(loads, testHeads(3)).pick(0)
+	assert.Equal(t, why, chosen)
+}
+
+// testHeads returns the heads of open groups.
+func testHeads(n int) []fleet.Server {
+	var out []fleet.Server
+	for i := range n {
+		id := ident.InstanceID(fmt.Sprint("h", i))
+		out = append(out, fleet.Server{
+			ID: id, Incarnation: "1", Service: "llm", Model: "m", Slots: 23, Version: 1,
+			Membership: fleet.Membership{Group: ident.GroupID(id), Epoch: 1, State: fleet.Open},
+		})
+	}
+	return out
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -120,11 +120,12 @@
 func (c *call) passOn(a *attempt) delivery {
 	defer a.finish()
 	resp := a.resp
-	if resp.StatusCode >= http.StatusInternalServerError && c.route.Kind == route.Idempotent &&
+	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() &&
 		c.sent < c.route.Attempts && c.left() > minLeft && c.mayRetry(c.now()) {
 		c.note("status:" + string(a.server.ID) + ":" + resp.Status)
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
 		a.keep = err == nil
+		a.judgeStatus()
 		return elsewhere
 	}
 	a.conn.setDeadline(time.Now().Add(max(minLeft, c.left())))
@@ -137,7 +138,7 @@
 	copyHeader(c.w.Header(), resp)
 	if whole {
 		a.keep = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		a.backend.succeeded()
+		a.judgeStatus()
 	}
 	c.w.WriteHeader(resp.StatusCode)
 	_, _ = c.w.Write(body) // A caller that has left shows in the context.
@@ -151,6 +152,17 @@
 	return delivered
 }
 
+// judgeStatus takes note of a whole response. Failures of plain services are those
+// of the application, which has some at any time; a group has none while it is
+// sound.
+func (a *attempt) judgeStatus() {
+	if a.c.route.Kind == route.Streaming && a.resp.StatusCode >= http.StatusInternalServerError {
+		a.backend.complained(a.c.now())
+		return
+	}
+	a.backend.succeeded()
+}
+
 // copyHeader takes over the headers of a response.
 func copyHeader(dst http.Header, resp *http.Response) {
 	connection := resp.Header["Connection"]
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -55,8 +55,11 @@
 		a, res := c.send(s, b, stallPatience)
 		if res == answered {
 			if a.resp.StatusCode != http.StatusOK {
-				if r.passFailure(a) {
+				switch r.passFailure(a) {
+				case delivered:
 					return
+				case elsewhere:
+					continue
 				}
 				res = unknown
 			} else {
@@ -130,13 +133,15 @@
 	r.c.fail(http.StatusGatewayTimeout, "timeout")
 }
 
-// passFailure passes a backend server's failure on, unless the answer has begun.
-func (r *relay) passFailure(a *attempt) bool {
+// passFailure passes a backend server's failure on, unless the answer has begun or
+// the request may go to another one.
+func (r *relay) passFailure(a *attempt) delivery {
 	if r.begun {
+		a.backend.complained(a.c.now())
 		a.finish()
-		return false
+		return damaged
 	}
-	return r.c.passOn(a) == delivered
+	return r.c.passOn(a)
 }
 
 // run relays the events of one backend server. It returns answered when the
