--- a/edge/control.go
+++ b/edge/control.go
@@ -127,6 +127,7 @@
 		}
 	}
 	n.holderChanged(holder)
+	n.ownRunEnded()
 	if rank != n.rank {
 		n.rank = rank
 		n.stepLease(lease.Ranked{Rank: rank})
@@ -153,6 +154,16 @@
 	n.holder = holder
 }
 
+// ownRunEnded tells the lease when the last holder was a former run of this entry
+// instance, as after a loss of power of all of them.
+func (n *Node) ownRunEnded() {
+	h, ok := n.lease.Holder()
+	if ok && h.Instance == n.self.Instance && h != n.self && h != n.ended {
+		n.ended = h
+		n.stepLease(lease.HolderEnded{Holder: h})
+	}
+}
+
 // peerChanged tells the lease which runs have ended. Backend servers check the
 // fencing token, so a holder that is only out of reach can do no harm.
 func (n *Node) peerChanged(run beacon.Run, alive bool) {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,7 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/lease"
 )
 
 // changeLimit is the time in which operators' changes have to be in force.
@@ -153,6 +155,20 @@
 	})
 }
 
+// Pattern: all entry instances lose power at once. The lease names a run that has
+// ended, which only its own entry instance can know: it takes the lease without
+// waiting for its end, so that groups are repaired again within two seconds.
+func TestLeaseOfOwnFormerRun(t *testing.T) {
+	const length = 30 * time.Second
+	r := newRig(t, 7, 0)
+	former := lease.Identity{Instance: "entry-0", Incarnation: "former"}
+	r.store.put(lease.Table, string(formation.Duty), lease.Row{Holder: former, Epoch: 4, Length: length})
+	r.store.put(lease.EpochTable, string(formation.Duty), lease.EpochRow{Holder: former, Epoch: 4})
+	r.store.put("op", "config", config(1, "k1"))
+	r.nodes = append(r.nodes, r.start(7, 0))
+	r.eventually(2*time.Second, "the lease is held again", func() bool { return r.nodes[0].holds.Load() })
+}
+
 // A request that a leaving process takes later than 3 s after its SIGTERM has to
 // end within the grace period, whatever its backend server does: one that was
 // taken after 3.14 s was cut.
