--- a/formation/planner.go
+++ b/formation/planner.go
@@ -36,8 +36,11 @@
 	groups    map[ident.GroupID]*group
 	dead      map[ident.InstanceID]deadMark
 	probes    map[ident.InstanceID]time.Duration
-	staging   map[ident.InstanceID]staging
-	leaves    map[ident.InstanceID]time.Duration
+	// answered is when servers last answered a probe; doubts are those that did not.
+	answered map[ident.InstanceID]time.Duration
+	doubts   map[ident.InstanceID]doubt
+	staging  map[ident.InstanceID]staging
+	leaves   map[ident.InstanceID]time.Duration
 	// demand is the number of slots that callers ask of each model.
 	demand    map[string]float64
 	starts    []time.Duration
@@ -74,6 +77,13 @@
 	until       time.Duration
 }
 
+// doubt is a server that did not answer its last probes.
+type doubt struct {
+	incarnation ident.Incarnation
+	at          time.Duration
+	probes      int
+}
+
 type staging struct {
 	model       string
 	incarnation ident.Incarnation
@@ -83,13 +93,15 @@
 // New returns a planner that does not hold the lease.
 func New(cfg Config) *Planner {
 	return &Planner{
-		cfg:     cfg,
-		groups:  make(map[ident.GroupID]*group),
-		dead:    make(map[ident.InstanceID]deadMark),
-		probes:  make(map[ident.InstanceID]time.Duration),
-		staging: make(map[ident.InstanceID]staging),
-		leaves:  make(map[ident.InstanceID]time.Duration),
-		demand:  make(map[string]float64),
+		cfg:      cfg,
+		groups:   make(map[ident.GroupID]*group),
+		dead:     make(map[ident.InstanceID]deadMark),
+		probes:   make(map[ident.InstanceID]time.Duration),
+		answered: make(map[ident.InstanceID]time.Duration),
+		doubts:   make(map[ident.InstanceID]doubt),
+		staging:  make(map[ident.InstanceID]staging),
+		leaves:   make(map[ident.InstanceID]time.Duration),
+		demand:   make(map[string]float64),
 	}
 }
 
@@ -242,22 +254,67 @@
 
 func (p *Planner) headFailing(now time.Duration, e HeadFailing) {
 	if g, ok := p.groups[e.Group]; ok && g.Epoch == e.Epoch && g.failing == 0 && !g.writing && p.held {
-		g.failing = now
-		p.probe(now, g.Members[0])
+		g.failing, g.suspect = now, true
 	}
 }
 
 func (p *Planner) probed(now time.Duration, e Probed) {
+	id := e.Member.ID
 	if e.Alive {
-		if d, ok := p.dead[e.Member.ID]; ok && d.incarnation == e.Member.Incarnation {
-			delete(p.dead, e.Member.ID)
+		p.answered[id] = now
+		delete(p.doubts, id)
+		if d, ok := p.dead[id]; ok && d.incarnation == e.Member.Incarnation {
+			delete(p.dead, id)
 		}
 		return
 	}
-	if _, ok := p.dead[e.Member.ID]; !ok {
-		p.emit(Note{Text: "backend server gives no sign of life", Detail: string(e.Member.ID)})
+	d := p.doubts[id]
+	p.doubts[id] = doubt{incarnation: e.Member.Incarnation, at: now, probes: d.probes + 1}
+}
+
+// judge decides which of the members that did not answer a probe are dead. Where
+// fewer than half of a group answer, this entry instance may be slow or cut off
+// itself, and a second probe has to fail.
+func (p *Planner) judge(now time.Duration) {
+	for id, d := range p.doubts {
+		g := p.groupOf(id)
+		switch {
+		case g == nil || d.probes > 1 || 2*p.answeredWith(d, g) >= len(g.Members):
+			if _, ok := p.dead[id]; !ok {
+				p.emit(Note{Text: "backend server gives no sign of life", Detail: string(id)})
+			}
+			p.dead[id] = deadMark{incarnation: d.incarnation, until: now + p.cfg.DeadFor}
+			delete(p.doubts, id)
+		case now-d.at >= doubtFor:
+			delete(p.doubts, id)
+		default:
+			g.suspect = true
+		}
 	}
-	p.dead[e.Member.ID] = deadMark{incarnation: e.Member.Incarnation, until: now + p.cfg.DeadFor}
+}
+
+// doubtFor is how long a failed probe counts beside the next one.
+const doubtFor = 2 * time.Second
+
+func (p *Planner) groupOf(id ident.InstanceID) *group {
+	for _, g := range p.groups {
+		if slices.ContainsFunc(g.Members, func(m Member) bool { return m.ID == id }) {
+			return g
+		}
+	}
+	return nil
+}
+
+// answeredWith counts the members of a group that answered in the round of probes
+// in which another one did not.
+func (p *Planner) answeredWith(d doubt, g *group) int {
+	n := 0
+	for _, m := range g.Members {
+		if at, ok := p.answered[m.ID]; ok && (at-d.at).Abs() < p.cfg.ProbeEvery/2 {
+			n++
+		}
+	}
+	return n
 }
 
 // reconcile compares rows and list and issues what is missing.
@@ -276,6 +333,7 @@
 		return
 	}
 	p.expire(now)
+	p.judge(now)
 	for _, g := range p.sorted() {
 		p.tend(now, g)
 	}
@@ -312,6 +370,11 @@
 			delete(p.staging, id)
 		}
 	}
+	for id, at := range p.answered {
+		if now-at >= p.cfg.ProbeEvery {
+			delete(p.answered, id)
+		}
+	}
 	for id, at := range p.probes {
 		if now-at > p.cfg.ProbeEvery {
 			delete(p.probes, id)
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -345,3 +345,22 @@
 	w.run(4 * time.Second)
 	assert.Equal(t, w.serving("m0"), before)
 }
+
+// Pattern: the holder of the lease is slow, as after its own restart, and its probes
+// of a whole group run out of time although the members live. The group goes on; it
+// was dissolved before, with 15 of 16 members taken for dead.
+func TestProbesOfSlowHolder(t *testing.T) {
+	w := newWorld(t, 1, 2, 9)
+	w.run(2 * time.Minute)
+	w.step(Served{})
+	head := w.servers[w.memberOf("m0", 0)]
+	group, epoch := head.Group, head.Epoch
+	w.deaf = true
+	w.step(Suspected{Group: group, Epoch: epoch})
+	w.run(200 * time.Millisecond)
+	w.deaf = false
+	w.run(4 * time.Second)
+	assert.Equal(t, head.Group, group)
+	assert.Equal(t, head.Epoch, epoch)
+	assert.Equal(t, head.State, fleet.Open)
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -33,6 +33,8 @@
 	// of those that are carried out seconds later.
 	loseOrders, lateOrders float64
 	loseWrites             float64
+	// deaf has all probes fail.
+	deaf bool
 	// refuse has the store refuse all writes; writes counts them.
 	refuse  bool
 	writes  int
@@ -154,7 +156,7 @@
 		w.order(p, a.Order)
 	case Probe:
 		s := w.servers[a.Member.ID]
-		w.answer(p, call, Probed{Member: a.Member, Alive: s != nil && !s.dead})
+		w.answer(p, call, Probed{Member: a.Member, Alive: s != nil && !s.dead && !w.deaf})
 	}
 }
 
