--- a/formation/grow.go
+++ b/formation/grow.go
@@ -266,8 +266,9 @@
 }
 
 // nextGroup picks the next group to form: of the model with the greatest need, in
-// the domain with the most free servers. Once callers are served, groups are formed of loaded servers only: those in a group that waits for a
-// load could serve elsewhere.
+// the domain with the most free servers. Once callers are served, groups are formed
+// of loaded servers only: those in a group that waits for a load could serve
+// elsewhere.
 func (p *Planner) nextGroup() (route.Model, []*fleet.Server, bool) {
 	domains := p.domains()
 	for _, m := range p.needs() {
