Only requests without an answer count as complaints

By reading: a repair of a group breaks all its streams at once, and each entry instance then complained of the head, which nobody could vouch for yet; stalls under load did the same. Change: complaints come from connections that fail and from requests that break before an answer begins.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -71,6 +71,7 @@
 			return a, left
 		}
 		b.failed(s.Epoch, c.now(), dialPause)
+		b.complained(c.now())
 		c.note("connect:" + string(s.ID) + ":" + err.Error())
 		return a, notSent
 	}
@@ -211,6 +212,10 @@
 	}
 	a.c.note(where + ":" + string(a.server.ID) + ":" + err.Error())
 	a.backend.failed(a.server.Epoch, a.c.now(), resetPause)
+	if a.resp == nil {
+		// Answers that break off are those of a group that is formed anew, too.
+		a.backend.complained(a.c.now())
+	}
 	return unknown
 }
 
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -107,7 +107,6 @@
 // failed takes note of a failure. Repeated ones pause the server for longer;
 // those of requests that were under way together count once.
 func (b *Backend) failed(epoch ident.Epoch, now time.Duration, pause time.Duration) {
-	b.complained(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.epoch == epoch && now < b.pausedUntil {
