Read of the change: one piece of code where two stood, and less state

- beacon: loads and opinions are counted and taken back by the same function; a test of opinions, which had none.
- forward: complaints and vouchers come from one walk of the backend servers.
A request is counted under the lock that the budget of repeats takes anyway.
- formation: holds is built on prepared; doubts are judged in a fixed order, so that the planner is deterministic again; the pause of the store is checked once, not for each group that could be formed.
- edge: whether demand is known follows from its value.
- Comments on demand use the field's words.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -41,11 +41,19 @@
 
 // NewLoad returns the load of a backend server.
 func NewLoad(id ident.InstanceID, inFlight int) Load {
-	return Load{Server: Hash(id), InFlight: inFlight}
+	return Load{Server: hash(id), InFlight: inFlight}
 }
 
-// Hash names a backend server in messages.
-func Hash(id ident.InstanceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+// Hashes names backend servers in messages.
+func Hashes(ids []ident.InstanceID) []uint32 {
+	var out []uint32
+	for _, id := range ids {
+		out = append(out, hash(id))
+	}
+	return out
+}
+
+func hash(id ident.InstanceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
 // Suspicion names a group without progress.
 type Suspicion struct {
@@ -203,14 +211,12 @@
 	}
 	news := News{Appeared: !ok || now-old.heard >= AliveFor || old.Incarnation != m.Incarnation}
 	if ok {
-		t.addLoads(old.Loads, -1)
-		t.addOpinions(&old.Message, -1)
+		t.add(&old.Message, -1)
 		if old.Incarnation != m.Incarnation {
 			news.Ended = Run{old.From, old.Incarnation}
 		}
 	}
-	t.addLoads(m.Loads, 1)
-	t.addOpinions(&m, 1)
+	t.add(&m, 1)
 	t.peers[m.From] = &peer{Message: m, heard: now}
 	t.addresses[m.Address] = now
 	for _, p := range m.Peers {
@@ -223,29 +229,27 @@
 	return news
 }
 
-func (t *Table) addOpinions(m *Message, sign int) {
-	count(t.complaints, m.Failing, sign)
-	count(t.vouchers, m.Vouched, sign)
-}
-
-func count(counts map[uint32]int, servers []uint32, sign int) {
-	for _, s := range servers {
-		if n := counts[s] + sign; n > 0 {
-			counts[s] = n
-		} else {
-			delete(counts, s)
-		}
+// add counts what a message says of backend servers, or takes it back with the sign
+// -1.
+func (t *Table) add(m *Message, sign int) {
+	for _, l := range m.Loads {
+		count(t.elsewhere, l.Server, sign*l.InFlight)
+	}
+	for _, s := range m.Failing {
+		count(t.complaints, s, sign)
+	}
+	for _, s := range m.Vouched {
+		count(t.vouchers, s, sign)
 	}
 }
 
-func (t *Table) addLoads(loads []Load, sign int) {
-	for _, l := range loads {
-		if n := t.elsewhere[l.Server] + sign*l.InFlight; n > 0 {
-			t.elsewhere[l.Server] = n
-		} else {
-			delete(t.elsewhere, l.Server)
-		}
+// count adds to the count of a server and drops one that is used up.
+func count(counts map[uint32]int, server uint32, n int) {
+	if n += counts[server]; n > 0 {
+		counts[server] = n
+		return
 	}
+	delete(counts, server)
 }
 
 // Expire drops what silent instances said, and returns those that fell silent.
@@ -258,8 +262,7 @@
 			alive++
 			continue
 		}
-		t.addLoads(p.Loads, -1)
-		t.addOpinions(&p.Message, -1)
+		t.add(&p.Message, -1)
 		delete(t.peers, id)
 		silent = append(silent, Run{id, p.Incarnation})
 	}
@@ -297,7 +300,7 @@
 func (t *Table) Elsewhere(id ident.InstanceID) int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.elsewhere[Hash(id)]
+	return t.elsewhere[hash(id)]
 }
 
 // Opinions returns the number of other entry instances to which a backend server's
@@ -306,7 +309,7 @@
 func (t *Table) Opinions(id ident.InstanceID) (complaints, vouchers int) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.complaints[Hash(id)], t.vouchers[Hash(id)]
+	return t.complaints[hash(id)], t.vouchers[hash(id)]
 }
 
 // Entries is the number of entry instances alive, this one included.
--- a/beacon/beacon_test.go
+++ b/beacon/beacon_test.go
@@ -101,3 +101,23 @@
 	assert.Equal(t, len(got.Loads), 20)
 	assert.Assert(t, got.Ready && !got.Leaving)
 }
+
+// What an instance says of a backend server counts until its next message, its
+// silence or its restart, as its loads do.
+func TestOpinions(t *testing.T) {
+	table := NewTable("a")
+	opinions := func() [2]int {
+		complaints, vouchers := table.Opinions("s")
+		return [2]int{complaints, vouchers}
+	}
+	s := Hashes([]ident.InstanceID{"s"})
+	table.Receive(0, Message{From: "b", Incarnation: "1", Number: 1, Failing: s})
+	table.Receive(0, Message{From: "c", Incarnation: "1", Number: 1, Vouched: s})
+	assert.Equal(t, opinions(), [2]int{1, 1})
+	table.Receive(0, Message{From: "b", Incarnation: "1", Number: 2, Vouched: s})
+	assert.Equal(t, opinions(), [2]int{0, 2})
+	table.Receive(0, Message{From: "c", Incarnation: "2", Number: 1})
+	assert.Equal(t, opinions(), [2]int{0, 1})
+	table.Expire(AliveFor)
+	assert.Equal(t, opinions(), [2]int{0, 0})
+}
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/formation"
+	"github.com/bulrushfall/bulrushfall/forward"
+	"github.com/bulrushfall/bulrushfall/ident"
 )
 
 // Parameters of the demand for models.
@@ -18,15 +20,15 @@
 	mostRefused = 0.6
 )
 
-// modelDemand is the smoothed demand for a model.
+// modelDemand is the smoothed demand for a model, in slots. It is zero until a group
+// has served a request.
 type modelDemand struct {
-	asked, refused uint64
-	slots          float64
-	known          bool
+	requests, refused uint64
+	slots             float64
 }
 
-// measureDemand tells the planner how many slots callers ask of each model: those
-// in use, and those that the refused requests would use.
+// measureDemand gives the planner the demand for each model: the slots in use, and
+// those that the refused requests would use.
 func (n *Node) measureDemand(now time.Duration) {
 	if now < n.demandAt || n.routes == nil || n.handler.View() == nil {
 		return
@@ -43,19 +45,8 @@
 			d = &modelDemand{}
 			n.demands[m.Name] = d
 		}
-		asked, refused := n.handler.Demand(service.Name, m.Name)
-		part := 0.0
-		if asked > d.asked {
-			part = min(mostRefused, float64(refused-d.refused)/float64(asked-d.asked))
-		}
-		d.asked, d.refused = asked, refused
-		slots := float64(n.handler.InUse(service.Name, m.Name)) / (1 - part)
-		if !d.known {
-			d.known = slots > 0
-			d.slots = slots
-		}
-		d.slots += demandWeight * (slots - d.slots)
-		if d.known {
+		d.add(n.handler, service.Name, m.Name)
+		if d.slots > 0 {
 			uses = append(uses, formation.Use{Model: m.Name, Slots: d.slots})
 		}
 	}
@@ -63,3 +54,18 @@
 		n.stepPlanner(formation.Demand{Uses: uses})
 	}
 }
+
+// add takes a measurement.
+func (d *modelDemand) add(h *forward.Handler, service ident.ServiceName, model string) {
+	requests, refused := h.Demand(service, model)
+	part := 0.0
+	if requests > d.requests {
+		part = min(mostRefused, float64(refused-d.refused)/float64(requests-d.requests))
+	}
+	d.requests, d.refused = requests, refused
+	slots := float64(h.InUse(service, model)) / (1 - part)
+	if d.slots == 0 {
+		d.slots = slots
+	}
+	d.slots += demandWeight * (slots - d.slots)
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -80,8 +80,8 @@
 		m.Loads = append(m.Loads, beacon.NewLoad(id, inFlight))
 	})
 	now := n.now()
-	n.handler.Complaints(now, func(id ident.InstanceID) { m.Failing = append(m.Failing, beacon.Hash(id)) })
-	n.handler.Vouchers(now, func(id ident.InstanceID) { m.Vouched = append(m.Vouched, beacon.Hash(id)) })
+	failing, vouched := n.handler.Opinions(now)
+	m.Failing, m.Vouched = beacon.Hashes(failing), beacon.Hashes(vouched)
 	n.suspects.Lock()
 	for s, until := range n.suspects.list {
 		if now >= until {
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -17,7 +17,7 @@
 	Slots float64
 }
 
-// Demand tells what callers ask of each model.
+// Demand is the measured demand for each model.
 type Demand struct{ Uses []Use }
 
 func (Demand) formationEvent() {}
--- a/formation/grow.go
+++ b/formation/grow.go
@@ -133,14 +133,12 @@
 	return -1
 }
 
-// holds reports whether a server has a model's weights or loads them.
+// holds reports whether a server has a model's weights or loads them, as a spare or
+// for a group.
 func (p *Planner) holds(s *fleet.Server, model string) bool {
-	if s.HasStaged(model) {
+	if p.prepared(s, model) {
 		return true
 	}
-	if st, ok := p.staging[s.ID]; ok {
-		return st.model == model
-	}
 	for _, g := range p.groups {
 		if row := g.row(); row.Model == model && slices.ContainsFunc(row.Members, func(m Member) bool { return m.ID == s.ID }) {
 			return true
@@ -242,10 +240,10 @@
 // grow forms new groups. It reports whether a group waits for its turn to load:
 // spares come after groups.
 func (p *Planner) grow(now time.Duration) (waits bool) {
+	if now < p.storeAt {
+		return false
+	}
 	for range len(p.servers.Servers) {
-		if now < p.storeAt {
-			return false
-		}
 		m, members, ok := p.nextGroup()
 		if !ok {
 			return false
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -41,7 +41,7 @@
 	doubts   map[ident.InstanceID]doubt
 	staging  map[ident.InstanceID]staging
 	leaves   map[ident.InstanceID]time.Duration
-	// demand is the number of slots that callers ask of each model.
+	// demand is the measured demand for each model, in slots.
 	demand    map[string]float64
 	starts    []time.Duration
 	served    bool
--- a/formation/probe.go
+++ b/formation/probe.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,8 +34,8 @@
 // fewer than half of a group answer, this entry instance may be slow or cut off
 // itself, and a second probe has to fail.
 func (p *Planner) judge(now time.Duration) {
-	for id, d := range p.doubts {
-		g := p.groupOf(id)
+	for _, id := range slices.Sorted(maps.Keys(p.doubts)) {
+		d, g := p.doubts[id], p.groupOf(id)
 		switch {
 		case g == nil || d.probes > 1 || 2*p.answeredWith(d, g) >= len(g.Members):
 			if _, ok := p.dead[id]; !ok {
--- a/forward/call.go
+++ b/forward/call.go
@@ -106,9 +106,7 @@
 		}
 		c.body = body
 	}
-	h.mu.Lock()
-	h.retries.First()
-	h.mu.Unlock()
+	h.arrived(c)
 	return c, 0
 }
 
--- a/forward/complaint.go
+++ b/forward/complaint.go
@@ -40,26 +40,23 @@
 	return at != 0 && now-time.Duration(at) < complainFor
 }
 
-// Complaints visits the servers whose last request failed lately.
-func (h *Handler) Complaints(now time.Duration, visit func(ident.InstanceID)) {
+// Opinions returns the servers of which this entry instance complains, and those
+// that others complain of and for which it vouches.
+func (h *Handler) Opinions(now time.Duration) (failing, vouched []ident.InstanceID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, b := range h.backends {
 		if b.complains(now) {
-			visit(key.id)
+			failing = append(failing, key.id)
 		}
-	}
-}
-
-// Vouchers visits the servers that answered lately and that others complain of.
-func (h *Handler) Vouchers(now time.Duration, visit func(ident.InstanceID)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for key, b := range h.backends {
-		if complaints, _ := h.opts.Loads.Opinions(key.id); complaints > 0 && b.vouches(now) {
-			visit(key.id)
+		if !b.vouches(now) {
+			continue
+		}
+		if complaints, _ := h.opts.Loads.Opinions(key.id); complaints > 0 {
+			vouched = append(vouched, key.id)
 		}
 	}
+	return failing, vouched
 }
 
 // failsAll reports whether a server fails all requests, by what entry instances
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -2,43 +2,54 @@
 
 import "github.com/bulrushfall/bulrushfall/ident"
 
-// demand counts the requests for a model.
-type demand struct{ asked, refused uint64 }
+// demand counts the requests for a model, and those of them that no group had room
+// for.
+type demand struct{ requests, refused uint64 }
 
-// asked counts a request for a model.
-func (h *Handler) asked(c *call) { h.demandOf(c, func(d *demand) { d.asked++ }) }
-
-// refused counts a request for a model for which no group had room.
-func (h *Handler) refused(c *call) { h.demandOf(c, func(d *demand) { d.refused++ }) }
-
-func (h *Handler) demandOf(c *call, count func(*demand)) {
+// demand returns the counts for a request's model, or nil if none are kept: callers
+// choose the model's name, so only those that a group has served are counted. The
+// handler is locked.
+func (h *Handler) demand(c *call) *demand {
 	if !c.route.Grouped {
-		return
+		return nil
 	}
 	key := modelKey{c.service, c.model}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	d, ok := h.demands[key]
-	if !ok {
-		if _, known := c.view.heads[key]; !known {
-			return // A model that no group has served needs no count, and callers choose its name.
-		}
+	d := h.demands[key]
+	if _, served := c.view.heads[key]; d == nil && served {
 		d = &demand{}
 		h.demands[key] = d
 	}
-	count(d)
+	return d
+}
+
+// arrived counts a request that may be served.
+func (h *Handler) arrived(c *call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retries.First()
+	if d := h.demand(c); d != nil {
+		d.requests++
+	}
+}
+
+// turnedAway counts a request for which there was no backend server.
+func (h *Handler) turnedAway(c *call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d := h.demand(c); d != nil {
+		d.refused++
+	}
 }
 
-// Demand returns how many requests have asked for a model so far, and how many
-// of them found no group with room.
-func (h *Handler) Demand(service ident.ServiceName, model string) (asked, refused uint64) {
+// Demand returns the number of requests for a model so far, and of those that no
+// group had room for.
+func (h *Handler) Demand(service ident.ServiceName, model string) (requests, refused uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	d, ok := h.demands[modelKey{service, model}]
-	if !ok {
-		return 0, 0
+	if d := h.demands[modelKey{service, model}]; d != nil {
+		return d.requests, d.refused
 	}
-	return d.asked, d.refused
+	return 0, 0
 }
 
 // InUse returns the requests under way at the groups of a model, those of other
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -155,7 +155,6 @@
 		c.reject(status)
 		return
 	}
-	h.asked(c)
 	if c.route.Kind == route.Streaming {
 		c.serveStream()
 		return
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -130,7 +130,7 @@
 
 // refuseFor maps the reason to a refusal with the time to come back.
 func (c *call) refuseFor(why noChoice) {
-	c.h.refused(c)
+	c.h.turnedAway(c)
 	switch why {
 	case allBusy:
 		c.refuse(refusal{reason: "all backend servers are busy", after: busyRetry})
