First groups wait for the whole list of backend servers

Servers register over more than a second, the domains that the first of them are in went to the smaller model, and the longer queue of loads before traffic made that final. Change: the first groups wait until the list has not grown for 0.5 s, at most 2.5 s. TestFirstListComesInParts fails before (8 groups, not 6) and passes after.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -42,9 +42,12 @@
 	staging  map[ident.InstanceID]staging
 	leaves   map[ident.InstanceID]time.Duration
 	// demand is the measured demand for each model, in slots.
-	demand    map[string]float64
-	starts    []time.Duration
-	served    bool
+	demand map[string]float64
+	starts []time.Duration
+	served bool
+	// listed is the number of servers on the list, grewAt when it last grew.
+	listed    int
+	grewAt    time.Duration
 	counter   int
 	epoch     ident.Epoch
 	summaryAt time.Duration
@@ -104,6 +107,9 @@
 	switch e := ev.(type) {
 	case Observed:
 		p.servers = e.Servers
+		if n := len(e.Servers.Servers); n > p.listed {
+			p.listed, p.grewAt = n, now
+		}
 	case Configured:
 		p.service, p.evacuated = e.Service, e.Evacuated
 	case LeaseChanged:
@@ -266,6 +272,9 @@
 	if now-p.since < p.cfg.Settle && len(p.groups) > 0 {
 		return
 	}
+	if p.listGrows(now) {
+		return
+	}
 	p.expire(now)
 	p.judge(now)
 	for _, g := range p.sorted() {
@@ -278,6 +287,12 @@
 	p.summarize(now)
 }
 
+// listGrows reports whether the first groups have to wait for the list to be whole:
+// domains are given to models by their sizes, and loads are not taken back.
+func (p *Planner) listGrows(now time.Duration) bool {
+	return !p.served && len(p.groups) == 0 && now-p.grewAt < p.cfg.ListQuiet && now-p.since < p.cfg.ListWait
+}
+
 func (p *Planner) sorted() []*group {
 	list := make([]*group, 0, len(p.groups))
 	for _, g := range p.groups {
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -364,3 +364,33 @@
 	assert.Equal(t, head.Epoch, epoch)
 	assert.Equal(t, head.State, fleet.Open)
 }
+
+// Pattern: at the first start backend servers register over more than a second, in any
+// order. Domains that were given to a model by the first part of the list left four of
+// six to the smaller model; each model gets its share all the same.
+func TestFirstListComesInParts(t *testing.T) {
+	const (
+		domains  = 6
+		size     = 37
+		register = 1500 * time.Millisecond
+	)
+	for seed := range int64(4) {
+		w := newWorld(t, seed, 0, 0)
+		w.service.LoadRate, w.service.LoadsAtOnce = 18, 27
+		w.service.Models[0].Size, w.service.Models[1].Size = 16, 4
+		for i := range w.service.Models {
+			w.service.Models[i].Share = 0.5
+			w.service.Models[i].Load /= 10
+		}
+		for d := range domains {
+			for i := range size {
+				w.after(time.Duration(w.rng.Int63n(int64(register))), func() {
+					w.add(fmt.Sprintf("s%d-%02d", d, i), fmt.Sprintf("d%d", d))
+				})
+			}
+		}
+		w.run(30 * time.Second)
+		assert.Equal(t, w.serving("m0"), 6, "seed %d", seed)
+		assert.Equal(t, w.serving("m1"), 27, "seed %d", seed)
+	}
+}
--- a/formation/types.go
+++ b/formation/types.go
@@ -244,6 +244,10 @@
 	// Settle is how long a new holder waits for the list before it judges
 	// members, because its first list may lag.
 	Settle time.Duration
+	// ListQuiet is how long the list may not have grown before the first groups are
+	// formed, two updates of a reader; ListWait bounds the wait from the lease on, so
+	// that all weights are loaded before the first request.
+	ListQuiet, ListWait time.Duration
 	// Summary is the time between lines on the state of all groups.
 	Summary time.Duration
 	// LoadWindow is the window over which starts of loads are limited.
@@ -264,6 +268,8 @@
 		StoreRetry:     100 * time.Millisecond,
 		StoreRetryMost: 800 * time.Millisecond,
 		Settle:         300 * time.Millisecond,
+		ListQuiet:      500 * time.Millisecond,
+		ListWait:       2500 * time.Millisecond,
 		Summary:        2 * time.Second,
 		LoadWindow:     5 * time.Second,
 	}
