--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/route"
 )
@@ -49,8 +52,10 @@
 	// lastProgress is when the attempt began or last made progress: on streams a whole
 	// event, otherwise any data.
 	lastProgress time.Duration
-	// eventReceived is true once a stream has received an event.
+	// eventReceived is true once a stream has received an event, at firstEventAt.
 	eventReceived bool
+	// sentAt is when the request was written to the connection.
+	sentAt, firstEventAt time.Duration
 	// stopContextWatch ends the closing of conn on cancellation; see context.AfterFunc.
 	stopContextWatch func() bool
 	// reusable reports that the response was read whole, so that conn can carry another
@@ -96,6 +101,7 @@
 	c.triedServers = append(c.triedServers, s.ID)
 	c.sendCount++
 	c.possibleRuns++
+	a.sentAt = now
 	_ = conn.SetWriteDeadline(time.Now().Add(max(time.Millisecond, c.deadline-now)))
 	if n, err := conn.Write(c.encodeRequest(s.ID, now)); err != nil {
 		a.finish()
@@ -240,6 +246,7 @@
 		return canceled
 	}
 	a.req.addStep(step + ":" + string(a.server.ID) + ":" + err.Error())
+	a.logInterrupted(err)
 	a.backend.pauseAfterFailure(a.server.Epoch, a.req.now(), connFailurePause)
 	if a.resp == nil {
 		// A response that breaks off is not counted as a failure: that also happens
@@ -249,6 +256,25 @@
 	return mayHaveRun
 }
 
+// logInterrupted logs a connection that broke while the backend server worked on the request.
+// The parts that the interrupted requests of a crashed backend server have in common point to
+// the cause of the crash.
+func (a *attempt) logInterrupted(err error) {
+	log := a.req.handler.opts.Log
+	if log == nil {
+		return
+	}
+	now := a.req.now()
+	f := logrus.Fields{
+		"request": a.req.id, "server": a.server.ID, "group": a.server.Group, "epoch": a.server.Epoch,
+		"sent_ms": (now - a.sentAt).Milliseconds(), "prompt_parts": strings.Join(a.req.promptParts, " "), "error": err.Error(),
+	}
+	if a.eventReceived {
+		f["first_event_ms"] = (now - a.firstEventAt).Milliseconds()
+	}
+	log.WithFields(f).Info("request interrupted at backend server")
+}
+
 // finish ends the attempt. It keeps the connection for reuse if the response was read
 // whole, and closes it otherwise.
 func (a *attempt) finish() {
--- a/forward/call.go
+++ b/forward/call.go
@@ -48,7 +48,9 @@
 	id         string
 	requestURI string
 	model      string
-	body       []byte
+	// promptParts are the ids of the prompt parts that other requests may share.
+	promptParts []string
+	body        []byte
 
 	// triedServers are the backend servers that the request was sent to. sendCount is
 	// the number of times it was sent.
@@ -90,6 +92,9 @@
 	}
 	c.service = rt.Target(c.id)
 	c.model = r.Header.Get(h.opts.Headers.Model)
+	if h.opts.PromptParts != nil {
+		c.promptParts = h.opts.PromptParts(r.Header)
+	}
 	c.lastEventID = r.Header.Get(headerLastEvent)
 	limit := rt.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(h.opts.Headers.Deadline), 64); err == nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -86,6 +86,9 @@
 	// in each RetryWindow: the number of requests times RetryRatio, plus RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// PromptParts, if not nil, returns the ids of the parts of a request's prompt that other
+	// requests may share.
+	PromptParts func(http.Header) []string
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
 	OnStalledGroup func(group ident.GroupID, epoch ident.Epoch)
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -93,6 +93,8 @@
 func (a *attempt) recordEvents(now time.Duration) {
 	if a.eventReceived {
 		a.backend.eventGaps.record(now - a.lastProgress)
+	} else {
+		a.firstEventAt = now
 	}
 	a.lastProgress, a.eventReceived = now, true
 	a.backend.recordReceived(now)
