--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -151,7 +151,12 @@
 
 func (h *harness) post(body []byte, headers ...string) *http.Response {
 	h.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, h.url+completionPath, bytes.NewReader(body))
+	return h.postTo(completionPath, body, headers...)
+}
+
+func (h *harness) postTo(path string, body []byte, headers ...string) *http.Response {
+	h.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, h.url+path, bytes.NewReader(body))
 	assert.NilError(h.t, err)
 	req.Header.Set("Authorization", "Bearer "+testKey)
 	for i := 0; i+1 < len(headers); i += 2 {
