Refuse requests that share what crashes engines, in the product's quarantine

Callers saw, on the product's own path: each new completion with a message that crashes engines crashed two of them, however many completions with that message had done so.

Cause: the quarantine identified a request by a hash of all of its content, so the requests that share a message had nothing in common for it.

The quarantine asks the Correlator first. Its traits are the content, the messages of a chat but the last one, or the beginnings of a prompt. Peers exchange findings while a crash is recent, and a new entry instance fetches them with the other findings.

Evidence: TestPromptPartThatCrashesEngines failed before with 11 late crashes of 3 allowed; it passes, and package gateway passes with the race detector. The tests of crashing requests in test/integration pass.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -111,6 +111,7 @@
 	result.Err = g.relayFrames(r, s, func() {
 		result.FirstToken = g.now() - started
 		g.recordFirstToken(r)
+		r.run.recordAnswering()
 	})
 	result.Tokens = r.Assembler.NextOffset() - before
 	if errors.Is(result.Err, engine.ErrNoProgress) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -59,6 +59,10 @@
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
 	owner   *quarantine.Owner
+	// correlator finds what different requests have in common that crash backend servers.
+	// exchanging is true while its findings are being exchanged with the peers.
+	correlator *quarantine.Correlator
+	exchanging bool
 	// reporting contains the crashes that are being reported to the peers. A
 	// channel is closed when the peers have confirmed the report or the time is
 	// up.
@@ -78,6 +82,7 @@
 		busyProbes:       opts.Scope.Counter("quarantine_probes_busy_total"),
 		tracker:          t,
 		owner:            quarantine.NewOwner(t),
+		correlator:       quarantine.NewCorrelator(quarantine.DefaultCorrelatorConfig()),
 		reporting:        make(map[quarantine.Server]chan struct{}),
 	}
 }
@@ -91,17 +96,25 @@
 	exclusive   bool
 	stopRenewal context.CancelFunc // ends the lease renewals of an exclusive run
 	server      quarantine.Server
+	// traits is what the request may have in common with others, and traitRun the run as
+	// the correlator sees it.
+	traits   []quarantine.Trait
+	traitRun *quarantine.TraitRun
 }
 
 // waitForPermission waits until a request may run, either as the only suspect on
 // its backend server or normally. It refuses convicted requests.
 func (q *Quarantine) waitForPermission(ctx context.Context, r *Request) (*trackedRun, error) {
-	run := &trackedRun{q: q, fingerprint: r.Fingerprint}
+	run := &trackedRun{q: q, fingerprint: r.Fingerprint, traits: traitsOf(r)}
 	deadline := r.Deadline
 	if answerStarted(r) {
 		deadline = q.opts.Now() + resumeWait
 	}
 	for {
+		if remaining, convicted := q.traitsConvicted(run.traits); convicted {
+			q.refused.Inc(1)
+			return nil, &convictedError{ProblemRequestCrashesBackends.WithRetryAfter(remaining)}
+		}
 		switch standing, remaining := q.standing(run.fingerprint); standing {
 		case quarantine.NotSuspect:
 			return run, nil
@@ -166,13 +179,30 @@
 	now := s.q.opts.Now()
 	s.q.mu.Lock()
 	defer s.q.mu.Unlock()
-	if !s.exclusive {
-		return s.q.tracker.BeginShared(now, server, s.fingerprint)
+	if _, convicted := s.q.correlator.Convicted(now, s.traits); convicted {
+		return false
 	}
-	s.q.tracker.Begin(now, server, s.fingerprint)
+	if !s.exclusive && !s.q.tracker.BeginShared(now, server, s.fingerprint) {
+		return false
+	}
+	if s.exclusive {
+		s.q.tracker.Begin(now, server, s.fingerprint)
+	}
+	s.traitRun = s.q.correlator.Begin(now, server, s.traits)
 	return true
 }
 
+// recordAnswering records that the backend server has sent a part of the answer.
+func (s *trackedRun) recordAnswering() {
+	if s == nil || s.traitRun == nil {
+		return
+	}
+	now := s.q.opts.Now()
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	s.q.correlator.Answering(now, s.traitRun)
+}
+
 // cancel ends a run that has not begun.
 func (s *trackedRun) cancel() {
 	if s != nil && s.exclusive {
@@ -188,6 +218,11 @@
 		return
 	}
 	q := s.q
+	if s.traitRun != nil {
+		q.mu.Lock()
+		q.correlator.End(q.opts.Now(), s.traitRun, result)
+		q.mu.Unlock()
+	}
 	if result == quarantine.RunCrashed {
 		q.reportCrash(s.server)
 	}
@@ -231,9 +266,12 @@
 	}
 	done := make(chan struct{})
 	q.reporting[s] = done
-	c := q.tracker.RecordCrash(q.opts.Now(), s)
+	now := q.opts.Now()
+	c := q.tracker.RecordCrash(now, s)
+	q.correlator.RecordCrash(now, s)
 	q.mu.Unlock()
 	q.crashes.Inc(1)
+	q.exchangeFindings()
 	q.broadcast(kindSuspectCrash, c, true)
 	close(done)
 	q.mu.Lock()
@@ -265,9 +303,11 @@
 			return Grant{}, err
 		}
 		if !run.beginOnGroup(grant.Group) {
+			run.cancel()
 			grant.Release(Result{Err: errBecameSuspect})
 			continue
 		}
+		r.run = run
 		return run.endOnRelease(grant), nil
 	}
 }
@@ -335,6 +375,7 @@
 		return nil, nil, err
 	}
 	if !run.begin(quarantine.Server{Instance: b.Instance, Incarnation: b.Incarnation, DataCentre: b.DataCentre}) {
+		run.cancel()
 		release(Result{Err: errBecameSuspect})
 		return nil, nil, errBecameSuspect
 	}
--- a/gateway/quarantine_peers.go
+++ b/gateway/quarantine_peers.go
@@ -7,7 +7,6 @@
 
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/quarantine"
-	"github.com/bulrushfall/bulrushfall/view"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
 
@@ -19,6 +18,7 @@
 	kindSuspectProbe   wire.Kind = "suspect.probe"
 	kindSuspectRelease wire.Kind = "suspect.release"
 	kindSuspectList    wire.Kind = "suspect.list"
+	kindSuspectTraits  wire.Kind = "suspect.traits"
 )
 
 // crashReply contains the requests that the crash convicts, according to the
@@ -87,6 +87,9 @@
 		q.releaseAsOwner(req.Fingerprint, req.Holder, req.Result)
 		return emptyMessage{}, nil
 	})
+	wire.Register(mux, kindSuspectTraits, func(_ context.Context, _ wire.Peer, f quarantine.Findings) (quarantine.Findings, error) {
+		return q.mergeFindings(f), nil
+	})
 	wire.Register(mux, kindSuspectList, func(context.Context, wire.Peer, emptyMessage) (findingsReply, error) {
 		now := q.opts.Now()
 		q.mu.Lock()
@@ -105,6 +108,11 @@
 	for _, f := range reply.Findings {
 		q.applyFinding(f)
 	}
+	var traits quarantine.Findings
+	if err := q.opts.Node.Call(ctx, peerAddress, kindSuspectTraits, quarantine.Findings{}, &traits); err != nil {
+		return err
+	}
+	q.mergeFindings(traits)
 	return nil
 }
 
@@ -185,12 +193,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	free := !q.probeLocal(req)
-	var entries []view.Entry
-	for _, e := range q.opts.Snapshot().Entries {
-		if e.Alive && e.Instance != q.opts.Self.Instance && e.PeerAddress != "" {
-			entries = append(entries, e)
-		}
-	}
+	entries := q.livePeers()
 	answers := make(chan bool, len(entries))
 	for _, e := range entries {
 		go func() {
@@ -239,10 +242,7 @@
 // retried in the background.
 func (q *Quarantine) broadcast(kind wire.Kind, msg any, wait bool) {
 	var first sync.WaitGroup
-	for _, e := range q.opts.Snapshot().Entries {
-		if !e.Alive || e.Instance == q.opts.Self.Instance || e.PeerAddress == "" {
-			continue
-		}
+	for _, e := range q.livePeers() {
 		first.Add(1)
 		q.wg.Add(1)
 		go func() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,6 +77,8 @@
 	// answer starts.
 	firstTokenTimer *time.Timer
 	trace           requestTrace
+	// run is the current run of a call to a model service under quarantine.
+	run *trackedRun
 }
 
 // Sink receives the parts of an answer in order.
