--- a/gateway/prompt_part_test.go
+++ b/gateway/prompt_part_test.go
@@ -25,6 +25,7 @@
 	cfg.PoisonMarker, cfg.ColdTime, cfg.LoadTime, cfg.RestartDelay = "poison", 0, 0, time.Hour
 	h := newHarness(t, engines, cfg, func(o *Options) {
 		b := NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
+		go b.Run(t.Context())
 		go serveCredits(t.Context(), b, o.Snapshot, o.Now, 20*time.Millisecond, time.Hour)
 		o.Quarantine = NewQuarantine(quarantine.DefaultConfig(), OrderOptions{
 			Snapshot: o.Snapshot, Now: o.Now, Self: o.Self, Scope: o.Metrics.Scope,
