--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -293,7 +293,7 @@
 	n := &testNode{view: view, stop: stop, stopped: make(chan struct{})}
 	n.Node = New(settings, Platform{
 		Table: view, Watcher: view, Servers: tc.servers,
-		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model"},
+		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model", RequestLimit: "X-Limit"},
 		Prompt:        testPrompt,
 		OperatorTable: "op", ServerTable: "servers", ConfigKey: "config", EvacuatePrefix: "out/",
 		DecodeConfig: func(b []byte) (route.Config, []error, error) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -160,6 +160,7 @@
 		}
 		a.resp = resp
 		a.conn.setIdleTimeout(resp.Header)
+		a.recordLimit()
 		a.backend.recordReceived(a.req.now())
 		return a.classifyResponse()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,9 @@
 	Priority string
 	// FailedMember names the group member that made a backend server reject a request.
 	FailedMember string
+	// RequestLimit is the number of requests a second that a backend server takes from all
+	// entry instances together, for as long as its responses name it.
+	RequestLimit string
 }
 
 // Standard headers that the proxy handles.
