Keep request limits that backend servers name, over all entry instances

Cause: nothing read the limit. Class of fault: the server's word on what it can take is ignored in favour of the sender's own model.

As many entry instances as the limit has whole requests a second send to the server, each with an equal share; beacons and digests carry observations, the latest wins. Ruled out: equal shares of all instances, because what 295 of them save up exceeds a small limit, and counts of what the others have sent, because they are a beacon old.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/mirror"
 	"github.com/bulrushfall/bulrushfall/quarantine"
@@ -105,6 +106,9 @@
 	// Crashes are the sender's findings about crashes of backend servers, including those
 	// that it has received.
 	Crashes quarantine.Findings `msgpack:"j"`
+	// Limits are request limits of backend servers, including those that the sender has
+	// received.
+	Limits []admission.LimitReport `msgpack:"b"`
 	// WantDigest is true if the sender asks the receiver for digests. Acks confirms the
 	// changes that earlier ones had.
 	WantDigest bool  `msgpack:"q"`
@@ -465,6 +469,21 @@
 	return n
 }
 
+// Rank returns the number of other live entry instances that precede this one in the
+// rendezvous order of a key.
+func (t *Table) Rank(key string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := ident.Score(key, t.self.From)
+	rank := 0
+	for _, r := range t.rosterLocked() {
+		if s := ident.Score(key, r.From); s > own || (s == own && r.From < t.self.From) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // AliveInstances returns the number of live entry instances, this one included.
 func (t *Table) AliveInstances() int {
 	t.mu.Lock()
--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 )
@@ -120,6 +121,8 @@
 	Readers []ReaderState   `msgpack:"x"`
 	// Crashes are the sender's findings about crashes of backend servers.
 	Crashes quarantine.Findings `msgpack:"j"`
+	// Limits are request limits of backend servers.
+	Limits []admission.LimitReport `msgpack:"l"`
 }
 
 // Outgoing is a digest with the addresses to send it to.
@@ -441,7 +444,7 @@
 func (t *Table) digest(now time.Duration, acked uint64, d ident.DataCentre, sums Sums) Digest {
 	out := Digest{
 		From: t.self.From, Incarnation: t.self.Incarnation, Sequence: t.digestSequence, DataCentre: d, Sums: sums,
-		Base: acked, Change: t.change, Crashes: t.self.Crashes,
+		Base: acked, Change: t.change, Crashes: t.self.Crashes, Limits: t.self.Limits,
 	}
 	var changed []*peer
 	if acked < t.change {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/beacon"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/quarantine"
@@ -65,7 +66,7 @@
 		DataCentre: n.settings.DataCentre, CPUShare: n.settings.CPULimit, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
 		RequestsReceived: n.handler.Accepted() > 0, HoldsLease: n.holdsLease.Load(),
 		ReadsStore: n.readsStore.Load(), WantDigest: plan.WantDigest, Acks: plan.Acks,
-		PeerAddresses: plan.PeerAddresses, Crashes: n.handler.CrashFindings(n.now()),
+		PeerAddresses: plan.PeerAddresses, Crashes: n.handler.CrashFindings(n.now()), Limits: n.handler.LimitReports(n.now()),
 	}
 	if m.ReadsStore {
 		m.StoreAge, m.TableVersions = n.storeAge(n.now()), n.mirror.Versions()
@@ -151,7 +152,7 @@
 		n.post(peerEvent{run: beacon.Run{Instance: m.From, Incarnation: m.Incarnation}, alive: true})
 		n.requestBeacon() // The peer may not know this instance yet.
 	}
-	n.mergeCrashFindings(m.From, m.Crashes)
+	n.mergeFindings(m.From, m.Crashes, m.Limits)
 	if result.EndedRun != (beacon.Run{}) {
 		n.post(peerEvent{run: result.EndedRun})
 	}
@@ -163,10 +164,12 @@
 	}
 }
 
-// mergeCrashFindings applies the findings of another entry instance. A relay passes on new
-// ones at once.
-func (n *Node) mergeCrashFindings(from ident.InstanceID, f quarantine.Findings) {
-	if n.handler.MergeCrashFindings(n.now(), from, f) && n.isRelay.Load() {
+// mergeFindings applies what another entry instance has found out about backend servers:
+// crashes and request limits. A relay passes on new findings at once.
+func (n *Node) mergeFindings(from ident.InstanceID, f quarantine.Findings, limits []admission.LimitReport) {
+	changed := n.handler.MergeCrashFindings(n.now(), from, f)
+	changed = n.handler.MergeLimitReports(n.now(), limits) || changed
+	if changed && n.isRelay.Load() {
 		n.requestBeacon()
 	}
 }
@@ -178,7 +181,7 @@
 		return // Drop datagrams that are not digests.
 	}
 	result := n.peers.ReceiveDigest(n.now(), d)
-	n.mergeCrashFindings(d.From, d.Crashes)
+	n.mergeFindings(d.From, d.Crashes, d.Limits)
 	for _, run := range result.Appeared {
 		n.post(peerEvent{run: run, alive: true})
 	}
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -42,10 +42,6 @@
 	// lastAnswerAt is when the last response began that was not a failure.
 	lastFailureAt, lastAnswerAt atomic.Int64
 
-	// limit is the request limit that the server's last response named, or 0, as the bits of a
-	// float64.
-	limit atomic.Uint64
-
 	eventGaps gapAverage
 	// stalledUntil is the end of a pause because the group made no progress. Data from
 	// the group ends it.
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -41,6 +41,9 @@
 	// someCold means that no backend server can be chosen, and that at least one could
 	// be but for the limit on requests to cold servers.
 	someCold
+	// someLimited means that no backend server can be chosen, and that at least one could
+	// be but for the request limit that it names.
+	someLimited
 )
 
 // candidate is a backend server that can run a request.
@@ -56,16 +59,21 @@
 // pick chooses a backend server among those not tried yet.
 func (c *call) pick(now time.Duration) (*fleet.Server, *Backend, pickOutcome) {
 	candidates, outcome := c.eligibleServers(now)
-	if len(candidates) == 0 {
-		return nil, nil, outcome
-	}
-	best := sampleWeighted(candidates)
-	for range sampleCount - 1 {
-		if o := sampleWeighted(candidates); o.load < best.load {
-			best = o
+	for len(candidates) > 0 {
+		best := sampleWeighted(candidates)
+		for range sampleCount - 1 {
+			if o := sampleWeighted(candidates); o.load < best.load {
+				best = o
+			}
+		}
+		if c.handler.limits.take(now, best.server.ID, c.handler.opts.Peers) {
+			return best.server, best.backend, picked
 		}
+		// Another request has taken the last place since.
+		outcome = max(outcome, someLimited)
+		candidates = slices.DeleteFunc(candidates, func(o candidate) bool { return o.server == best.server })
 	}
-	return best.server, best.backend, picked
+	return nil, nil, outcome
 }
 
 // eligibleServers returns the backend servers that the request can be sent to now, or
@@ -87,6 +95,10 @@
 			outcome = max(outcome, someCold)
 			continue
 		}
+		if !c.handler.limits.allows(now, s.ID, c.handler.opts.Peers) {
+			outcome = max(outcome, someLimited)
+			continue
+		}
 		load := float64(int(b.inFlight.Load())+c.handler.opts.Peers.InFlight(s.ID)) / float64(max(1, s.Slots))
 		if load >= maxLoadFactor {
 			outcome = max(outcome, someBusy)
@@ -149,6 +161,8 @@
 		c.refuse(refusal{reason: "all backend servers are busy", retryAfter: busyRetryAfter})
 	case someCold:
 		c.refuse(refusal{reason: "all backend servers are cold", retryAfter: busyRetryAfter})
+	case someLimited:
+		c.refuse(refusal{reason: "all backend servers limit their requests", retryAfter: busyRetryAfter})
 	default:
 		c.refuse(refusal{reason: "no backend server", retryAfter: noServerRetryAfter})
 	}
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -26,6 +26,7 @@
 func (l *stalePeers) HealthReports(id ident.InstanceID) (int, int) {
 	return l.failureReports[id], l.successReports[id]
 }
+func (l *stalePeers) Rank(string) int     { return 0 }
 func (l *stalePeers) AliveInstances() int { return l.entries }
 
 // Entry instances see each other's loads with a delay. If each of them used the
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -68,6 +68,9 @@
 	// backend server failed, and the number of those that it has answered recently
 	// although others report failures.
 	HealthReports(id ident.InstanceID) (failureReports, successReports int)
+	// Rank returns the number of other live entry instances that are preferred to this one for
+	// the duty with a key.
+	Rank(key string) int
 	// AliveInstances returns the number of live entry instances, including this one.
 	AliveInstances() int
 }
@@ -92,7 +95,7 @@
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
-	// of a backend server or of requests that are refused since.
+	// of a backend server, of requests that are refused since, or of a request limit.
 	OnFindings func()
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
@@ -108,6 +111,7 @@
 	panics   atomic.Int64
 	draining atomic.Bool
 	crashes  *crashes
+	limits   *limits
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -121,6 +125,7 @@
 	return &Handler{
 		opts:        opts,
 		crashes:     newCrashes(),
+		limits:      newLimits(),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
@@ -148,6 +153,7 @@
 		s, ok := v.servers.Get(key.id)
 		if !ok || s.Incarnation != key.incarnation {
 			b.closeIdleConns()
+			h.limits.forget(key.id)
 			if b.inFlight.Load() == 0 {
 				delete(h.backends, key)
 			}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -31,6 +31,7 @@
 
 func (a noPeers) InFlight(ident.InstanceID) int             { return a.inFlight }
 func (a noPeers) HealthReports(ident.InstanceID) (int, int) { return 0, 0 }
+func (a noPeers) Rank(string) int                           { return 0 }
 func (a noPeers) AliveInstances() int                       { return 1 }
 
 // scriptedServer is a backend server that answers requests with a script.
