Drop broken runs that no crash or dismissal claims

A run whose connection broke after its backend server's crash had been recorded without suspects stayed in the correlator for good. TestLateBrokenRunsAreDropped failed before.

--- a/quarantine/correlator.go
+++ b/quarantine/correlator.go
@@ -280,6 +280,11 @@
 			delete(c.survivals, t)
 		}
 	}
+	for server, runs := range c.broken {
+		if now-runs[len(runs)-1].brokenAt >= c.cfg.ReportTime {
+			delete(c.broken, server)
+		}
+	}
 	// After a conviction has expired, one more crash renews it.
 	c.convictions = slices.DeleteFunc(c.convictions, func(k Conviction) bool {
 		return now-k.Since >= c.cfg.ConvictionTTL+c.cfg.EvidenceTTL
--- a/quarantine/correlator_test.go
+++ b/quarantine/correlator_test.go
@@ -276,3 +276,16 @@
 	s.crash([]Trait{culprit})
 	assert.Assert(t, len(s.c.survivals) < 100)
 }
+
+// Guards against keeping broken runs that are reported after their crash without a suspect.
+func TestLateBrokenRunsAreDropped(t *testing.T) {
+	s := newCrashScript(t)
+	for range 100 {
+		server := s.nextServer()
+		s.c.RecordCrash(s.now, server)
+		s.c.End(s.now, s.c.Begin(s.now, server, []Trait{session}), RunCrashed)
+		s.now += s.c.cfg.ReportTime
+	}
+	s.crash([]Trait{other})
+	assert.Assert(t, len(s.c.broken) <= 1)
+}
