Keep request limits that engines and plain backend servers name, on the product's path

Responses can carry Bulrush-Request-Limit; the scheduler of a service sends to such a target only what its share of the limit allows, in shared and isolated runs.

--- a/engine/data.go
+++ b/engine/data.go
@@ -43,6 +43,8 @@
 	// NotRun is set when the response states that the request was not run.
 	NotRun bool
 	Detail string
+	// Header is the header of the response.
+	Header http.Header
 }
 
 // Error returns a message with the engine's status and reason.
@@ -129,6 +131,9 @@
 	return s, nil
 }
 
+// Header returns the header of the response.
+func (s *Stream) Header() http.Header { return s.response.Header }
+
 // refusal reads an error response.
 func (s *Stream) readRefusal() error {
 	detail, err := io.ReadAll(io.LimitReader(s.response.Body, maxErrorBytes))
@@ -137,5 +142,6 @@
 		Status: s.response.StatusCode,
 		NotRun: s.response.Header.Get(HeaderNotRun) != "",
 		Detail: string(bytes.TrimSpace(detail)),
+		Header: s.response.Header,
 	}
 }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -16,6 +16,9 @@
 	HeaderAttempt      = "Bulrush-Attempt"
 	HeaderPriority     = "Bulrush-Priority"
 	HeaderResumeOffset = "Bulrush-Resume-Offset"
+	// HeaderRequestLimit is set on the responses of a backend server in need: the requests a
+	// second that it takes from all entry instances together, for as long as it is set.
+	HeaderRequestLimit = "Bulrush-Request-Limit"
 	// HeaderNotRun is set by a backend server on an error response when it
 	// did not run the request.
 	HeaderNotRun = "Bulrush-Not-Run"
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,6 +24,14 @@
 	// Cold reports whether the credit was granted for a cold engine.
 	Cold    bool
 	Release func(Result)
+	// Observe, if not nil, takes the request limit that the response names.
+	Observe func(RequestLimit)
+}
+
+func (g *Grant) observe(h http.Header) {
+	if g.Observe != nil {
+		g.Observe(requestLimit(h))
+	}
 }
 
 // Result is the result of an attempt.
@@ -32,6 +41,8 @@
 	// none.
 	FirstToken time.Duration
 	Tokens     int
+	// Limit is the request limit that the response names, of a call to a plain service.
+	Limit RequestLimit
 }
 
 // Router picks a group for an attempt and acquires a credit there. It waits until
@@ -103,9 +114,14 @@
 		ResumeOffset: r.Assembler.BeginAttempt(id),
 	})
 	if err != nil {
+		var refused *engine.RefusedError
+		if errors.As(err, &refused) {
+			grant.observe(refused.Header)
+		}
 		return Result{Err: err}
 	}
 	defer s.Close()
+	grant.observe(s.Header())
 	before := r.Assembler.NextOffset()
 	result := Result{}
 	result.Err = g.relayFrames(r, s, func() {
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -76,7 +76,7 @@
 	best, bestKey := -1, uint64(0)
 	for i := range s.targets {
 		c := &s.targets[i]
-		if !c.usable(now) || slices.Contains(pr.excluded, c.backend) {
+		if !c.usable(now) || !s.limitAllows(now, c.backend) || slices.Contains(pr.excluded, c.backend) {
 			continue
 		}
 		if c.backend == reserved {
@@ -98,6 +98,7 @@
 func (s *scheduler) newExclusivePermit(now time.Duration, pr *pendingRequest, target target, c credit.Credit, i int) *permit {
 	p := &permit{scheduler: s, pending: pr, target: target, credit: c, started: now, uncachedTokens: s.table.UncachedTokens(i, &pr.route), exclusive: true}
 	s.traceExclusive(now, p)
+	s.takeFromLimit(now, target.backend)
 	s.table.RecordStart(now, ident.GroupID(target.backend), pr.route.Prefixes)
 	s.copies.RecordStart(pr.request.Fingerprint, ident.GroupID(target.backend))
 	s.balancer.counters.granted.Inc(1)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -42,7 +42,7 @@
 	for i := range s.targets {
 		t := &s.targets[i]
 		s.freeCredits[i] = 0
-		if t.usable(now) && !s.pausedAfterFailure(now, t) && s.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && s.limitAllows(now, t.backend) && !s.pausedAfterFailure(now, t) && s.holder.Incarnation(t.backend) == t.incarnation() {
 			s.freeCredits[i] = s.holder.FreeCredits(now, t.backend, true)
 		}
 		found = found || s.freeCredits[i] > 0
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release}, nil
+	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release, Observe: p.observeLimit}, nil
 }
 
 // AcquireServer implements ServerRouter.
@@ -220,6 +220,7 @@
 
 		isolatedSuspects: make(map[credit.BackendID]int),
 		failedAt:         make(map[credit.BackendID]time.Duration),
+		limits:           make(map[credit.BackendID]*targetLimit),
 	}
 }
 
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -125,6 +125,8 @@
 	lastRunAt time.Duration
 	// failedAt is the time of the last failed attempt at each target.
 	failedAt map[credit.BackendID]time.Duration
+	// limits are the request limits that targets name.
+	limits map[credit.BackendID]*targetLimit
 	// random is the random source of the policy.
 	random *rand.PCG
 	trace  schedulerTrace
@@ -283,6 +285,11 @@
 		present[s.targets[i].backend] = true
 	}
 	s.holder.Retain(func(b credit.BackendID) bool { return present[b] })
+	for b := range s.limits {
+		if !present[b] {
+			delete(s.limits, b)
+		}
+	}
 	for b := range s.failedAt {
 		if !present[b] {
 			delete(s.failedAt, b)
@@ -326,6 +333,10 @@
 		scheduler: s, pending: pr, target: s.targets[i], credit: c, started: now,
 		uncachedTokens: s.table.UncachedTokens(i, &pr.route),
 	}
+	s.takeFromLimit(now, p.target.backend)
+	if !s.limitAllows(now, p.target.backend) {
+		s.freeCredits[i] = 0
+	}
 	s.table.RecordStart(now, ident.GroupID(p.target.backend), pr.route.Prefixes)
 	s.copies.RecordStart(pr.request.Fingerprint, ident.GroupID(p.target.backend))
 	s.balancer.counters.granted.Inc(1)
@@ -338,6 +349,7 @@
 	defer s.mu.Unlock()
 	now := s.balancer.now()
 	s.holder.Release(p.credit)
+	s.observeLimit(now, p.target.backend, r.Limit)
 	if s.holder.AllocationUsedUp(p.target.backend) {
 		s.requestSync()
 	}
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -61,6 +61,8 @@
 	// PoisonMarker is a text that crashes the engine when a prompt contains it, or
 	// empty for none.
 	PoisonMarker string
+	// RequestLimit is the request limit that responses name, in requests a second, or 0.
+	RequestLimit float64
 	// DefaultMaxTokens is the response length for requests without max_tokens.
 	DefaultMaxTokens int
 	// RecordLimit is the maximum number of recorded requests, and of recorded
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -133,6 +134,9 @@
 }
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, hr *http.Request) {
+	if e.cfg.RequestLimit > 0 {
+		w.Header().Set(engine.HeaderRequestLimit, strconv.FormatFloat(e.cfg.RequestLimit, 'f', -1, 64))
+	}
 	r := e.parseRequest(w, hr)
 	if r == nil || !e.admit(w, r) {
 		return
