Decide between traits that share all crashes a second after the first one

A popular part was present at four crashes within half a second, with more requests sent after the previous crash than the culprit had, and was convicted; its presence then explained the culprit's crashes. Later the part that sound requests share with the culprit was split off the conviction of both by crashes that it explained.

Tied traits wait for a second, in which a popular one survives somewhere, and a crash that a conviction explains narrows none. TestPopularTraitInFastCrashes and TestExplainedCrashesNarrowNothing failed before.

--- a/quarantine/correlator.go
+++ b/quarantine/correlator.go
@@ -34,6 +34,9 @@
 	// SettleTime is the time after a crash until it counts, so that all entry instances have
 	// reported their suspects. Before, a popular trait may be the only one that is known.
 	SettleTime time.Duration
+	// TieTime is the time from the first crash of a trait that others share all crashes with
+	// until it can be convicted. A popular trait survives somewhere within it.
+	TieTime time.Duration
 	// EvidenceTTL is how long a crash counts, ConvictionTTL how long a conviction lasts.
 	EvidenceTTL, ConvictionTTL time.Duration
 	// ReportTime is how long Findings contains a crash or a clearance.
@@ -48,6 +51,7 @@
 func DefaultCorrelatorConfig() CorrelatorConfig {
 	return CorrelatorConfig{
 		Crashes: 3, MinSpacing: 20 * time.Millisecond, StartTime: 200 * time.Millisecond, SettleTime: 250 * time.Millisecond,
+		TieTime:     time.Second,
 		EvidenceTTL: 10 * time.Minute, ConvictionTTL: 10 * time.Minute, ReportTime: 2 * time.Second,
 		MaxCrashes: 64, MaxSuspects: 128, MaxTraits: 16, MaxConvictions: 256,
 	}
@@ -357,7 +361,9 @@
 	// crashes is the number of crashes at which the trait was present. successive counts
 	// those at which it was present in a request sent after the previous one.
 	crashes, successive int
-	lastAt              time.Duration
+	firstAt, lastAt     time.Duration
+	// unexplained is the number of crashes that no conviction explains.
+	unexplained int
 	// common are the traits that all suspects with the trait have, itself included.
 	common []Trait
 }
@@ -412,20 +418,24 @@
 func (c *Correlator) nextConviction(now time.Duration) (Conviction, bool) {
 	all := c.collectEvidence(now)
 	for _, e := range all {
-		if e.successive < c.cfg.Crashes {
+		if e.successive < c.cfg.Crashes || e.unexplained == 0 {
 			continue
 		}
 		// With rivals that were present as often, one of them may be there by chance.
-		needed, stronger := c.cfg.Crashes, false
+		needed, stronger, tied := c.cfg.Crashes, false, false
 		for _, rival := range all {
 			if rival.successive < c.cfg.Crashes-1 || slices.Contains(e.common, rival.trait) {
 				continue
 			}
 			stronger = stronger || rival.crashes > e.crashes
 			if rival.crashes == e.crashes {
-				needed = c.cfg.Crashes + 1
+				needed, tied = c.cfg.Crashes+1, true
 			}
 		}
+		if undecidedUntil := e.firstAt + c.cfg.TieTime; tied && now < undecidedUntil {
+			c.dueAt = min(c.dueAt, undecidedUntil)
+			continue
+		}
 		if !stronger && e.successive >= needed {
 			return Conviction{Traits: e.common, Since: now}, true
 		}
@@ -468,6 +478,12 @@
 		for t, start := range lastStart {
 			e := byTrait[t]
 			e.crashes++
+			if len(causes) == 0 {
+				e.unexplained++
+			}
+			if e.crashes == 1 {
+				e.firstAt = crash.at
+			}
 			if e.successive == 0 || (start >= e.lastAt && crash.at >= e.lastAt+c.cfg.MinSpacing) {
 				e.successive, e.lastAt = e.successive+1, crash.at
 			}
--- a/quarantine/correlator_test.go
+++ b/quarantine/correlator_test.go
@@ -289,3 +289,40 @@
 	s.crash([]Trait{other})
 	assert.Assert(t, len(s.c.broken) <= 1)
 }
+
+// Guards against convicting one of several traits that are always together at crashes which
+// the conviction of all of them explains.
+func TestExplainedCrashesNarrowNothing(t *testing.T) {
+	s := newCrashScript(t)
+	for range 3 {
+		s.crash([]Trait{shared, culprit})
+	}
+	for range 3 {
+		s.crash([]Trait{shared, culprit}, []Trait{shared, session})
+	}
+	assert.Assert(t, s.convicted(shared, culprit))
+	assert.Assert(t, !s.convicted(shared, other))
+}
+
+// Guards against convicting a popular trait that is present at as many crashes in a short time
+// as the culprit, because more of its requests were sent after the previous crash.
+func TestPopularTraitInFastCrashes(t *testing.T) {
+	s := newCrashScript(t)
+	start := s.now
+	for i := range 5 {
+		server := s.nextServer()
+		s.c.Begin(start, server, []Trait{culprit, Trait(200 + i)})
+		s.c.Begin(s.now, server, []Trait{shared, Trait(300 + i)})
+		s.now += 60 * time.Millisecond
+		s.c.RecordCrash(s.now, server)
+		s.now += time.Millisecond
+		start = s.now - 90*time.Millisecond
+	}
+	s.now += s.c.cfg.SettleTime
+	s.c.Tick(s.now)
+	assert.Assert(t, !s.convicted(shared))
+	s.survive(shared)
+	s.now += time.Second
+	s.c.Tick(s.now)
+	assert.Assert(t, !s.convicted(shared))
+}
