Keep a request at a silent backend server until another one has accepted it

What callers saw: beside changes of the configuration, requests ended without an answer.

Cause: after the stall timeout an attempt was closed before it was known that another backend server could take the request over. With both attempts used, no retry budget, no free group or a stream that can't be resumed, the caller's connection was closed although the backend server was sound and went on.

Evidence: trails of two silences and no broken connection.

Now the search for another server and the pause of the silent group follow from the silence, as before; the running attempt ends only 0.1 s after another server was sent the request and has not refused it. Streams and other requests share this loop.

TestTrickleIsNoProgress demanded that a stalled stream end within two stall timeouts even when nothing else can serve it. It is replaced by one as strict: with another server the stream moves and completes within the same bound, without one it ends by the route's timeout, and the group is reported in both cases.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,11 +32,17 @@
 	expired
 	// canceled means that the caller closed the connection.
 	canceled
+	// overtaken means that a silent attempt at the same request has received data before
+	// this one.
+	overtaken
+	// retryReserved means that the request is to be sent to another backend server, and
+	// that the retry has been taken from the retry budget.
+	retryReserved
 )
 
 // String returns the name of the result in logs.
 func (r sendResult) String() string {
-	return [...]string{"answered", "not-sent", "not-run", "unknown", "stalled", "expired", "left"}[r]
+	return [...]string{"answered", "not-sent", "not-run", "unknown", "stalled", "expired", "left", "overtaken", "retry"}[r]
 }
 
 // attempt is one send of a request to a backend server.
@@ -55,6 +61,13 @@
 	lastProgress time.Duration
 	// eventReceived is true once a stream has received an event, at firstEventAt.
 	eventReceived bool
+	// buf holds the received data of a stream that is not sent to the caller yet.
+	buf []byte
+	// silent is true once the backend server was silent for a progress timeout. The attempt
+	// then looks for another backend server, at moveAt at the earliest. Once the request was
+	// sent there, this attempt ends at closeAt.
+	silent                      bool
+	moveAt, closeAt, nextReport time.Duration
 	// sentAt is when the request was written to the connection.
 	sentAt, firstEventAt time.Duration
 	// run is the attempt as the attribution of crashes sees it, with its result. survived is
@@ -67,6 +80,7 @@
 	// reusable reports that the response was read whole, so that conn can carry another
 	// request.
 	reusable bool
+	finished bool
 }
 
 // progressCheckInterval is how often a waiting request checks its deadline and the
@@ -76,10 +90,14 @@
 // checkInterval returns how long the attempt may wait for data between two checks. It is a
 // fraction of a long progress timeout, because each check wakes the process.
 func (a *attempt) checkInterval() time.Duration {
+	if a.silent || len(a.req.silent) > 0 {
+		return progressCheckInterval
+	}
 	return max(progressCheckInterval, a.progressTimeout/4)
 }
 
-// send sends the request to a backend server and reads the response head.
+// send sends the request to a backend server. It returns answered if the request was
+// written, and otherwise has finished the attempt.
 func (c *call) send(s *fleet.Server, b *Backend, progressTimeout, firstEventTimeout time.Duration) (*attempt, sendResult) {
 	now := c.now()
 	a := &attempt{req: c, server: s, backend: b, progressTimeout: progressTimeout, firstEventTimeout: firstEventTimeout, lastProgress: now}
@@ -125,11 +143,7 @@
 		c.addStep("write:" + string(s.ID) + ":" + err.Error())
 		return a, mayHaveRun
 	}
-	r := a.readResponseHead()
-	if r != answered {
-		a.finish()
-	}
-	return a, r
+	return a, answered
 }
 
 // Times without new requests for a backend server after a failure.
@@ -162,6 +176,7 @@
 		a.conn.setIdleTimeout(resp.Header)
 		a.recordLimit()
 		a.backend.recordReceived(a.req.now())
+		a.recordResumed()
 		return a.classifyResponse()
 	}
 	return a.recordConnFailure("stray", errUnmatchedResponses)
@@ -218,7 +233,6 @@
 			return expired
 		}
 		if a.stalledNow(now) {
-			a.req.addStep("stalled:" + string(a.server.ID))
 			return stalled
 		}
 		err := a.conn.waitReadable(time.Now().Add(min(a.checkInterval(), remaining)))
@@ -239,6 +253,9 @@
 			a.req.addStep("disbanded:" + string(a.server.ID))
 			return mayHaveRun
 		}
+		if a.req.wakeSilentAttempt() {
+			return overtaken
+		}
 	}
 }
 
@@ -291,6 +308,10 @@
 // finish ends the attempt. It keeps the connection for reuse if the response was read
 // whole, and closes it otherwise.
 func (a *attempt) finish() {
+	if a.finished {
+		return
+	}
+	a.finished = true
 	a.backend.inFlight.Add(-1)
 	a.end(a.req.now())
 	if a.conn == nil {
--- a/forward/call.go
+++ b/forward/call.go
@@ -61,6 +61,12 @@
 	// possibleRuns is the number of sends after which a backend server may have run the
 	// request.
 	possibleRuns int
+	// unsentCount is the number of attempts that did not reach a backend server.
+	unsentCount int
+	// silent are attempts whose backend servers are silent while another attempt is under
+	// way. awake is one of them that has received data since.
+	silent []*attempt
+	awake  *attempt
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	// steps describe the failed attempts, for the log.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -116,6 +116,10 @@
 				Name: "stream", Host: "a.example", Prefix: "/s/", Kind: route.Streaming, Resumable: true, UsesGroups: true, AttemptLimit: 2,
 				Timeout: 5 * time.Second, LatencyGoal: time.Second, Targets: []route.Target{{Service: "llm", Weight: 1}},
 			},
+			{
+				Name: "call", Host: "a.example", Prefix: "/c/", Kind: route.Streaming, UsesGroups: true, AttemptLimit: 2,
+				Timeout: 5 * time.Second, LatencyGoal: time.Second, Targets: []route.Target{{Service: "llm", Weight: 1}},
+			},
 			{
 				Name: "order", Host: "a.example", Prefix: "/o/", Kind: route.NonIdempotent, AttemptLimit: 1,
 				Timeout: time.Second, LatencyGoal: 200 * time.Millisecond, Targets: []route.Target{{Service: "plain", Weight: 1}},
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -79,7 +79,7 @@
 // sends no data to any request of this entry instance, or has sent this stream no
 // event for several stall timeouts.
 func (a *attempt) stalledNow(now time.Duration) bool {
-	if a.progressTimeout <= 0 {
+	if a.progressTimeout <= 0 || now < a.moveAt {
 		return false
 	}
 	idle := now - max(a.lastProgress, time.Duration(a.backend.lastReceived.Load()))
@@ -97,6 +97,7 @@
 		a.firstEventAt = now
 	}
 	a.recordAnswering(now)
+	a.recordResumed()
 	a.lastProgress, a.eventReceived = now, true
 	a.backend.recordReceived(now)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 )
@@ -25,8 +26,6 @@
 	req         *call
 	flusher     *http.ResponseController
 	headersSent bool
-	// buf holds received data that is not sent to the caller yet.
-	buf []byte
 	// lastID is the ID of the last event that the caller received, if hasLastID.
 	lastID    int64
 	hasLastID bool
@@ -43,62 +42,19 @@
 	if id, err := strconv.ParseInt(c.lastEventID, 10, 64); err == nil {
 		r.lastID, r.hasLastID = id, true
 	}
-	for unsentAttempts := 0; ; {
-		now := c.now()
-		if c.deadline-now < minSendTime {
-			r.giveUp("no time left")
-			return
-		}
-		if remaining, convicted := c.isConvicted(); convicted {
-			r.refuseConvicted(remaining)
-			return
-		}
-		s, b, outcome := c.pick(now)
-		if s == nil {
-			r.handleNoServer(outcome)
-			return
-		}
-		stallTimeout, firstEventTimeout := c.streamTimeouts(s, b)
-		a, res := c.send(s, b, stallTimeout, firstEventTimeout)
-		if res == answered {
-			if a.resp.StatusCode != http.StatusOK {
-				switch r.relayFailure(a) {
-				case delivered:
-					return
-				case retryElsewhere:
-					continue
-				}
-				res = mayHaveRun
-			} else {
-				res = r.relayEvents(a)
-			}
-		}
-		switch res {
-		case answered:
-			return
-		case canceled:
-			c.logOutcome("left", nil)
-			return
-		case expired:
-			r.failTimeout()
-			return
-		case notSent:
-			unsentAttempts++
-			if unsentAttempts > maxUnsentAttempts {
-				r.giveUp("backend servers take no connections")
-				return
-			}
-			continue
-		case stalled:
-			if now := c.now(); !c.handler.GroupProgresses(s, now) {
-				b.pauseStalled(s.Epoch, now+stallPause)
-				c.handler.reportStalledGroup(s.Group, s.Epoch)
-			}
-		}
-		if !r.retryOrGiveUp(res) {
-			return
-		}
+	c.serve(r)
+}
+
+func (r *relay) timeouts(s *fleet.Server, b *Backend) (progress, firstEvent time.Duration) {
+	return r.req.streamTimeouts(s, b)
+}
+
+// relay relays the response of a backend server to the caller.
+func (r *relay) relay(a *attempt) sendResult {
+	if a.resp.StatusCode != http.StatusOK {
+		return r.relayFailure(a)
 	}
+	return r.relayEvents(a)
 }
 
 // reportStalledGroup calls Options.OnStalledGroup with a group that stopped sending data.
@@ -108,8 +64,8 @@
 	}
 }
 
-// handleNoServer ends a request for which there is no further backend server.
-func (r *relay) handleNoServer(outcome pickOutcome) {
+// noServer ends a request for which there is no further backend server.
+func (r *relay) noServer(outcome pickOutcome) {
 	if r.req.possibleRuns > 0 || r.headersSent {
 		r.giveUp("no other backend server")
 		return
@@ -117,16 +73,6 @@
 	r.req.refuseNoServer(outcome)
 }
 
-// retryOrGiveUp returns true if the stream may continue at another backend server. If
-// not, it ends the request and returns false.
-func (r *relay) retryOrGiveUp(res sendResult) bool {
-	if r.req.reserveRetry(res) {
-		return true
-	}
-	r.giveUp(res.String())
-	return false
-}
-
 // refuseConvicted ends a request of which such requests crash backend servers.
 func (r *relay) refuseConvicted(remaining time.Duration) {
 	if r.headersSent {
@@ -153,11 +99,10 @@
 
 // relayFailure relays an error response of a backend server to the caller, unless the
 // caller's response has already begun or the request can be retried.
-func (r *relay) relayFailure(a *attempt) relayResult {
+func (r *relay) relayFailure(a *attempt) sendResult {
 	if r.headersSent {
 		a.backend.recordFailure(a.req.now())
-		a.finish()
-		return incomplete
+		return mayHaveRun
 	}
 	return r.req.relayResponse(a)
 }
@@ -165,24 +110,22 @@
 // relayEvents relays events from one backend server to the caller. It returns answered
 // if the stream is complete.
 func (r *relay) relayEvents(a *attempt) sendResult {
-	defer a.finish()
-	r.buf = r.buf[:0]
 	for {
 		if res := a.waitForData(); res != answered {
 			return res
 		}
 		a.conn.setDeadline(time.Now().Add(responseReadTimeout))
-		if cap(r.buf)-len(r.buf) < eventBufferSize/2 {
-			r.buf = append(make([]byte, 0, 2*cap(r.buf)+eventBufferSize), r.buf...)
+		if cap(a.buf)-len(a.buf) < eventBufferSize/2 {
+			a.buf = append(make([]byte, 0, 2*cap(a.buf)+eventBufferSize), a.buf...)
 		}
-		n, err := a.resp.Body.Read(r.buf[len(r.buf):cap(r.buf)])
-		r.buf = r.buf[:len(r.buf)+n]
+		n, err := a.resp.Body.Read(a.buf[len(a.buf):cap(a.buf)])
+		a.buf = a.buf[:len(a.buf)+n]
 		now := r.req.now()
 		if !r.writeEvents(a, now) {
 			return mayHaveRun
 		}
 		switch {
-		case err == io.EOF && len(r.buf) > 0:
+		case err == io.EOF && len(a.buf) > 0:
 			r.req.addStep("torn:" + string(a.server.ID))
 			return mayHaveRun
 		case err == io.EOF:
@@ -191,7 +134,7 @@
 			return answered
 		case err != nil:
 			return a.recordConnFailure("stream", err)
-		case len(r.buf) > maxEventBytes:
+		case len(a.buf) > maxEventBytes:
 			return a.recordConnFailure("stream", errEventTooLarge)
 		}
 	}
@@ -236,7 +179,7 @@
 // writeEvents sends the complete events in the buffer to the caller and keeps the rest.
 // It returns false if an event is missing from the sequence.
 func (r *relay) writeEvents(a *attempt, now time.Duration) bool {
-	rest := r.buf
+	rest := a.buf
 	wrote, progress := false, false
 	defer func() {
 		if progress {
@@ -276,8 +219,9 @@
 			r.req.lastEventID = strconv.FormatInt(id, 10)
 		}
 	}
-	r.buf = r.buf[:copy(r.buf, rest)]
+	a.buf = a.buf[:copy(a.buf, rest)]
 	if wrote {
+		r.req.finishSilent()
 		if r.lastWriteAt != 0 {
 			r.longestPause = max(r.longestPause, now-r.lastWriteAt)
 		}
