Tell the histories of a restored store apart, and keep what its copy may have older

Cause: versions of rows were compared across the restore. The store gives versions out again, so the new row's version was below the one that replicas knew, and they dropped it.

Versions combine the store's era and counter now.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -33,6 +34,8 @@
 	rows    map[infra.RowKey]infra.Row
 	history []infra.Change
 	version uint64
+	// era rises with each restore.
+	era uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -53,6 +56,42 @@
 	_, _ = s.txn(infra.Txn{Writes: []infra.Write{{RowKey: infra.RowKey{Table: table, Key: key}, Delete: true}}})
 }
 
+// copyState returns a copy of the store's state, from which restore can restore it.
+func (s *memStore) copyState() *memStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &memStore{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version}
+}
+
+// restore replaces the state by that of a copy.
+func (s *memStore) restore(c *memStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.version = maps.Clone(c.rows), slices.Clone(c.history), c.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// tagged returns a version of a restorable store for a counter. The mutex must be held.
+func (s *memStore) tagged(counter uint64) uint64 {
+	if counter == 0 {
+		return 0
+	}
+	v, err := infra.NewVersion(s.era, counter)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Era implements infra.EraReporter.
+func (s *memStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // txn applies a transaction, or returns an infra.ConflictError with the rows whose
 // versions differ from its conditions.
 func (s *memStore) txn(t infra.Txn) (uint64, error) {
@@ -60,7 +99,8 @@
 	defer s.mu.Unlock()
 	conflict := &infra.ConflictError{}
 	for _, c := range t.Conditions {
-		if row := s.rows[c.RowKey]; row.Version != c.Version {
+		if row := s.rows[c.RowKey]; s.tagged(row.Version) != c.Version {
+			row.Version = s.tagged(row.Version)
 			conflict.Rows = append(conflict.Rows, row)
 		}
 	}
@@ -79,7 +119,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version, nil
+	return s.tagged(s.version), nil
 }
 
 // storeView is one entry instance's access to a memStore.
@@ -125,6 +165,7 @@
 	if !ok {
 		return infra.Row{}, infra.ErrRowNotFound
 	}
+	row.Version = v.tagged(row.Version)
 	return row, nil
 }
 
@@ -145,9 +186,10 @@
 	}
 	v.memStore.mu.Lock()
 	defer v.memStore.mu.Unlock()
-	out := infra.Changes{Version: max(1, v.version)}
+	out := infra.Changes{Version: v.tagged(max(1, v.version))}
 	for key, row := range v.rows {
 		if key.Table == table {
+			row.Version = v.tagged(row.Version)
 			out.Rows = append(out.Rows, infra.Change{Row: row})
 		}
 	}
@@ -165,9 +207,14 @@
 			return infra.Changes{}, err
 		}
 		v.memStore.mu.Lock()
-		out, changed := infra.Changes{Version: max(1, v.version)}, v.changed
+		out, changed := infra.Changes{Version: v.tagged(max(1, v.version))}, v.changed
+		if infra.CounterOf(after) > max(1, v.version) {
+			v.memStore.mu.Unlock()
+			return infra.Changes{}, infra.ErrHistoryLost
+		}
 		for _, h := range v.history {
-			if h.Table == table && h.Version > after {
+			if h.Table == table && h.Version > infra.CounterOf(after) {
+				h.Version = v.tagged(h.Version)
 				out.Rows = append(out.Rows, h)
 			}
 		}
--- a/edge/control.go
+++ b/edge/control.go
@@ -126,11 +126,7 @@
 func (n *Node) handleEvent(e event) {
 	switch e := e.(type) {
 	case tableEvent:
-		if e.table == n.platform.OperatorTable {
-			n.applyOperatorRows(e.rows)
-		} else {
-			n.applyServerRows(e.rows)
-		}
+		n.applyRows(e.table, e.rows)
 	case leaseEvent:
 		n.stepLease(e.Event)
 	case plannerEvent:
@@ -155,6 +151,7 @@
 		n.peerChanged(run, false)
 	}
 	n.logPeerChanges()
+	n.checkRestore()
 	n.updateRoster()
 	n.updateReaderRole(now)
 	n.updateLeaseHolder(n.roster.holder)
@@ -234,6 +231,15 @@
 	}
 }
 
+// applyRows applies changed rows of a table.
+func (n *Node) applyRows(table string, rows []infra.Change) {
+	if table == n.platform.OperatorTable {
+		n.applyOperatorRows(rows)
+	} else {
+		n.applyServerRows(rows)
+	}
+}
+
 // applyOperatorRows applies changed rows of the operator table: configurations and
 // evacuated data centres.
 func (n *Node) applyOperatorRows(rows []infra.Change) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -96,6 +96,9 @@
 	routes         *route.Table
 	evacuated      []ident.DataCentre
 	serverSnapshot *fleet.Snapshot
+	// storeEra is the era of the newest rows, once storeEraKnown is true.
+	storeEra      uint64
+	storeEraKnown bool
 	// serversReceived is true once the list of backend servers has been read.
 	serversReceived bool
 	// viewOutdated is true if routes, servers or evacuated data centres have changed
@@ -146,11 +149,11 @@
 		self:   lease.Identity{Instance: settings.Instance, Incarnation: ident.Incarnation(uuid.NewString()[:incarnationLength])},
 		peers:  beacon.NewTable(settings.Instance),
 		events: make(chan event, 256), beaconRequests: make(chan struct{}, 1),
-		mirror:       mirror.New(),
 		serverList:   fleet.NewList(),
 		lastLogged:   make(map[string]time.Duration),
 		modelDemands: make(map[string]*modelDemand),
 	}
+	n.mirror = mirror.NewRestorable(n.now, n.isNewerRow)
 	n.tableReaders = []*tableReader{
 		{node: n, table: platform.OperatorTable, pollTimeout: operatorPollTimeout, wake: make(chan struct{}, 1)},
 		{node: n, table: platform.ServerTable, pollTimeout: serverPollTimeout, batchDelay: serverBatchDelay, wake: make(chan struct{}, 1)},
--- /dev/null
+++ b/edge/restore.go
@@ -0,0 +1,38 @@
+package edge
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/bulrushfall/bulrushfall/infra"
+)
+
+// checkRestore notices that the store was restored from an older copy, and takes over what
+// its copy says once writers have written their rows again.
+func (n *Node) checkRestore() {
+	if era := n.mirror.Era(); !n.storeEraKnown {
+		n.storeEra, n.storeEraKnown = era, n.routes != nil || n.serversReceived
+	} else if era > n.storeEra {
+		n.log.WithFields(logrus.Fields{"era": era, "former_era": n.storeEra}).Warn("store was restored from an older copy: rows that may be older are withheld")
+		n.storeEra = era
+	}
+	for table, rows := range n.mirror.Settle() {
+		n.log.WithFields(logrus.Fields{"table": table, "era": n.storeEra, "rows": len(rows)}).Info("withheld rows of the restored store in force")
+		n.applyRows(table, rows)
+	}
+}
+
+// isNewerRow reports whether a row is certainly newer than the known one by what its value
+// says: a configuration with a higher version, or a backend server that drains.
+func (n *Node) isNewerRow(table string, known, row infra.Row) bool {
+	switch {
+	case table == n.platform.ServerTable:
+		before, err := n.platform.DecodeServer(known, 0)
+		after, afterErr := n.platform.DecodeServer(row, 0)
+		return err == nil && afterErr == nil && before.Incarnation == after.Incarnation && after.Draining && !before.Draining
+	case table == n.platform.OperatorTable && row.Key == n.platform.ConfigKey:
+		before, _, err := n.platform.DecodeConfig(known.Value)
+		after, _, afterErr := n.platform.DecodeConfig(row.Value)
+		return afterErr == nil && (err != nil || after.Version > before.Version)
+	}
+	return false
+}
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -89,6 +89,12 @@
 		log.Info("store regained")
 	}
 	r.lastAnswerAt.Store(int64(r.node.now()))
+	if !isSnapshot && infra.EraOf(changes.Version) != infra.EraOf(r.knownVersion) {
+		// The changes since the known version belong to another history.
+		log.WithField("era", infra.EraOf(changes.Version)).Info("store was restored from an older copy: reading all rows")
+		r.knownVersion = 0
+		return
+	}
 	r.knownVersion = max(r.knownVersion, changes.Version)
 	if newChanges := r.node.mirror.Apply(r.table, changes, isSnapshot); len(newChanges) > 0 || isSnapshot {
 		r.node.post(tableEvent{table: r.table, rows: newChanges})
--- /dev/null
+++ b/infra/era.go
@@ -0,0 +1,34 @@
+package infra
+
+import "github.com/pkg/errors"
+
+// A store that is restored from an older copy gives versions out again. Its era is a number
+// that rises with each restore. The versions that this package's users see combine the era
+// and the store's counter, so that they rise across restores.
+
+// eraShift is the number of bits of the counter in a version.
+const eraShift = 40
+
+// ErrVersionTooLarge means that a store's counter or era does not fit into a version.
+var ErrVersionTooLarge = errors.New("counter or era of the store is too large: counters are below 2^40, eras below 2^24")
+
+// NewVersion returns the version for a store's counter in an era.
+func NewVersion(era, counter uint64) (uint64, error) {
+	if counter >= 1<<eraShift || era >= 1<<(64-eraShift) {
+		return 0, errors.Wrapf(ErrVersionTooLarge, "era %d, counter %d", era, counter)
+	}
+	return era<<eraShift | counter, nil
+}
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 { return version >> eraShift }
+
+// CounterOf returns the store's counter of a version.
+func CounterOf(version uint64) uint64 { return version & (1<<eraShift - 1) }
+
+// EraReporter is implemented by clients of stores that can be restored from an older copy.
+type EraReporter interface {
+	// Era returns the highest era that an answer of the store has named, or 0 if there was
+	// none.
+	Era() uint64
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -50,6 +51,8 @@
 	tables map[string]*table
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	now     func() time.Duration
+	newer   NewerFunc
 	// packed holds the packed rows of recent updates, because many followers wait for
 	// the same ones.
 	packed map[updateKey][]byte
@@ -60,6 +63,7 @@
 	table         string
 	after, newest uint64
 	snapshot      bool
+	restored      bool
 }
 
 // table is the replica of one table.
@@ -68,11 +72,22 @@
 	// version is the newest version. snapshotVersion is the version of the last snapshot
 	// of the whole table: the replica may lack deletions that are older than it.
 	version, snapshotVersion uint64
+	// restored is the state after a restore of the store, or nil once it is over.
+	restored *restored
 }
 
-// New returns an empty replica.
+// New returns an empty replica that takes over the rows of a restored store at once.
 func New() *Mirror {
-	return &Mirror{tables: make(map[string]*table), changed: make(chan struct{}), packed: make(map[updateKey][]byte)}
+	return NewRestorable(func() time.Duration { return 0 }, func(string, infra.Row, infra.Row) bool { return true })
+}
+
+// NewRestorable returns an empty replica. Its rows do not go back to an older state when the
+// store is restored from an older copy; see restored.
+func NewRestorable(now func() time.Duration, newer NewerFunc) *Mirror {
+	return &Mirror{
+		tables: make(map[string]*table), changed: make(chan struct{}), packed: make(map[updateKey][]byte),
+		now: now, newer: newer,
+	}
 }
 
 // tableNamed returns the replica of a table, and adds it if it is missing. The mutex must
@@ -88,28 +103,43 @@
 
 // Apply applies changes of a table that were read from the store, and returns those that
 // are new. If snapshot is true, the changes are all rows of the table: rows that are
-// missing have been deleted.
+// missing have been deleted. Changes from before a restore that is known are ignored.
 func (m *Mirror) Apply(name string, c infra.Changes, snapshot bool) []infra.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(name)
+	if infra.EraOf(c.Version) < infra.EraOf(t.version) {
+		return nil
+	}
+	if t.version != 0 && infra.EraOf(c.Version) > infra.EraOf(t.version) {
+		t.restored = m.newRestored(c.Version)
+	}
 	var newChanges []infra.Change
 	present := make(map[string]bool, len(c.Rows))
 	for _, r := range c.Rows {
 		present[r.Key] = true
-		if t.put(Row{Table: name, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}) {
+		if m.offer(t, Row{Table: name, Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}) {
 			newChanges = append(newChanges, r)
 		}
 	}
 	if snapshot {
-		newChanges = append(newChanges, t.deleteMissing(name, c.Version, present)...)
+		newChanges = append(newChanges, t.applySnapshot(name, c.Version, present)...)
 		t.version = max(t.version, c.Version)
-		t.snapshotVersion = max(t.snapshotVersion, c.Version)
 	}
 	m.notifyWaiters(len(newChanges) > 0)
 	return newChanges
 }
 
+// applySnapshot records that the rows of a snapshot have been applied, and returns the
+// deletions of the rows that it lacks.
+func (t *table) applySnapshot(name string, version uint64, present map[string]bool) []infra.Change {
+	t.snapshotVersion = max(t.snapshotVersion, version)
+	if t.restored != nil {
+		return nil // Settle deletes them.
+	}
+	return t.deleteMissing(name, version, present)
+}
+
 // deleteMissing marks as deleted the rows that a snapshot of the given version lacks, and
 // returns these deletions. Rows newer than the snapshot stay.
 func (t *table) deleteMissing(name string, version uint64, present map[string]bool) []infra.Change {
@@ -142,6 +172,9 @@
 	Snapshot      bool   `msgpack:"w"`
 	NewestVersion uint64 `msgpack:"v"`
 	Rows          []Row  `msgpack:"r"`
+	// WrittenAfter is the version after which rows have been written since a restore of the
+	// store, while the sender still withholds rows of the restored copy, and 0 otherwise.
+	WrittenAfter uint64 `msgpack:"a,omitempty"`
 	// Packed holds the compressed rows instead of Rows if there is much of them.
 	Packed []byte `msgpack:"z"`
 }
@@ -156,11 +189,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(u.Table)
+	if infra.EraOf(u.NewestVersion) < infra.EraOf(t.version) {
+		return nil, nil
+	}
+	m.beginRestore(t, u)
 	var newChanges []infra.Change
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		present[r.Key] = true
-		if t.put(r) {
+		if m.offer(t, r) {
 			newChanges = append(newChanges, infra.Change{
 				Row:     infra.Row{RowKey: infra.RowKey{Table: r.Table, Key: r.Key}, Version: r.Version, Value: r.Value},
 				Deleted: r.Deleted,
@@ -168,8 +205,7 @@
 		}
 	}
 	if u.Snapshot {
-		newChanges = append(newChanges, t.deleteMissing(u.Table, u.NewestVersion, present)...)
-		t.snapshotVersion = max(t.snapshotVersion, u.NewestVersion)
+		newChanges = append(newChanges, t.applySnapshot(u.Table, u.NewestVersion, present)...)
 	}
 	// The update is complete up to its version, which may be that of a snapshot and
 	// above all rows.
@@ -255,6 +291,14 @@
 				u.Rows = append(u.Rows, r)
 			}
 		}
+		if t.restored != nil {
+			u.WrittenAfter = t.restored.writtenAfter
+			for _, r := range t.restored.withheld {
+				if r.Version > after || u.Snapshot {
+					u.Rows = append(u.Rows, r)
+				}
+			}
+		}
 		slices.SortFunc(u.Rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
 		out = append(out, u)
 	}
@@ -272,7 +316,7 @@
 	if size < packMinSize {
 		return
 	}
-	key := updateKey{u.Table, after, u.NewestVersion, u.Snapshot}
+	key := updateKey{u.Table, after, u.NewestVersion, u.Snapshot, u.WrittenAfter != 0}
 	packed, ok := m.packed[key]
 	if !ok {
 		packed = packRows(u.Rows)
