A holder that has sent its release does not take the lease up again

Cause: the holder sends its release, its result is lost, and it reads the rows before the release is applied. The row still names its acquisition, one of the attempts that it tracks, so it took the lease up again. Then the release is applied and lets another contender in at once. Class of fault: an earlier write is taken for the current state while a later one is on its way.

After a release only that attempt is tracked. The row's holder may still acquire the lease with a new epoch; of that write and the release only one can apply, because both have the row's version as condition.

--- a/lease/machine.go
+++ b/lease/machine.go
@@ -326,6 +326,11 @@
 	m.attemptCount++
 	a.id = fmt.Sprintf("%s/%s/%s/%d", m.self.Instance, m.self.Incarnation, m.service, m.attemptCount)
 	a.sentAt = now
+	if a.release {
+		// The row may still name an earlier write when it is read, although the release is
+		// applied later.
+		m.attempts = nil
+	}
 	m.attempts = append(m.attempts, a)
 	if len(m.attempts) > maxTrackedAttempts {
 		m.attempts = m.attempts[1:]
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -252,3 +252,27 @@
 	}
 	t.Fatal("the released lease was not acquired within 8 s")
 }
+
+// Guards against a holder that takes its lease up again because it reads its acquisition,
+// while its release is still on the way and lets another contender in.
+func TestReleaseIsFinal(t *testing.T) {
+	table := &fakeTable{rows: map[infra.RowKey]infra.Row{}}
+	cfg := DefaultConfig()
+	cfg.HandOverDelay = 500 * time.Millisecond
+	m := New(cfg, Identity{"a", "1"}, service)
+	read := RowsRead{table.get(Key(service)), table.get(EpochKey(service))}
+	m.Step(0, Tick{})
+	acquire := m.Step(0, read)[0].(WriteRows)
+	version, outcome := table.txn(acquire.Txn)
+	m.Step(0, Written{acquire.Attempt, outcome, version})
+	m.Step(0, RankChanged{Rank: 1})
+	release := m.Step(time.Second, Tick{})[1].(WriteRows)
+
+	// The result of the release is lost, and it is applied after the read.
+	m.Step(time.Second, Written{release.Attempt, infra.OutcomeUnknown, 0})
+	m.Step(time.Second, RowsRead{table.get(Key(service)), table.get(EpochKey(service))})
+	_, held := m.Held(time.Second)
+	assert.Assert(t, !held)
+	_, outcome = table.txn(release.Txn)
+	assert.Equal(t, outcome, infra.OutcomeApplied)
+}
