Give no lease epoch out twice after the store was restored from an older copy

Cause: the next epoch was one above the stored one, and the store no longer had the last acquisition. A contender also took a row that it read after the restore for the last holder's word.

Each era of the store has epochs of its own now. A machine that reads rows of a new era gives the lease up, forgets its earlier attempts, and acquires it again with an epoch of the new era; where receivers don't check tokens, a contender that was not the last holder first waits as long as an unknown holder's lease can last. A write that was applied in another era than its rows were read in counts as unknown: a condition that a row is absent also holds where the restore has removed it.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -208,12 +208,12 @@
 		}
 		v.memStore.mu.Lock()
 		out, changed := infra.Changes{Version: v.tagged(max(1, v.version))}, v.changed
-		if infra.CounterOf(after) > max(1, v.version) {
+		if infra.VersionCounter(after) > max(1, v.version) {
 			v.memStore.mu.Unlock()
 			return infra.Changes{}, infra.ErrHistoryLost
 		}
 		for _, h := range v.history {
-			if h.Table == table && h.Version > infra.CounterOf(after) {
+			if h.Table == table && h.Version > infra.VersionCounter(after) {
 				h.Version = v.tagged(h.Version)
 				out.Rows = append(out.Rows, h)
 			}
--- a/edge/node.go
+++ b/edge/node.go
@@ -177,8 +177,8 @@
 // plannerLeaseConfig returns the times of the planner's lease. They are short, because
 // no group is repaired while no instance holds it. RankDelay is shorter than
 // ReadInterval, so an instance that is not the preferred one may acquire a released
-// lease. MaxCommandDelay is 0: a new holder need not wait before it sends commands,
-// because backend servers check the fencing token.
+// lease. MaxCommandDelay is 0 and Fenced is set: a new holder need not wait before it sends
+// commands, because backend servers check the fencing token.
 func plannerLeaseConfig() lease.Config {
 	return lease.Config{
 		Length:        3 * time.Second,
@@ -187,6 +187,7 @@
 		RetryDelay:    200 * time.Millisecond,
 		RankDelay:     400 * time.Millisecond,
 		HandOverDelay: time.Hour,
+		Fenced:        true,
 	}
 }
 
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -10,7 +10,7 @@
 // the store was restored from an older copy, and against configurations and evacuations that
 // come back older.
 func TestChangeAfterRestore(t *testing.T) {
-	tc := newTestCluster(t, 21, 3)
+	tc := newTestCluster(t, 31, 3)
 	tc.startPlainServer("p1", "a")
 	tc.startPlainServer("p2", "b")
 	tc.store.put("op", "config", config(5, "k1"))
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -89,9 +89,9 @@
 		log.Info("store regained")
 	}
 	r.lastAnswerAt.Store(int64(r.node.now()))
-	if !isSnapshot && infra.EraOf(changes.Version) != infra.EraOf(r.knownVersion) {
+	if !isSnapshot && infra.VersionEra(changes.Version) != infra.VersionEra(r.knownVersion) {
 		// The changes since the known version belong to another history.
-		log.WithField("era", infra.EraOf(changes.Version)).Info("store was restored from an older copy: reading all rows")
+		log.WithField("era", infra.VersionEra(changes.Version)).Info("store was restored from an older copy: reading all rows")
 		r.knownVersion = 0
 		return
 	}
--- a/infra/era.go
+++ b/infra/era.go
@@ -20,15 +20,25 @@
 	return era<<eraShift | counter, nil
 }
 
-// EraOf returns the era of a version.
-func EraOf(version uint64) uint64 { return version >> eraShift }
+// VersionEra returns the era of a version.
+func VersionEra(version uint64) uint64 { return version >> eraShift }
 
-// CounterOf returns the store's counter of a version.
-func CounterOf(version uint64) uint64 { return version & (1<<eraShift - 1) }
+// VersionCounter returns the store's counter of a version.
+func VersionCounter(version uint64) uint64 { return version & (1<<eraShift - 1) }
 
-// EraReporter is implemented by clients of stores that can be restored from an older copy.
+// EraReporter is implemented by a Table whose store can be restored from an older copy.
 type EraReporter interface {
 	// Era returns the highest era that an answer of the store has named, or 0 if there was
-	// none.
+	// none. The era of an answer counts before the call returns: a caller that reads the
+	// same number before and after a call knows that the answer is of that era or of an
+	// earlier one.
 	Era() uint64
 }
+
+// EraOf returns the era of a table, or 0 if the table reports none.
+func EraOf(t Table) uint64 {
+	if r, ok := t.(EraReporter); ok {
+		return r.Era()
+	}
+	return 0
+}
--- a/lease/events.go
+++ b/lease/events.go
@@ -17,6 +17,8 @@
 type RowsRead struct {
 	Lease infra.Row
 	Epoch infra.Row
+	// Era is the store's era at the read; see infra.EraReporter.
+	Era uint64
 }
 
 // ReadFailed is the result of ReadRows when the table could not be read.
@@ -58,10 +60,12 @@
 // ReadRows requests a read of both rows, first the lease row and then the epoch row.
 type ReadRows struct{}
 
-// WriteRows requests a transaction. Attempt identifies it in the result.
+// WriteRows requests a transaction. Attempt identifies it in the result. The outcome is
+// infra.OutcomeUnknown if it was applied but the store's era is no longer Era.
 type WriteRows struct {
 	Attempt string
 	Txn     infra.Txn
+	Era     uint64
 }
 
 // Acquired reports that this entry instance became the holder.
--- a/lease/leaseio/leaseio.go
+++ b/lease/leaseio/leaseio.go
@@ -14,6 +14,7 @@
 // Read performs lease.ReadRows. It reads the lease row first. If the holder changes
 // between the two reads, the next write conflicts.
 func Read(ctx context.Context, table infra.Table, name ident.ServiceName) lease.Event {
+	before := infra.EraOf(table)
 	row, err := Get(ctx, table, lease.Key(name))
 	if err != nil {
 		return lease.ReadFailed{}
@@ -22,13 +23,22 @@
 	if err != nil {
 		return lease.ReadFailed{}
 	}
-	return lease.RowsRead{Lease: row, Epoch: epoch}
+	era := infra.EraOf(table)
+	if era != before && before != 0 {
+		return lease.ReadFailed{} // The rows may be of both eras.
+	}
+	return lease.RowsRead{Lease: row, Epoch: epoch, Era: era}
 }
 
 // Write performs lease.WriteRows.
 func Write(ctx context.Context, table infra.Table, w lease.WriteRows) lease.Event {
 	version, err := table.Txn(ctx, w.Txn)
-	return lease.Written{Attempt: w.Attempt, Outcome: infra.OutcomeOf(err), Version: version}
+	outcome := infra.OutcomeOf(err)
+	if outcome == infra.OutcomeApplied && infra.EraOf(table) != w.Era {
+		// A condition that a row is absent also holds where a restore has removed it.
+		outcome = infra.OutcomeUnknown
+	}
+	return lease.Written{Attempt: w.Attempt, Outcome: outcome, Version: version}
 }
 
 // Get reads one row. A row that does not exist is returned with version 0.
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -32,6 +32,10 @@
 	// MaxCommandDelay is the longest time that a command to an engine can be in
 	// transit.
 	MaxCommandDelay time.Duration
+	// Fenced is set if every receiver of commands checks the fencing token. A former
+	// holder that is unknown, because the store was restored from an older copy, then need
+	// not be waited out.
+	Fenced bool
 }
 
 // DefaultConfig returns the default durations.
@@ -74,6 +78,9 @@
 	epochVersion uint64
 	row          Row
 	epoch        ident.Epoch
+	// era is the store's era at the last read. eraSince is when it was first read.
+	era      uint64
+	eraSince time.Duration
 	// firstSeen and lastSeen are when this version of the lease row was first and last
 	// read or written.
 	firstSeen, lastSeen time.Duration
@@ -91,7 +98,10 @@
 	holdsLease   bool
 	shuttingDown bool
 	endedHolder  Identity
-	rank         int
+	// heldUntilRestore is set if this entry instance held the lease when it noticed that the
+	// store was restored, so that no other one can hold it.
+	heldUntilRestore bool
+	rank             int
 	// preferenceChangedAt is when this entry instance last became or ceased to be the
 	// preferred holder, or when it last released the lease. HandOverDelay is measured
 	// from it.
@@ -168,6 +178,13 @@
 // observe updates the state from the rows of a read.
 func (m *Machine) observe(now time.Duration, e RowsRead, out []Action) []Action {
 	row := decodeRow(e.Lease)
+	if e.Era < m.observed.era {
+		m.readDue = true // An answer from before a restore of the store.
+		return out
+	}
+	if !m.observed.known || e.Era > m.observed.era {
+		out = m.beginEra(now, e.Era, out)
+	}
 	m.recordRow(now, e.Lease.Version, e.Epoch.Version, row, max(row.Epoch, decodeEpoch(e.Epoch).Epoch))
 	m.nextReadAt = now + m.readInterval()
 	if end := m.observed.firstSeen + m.takeoverWait(); m.rank < maxDelayedRanks && end > now {
@@ -185,6 +202,26 @@
 	return out
 }
 
+// epochsPerEra is the number of epochs that each era of the store has for itself, so that no
+// epoch is given out again when a restored store has an older one.
+const epochsPerEra = 1 << 16
+
+// beginEra handles the first read of the rows, and the first one after a restore of the store.
+// The rows may then be those of an earlier holder, and writes of the former era count no more.
+func (m *Machine) beginEra(now time.Duration, era uint64, out []Action) []Action {
+	if m.observed.known {
+		m.attempts, m.heldUntilRestore = nil, m.holdsLease
+		if m.holdsLease {
+			out = m.loseLease(out)
+		}
+	}
+	m.observed.era, m.observed.eraSince = era, now
+	return out
+}
+
+// firstEpoch returns the lowest epoch of the store's era.
+func (m *Machine) firstEpoch() ident.Epoch { return ident.Epoch(m.observed.era * epochsPerEra) }
+
 // recordRow stores the state of the rows after a read or write.
 func (m *Machine) recordRow(now time.Duration, version, epochVersion uint64, row Row, epoch ident.Epoch) {
 	if !m.observed.known || m.observed.version != version {
@@ -241,7 +278,7 @@
 		// The lease expired before the result arrived. The row still names this entry
 		// instance, so it can acquire the lease again at once with a new epoch.
 	case a.acquire && !m.holdsLease:
-		m.holdsLease = true
+		m.holdsLease, m.heldUntilRestore = true, false
 		m.grant = Grant{
 			Epoch:        m.observed.epoch,
 			EpochVersion: m.observed.epochVersion,
@@ -297,9 +334,19 @@
 // mayAcquire reports whether no other entry instance can hold the lease: either the row
 // names this one, or the row was still unchanged in a read after takeoverWait.
 func (m *Machine) mayAcquire() bool {
+	if m.formerHolderUnknown() && m.observed.lastSeen-m.observed.eraSince < m.cfg.Length+Margin(m.cfg.Length) {
+		return false
+	}
 	return m.observed.row.Holder == m.self || m.observed.lastSeen-m.observed.firstSeen >= m.takeoverWait()
 }
 
+// formerHolderUnknown reports whether another entry instance may still hold the lease that
+// the store has lost in a restore: nobody has acquired it since, and the last holder was not
+// this one.
+func (m *Machine) formerHolderUnknown() bool {
+	return !m.cfg.Fenced && !m.heldUntilRestore && m.observed.epoch < m.firstEpoch()
+}
+
 // takeoverWait returns how long the row has to stay unchanged before this entry instance
 // may acquire the lease.
 func (m *Machine) takeoverWait() time.Duration {
@@ -336,7 +383,7 @@
 		m.attempts = m.attempts[1:]
 	}
 	m.writing = true
-	return append(out, WriteRows{Attempt: a.id, Txn: m.attemptTxn(a)})
+	return append(out, WriteRows{Attempt: a.id, Txn: m.attemptTxn(a), Era: m.observed.era})
 }
 
 // attemptRow returns the lease row that an attempt writes.
@@ -344,7 +391,7 @@
 	row := Row{Holder: m.self, Epoch: m.observed.epoch, Length: m.cfg.Length, Attempt: a.id}
 	switch {
 	case a.acquire:
-		row.Epoch++
+		row.Epoch = max(row.Epoch, m.firstEpoch()) + 1
 	case a.release:
 		row.Holder = Identity{}
 	}
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -17,25 +17,43 @@
 type fakeTable struct {
 	version uint64
 	rows    map[infra.RowKey]infra.Row
+	// era rises with each restore of the table from an older copy.
+	era uint64
 }
 
 func (f *fakeTable) get(k infra.RowKey) infra.Row {
 	r := f.rows[k]
-	r.RowKey = k
+	r.RowKey, r.Version = k, f.tagged(r.Version)
 	return r
 }
 
+// tagged returns the version of a row for a counter.
+func (f *fakeTable) tagged(counter uint64) uint64 {
+	if counter == 0 {
+		return 0
+	}
+	v, err := infra.NewVersion(f.era, counter)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
 func (f *fakeTable) txn(t infra.Txn) (uint64, infra.Outcome) {
+	outcome := infra.OutcomeApplied
 	for _, c := range t.Conditions {
-		if f.rows[c.RowKey].Version != c.Version {
+		if f.rows[c.RowKey].Version != infra.VersionCounter(c.Version) {
 			return 0, infra.OutcomeConflict
 		}
+		if c.Version != 0 && infra.VersionEra(c.Version) != f.era {
+			outcome = infra.OutcomeUnknown // The answer names another era than the condition.
+		}
 	}
 	f.version++
 	for _, write := range t.Writes {
 		f.rows[write.RowKey] = infra.Row{Version: f.version, Value: write.Value}
 	}
-	return f.version, infra.OutcomeApplied
+	return f.tagged(f.version), outcome
 }
 
 // node is a contender whose clock runs up to 10 % faster or slower than the simulation's.
@@ -98,7 +116,7 @@
 		switch a := a.(type) {
 		case ReadRows:
 			sim.schedule(now+sim.delay(), func(at time.Duration) {
-				ev := Event(RowsRead{Lease: sim.table.get(Key(service)), Epoch: sim.table.get(EpochKey(service))})
+				ev := Event(RowsRead{Lease: sim.table.get(Key(service)), Epoch: sim.table.get(EpochKey(service)), Era: sim.table.era})
 				if at < sim.storeDownUntil {
 					ev = ReadFailed{}
 				}
@@ -121,6 +139,9 @@
 		ev := Written{Attempt: a.Attempt, Outcome: infra.OutcomeNotApplied}
 		if at >= sim.storeDownUntil {
 			ev.Version, ev.Outcome = sim.table.txn(a.Txn)
+			if ev.Outcome == infra.OutcomeApplied && sim.table.era != a.Era {
+				ev.Outcome = infra.OutcomeUnknown
+			}
 		}
 		if !lost {
 			sim.reply(n, at, ev)
@@ -227,7 +248,7 @@
 			actions = actions[1:]
 			switch action := action.(type) {
 			case ReadRows:
-				actions = append(actions, m.Step(now, RowsRead{table.get(Key(service)), table.get(EpochKey(service))})...)
+				actions = append(actions, m.Step(now, RowsRead{Lease: table.get(Key(service)), Epoch: table.get(EpochKey(service))})...)
 			case WriteRows:
 				version, outcome := table.txn(action.Txn)
 				actions = append(actions, m.Step(now, Written{action.Attempt, outcome, version})...)
@@ -260,7 +281,7 @@
 	cfg := DefaultConfig()
 	cfg.HandOverDelay = 500 * time.Millisecond
 	m := New(cfg, Identity{"a", "1"}, service)
-	read := RowsRead{table.get(Key(service)), table.get(EpochKey(service))}
+	read := RowsRead{Lease: table.get(Key(service)), Epoch: table.get(EpochKey(service))}
 	m.Step(0, Tick{})
 	acquire := m.Step(0, read)[0].(WriteRows)
 	version, outcome := table.txn(acquire.Txn)
@@ -270,7 +291,7 @@
 
 	// The result of the release is lost, and it is applied after the read.
 	m.Step(time.Second, Written{release.Attempt, infra.OutcomeUnknown, 0})
-	m.Step(time.Second, RowsRead{table.get(Key(service)), table.get(EpochKey(service))})
+	m.Step(time.Second, RowsRead{Lease: table.get(Key(service)), Epoch: table.get(EpochKey(service))})
 	_, held := m.Held(time.Second)
 	assert.Assert(t, !held)
 	_, outcome = table.txn(release.Txn)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -108,10 +108,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(name)
-	if infra.EraOf(c.Version) < infra.EraOf(t.version) {
+	if infra.VersionEra(c.Version) < infra.VersionEra(t.version) {
 		return nil
 	}
-	if t.version != 0 && infra.EraOf(c.Version) > infra.EraOf(t.version) {
+	if t.version != 0 && infra.VersionEra(c.Version) > infra.VersionEra(t.version) {
 		t.restored = m.newRestored(c.Version)
 	}
 	var newChanges []infra.Change
@@ -189,7 +189,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(u.Table)
-	if infra.EraOf(u.NewestVersion) < infra.EraOf(t.version) {
+	if infra.VersionEra(u.NewestVersion) < infra.VersionEra(t.version) {
 		return nil, nil
 	}
 	m.beginRestore(t, u)
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -35,7 +35,7 @@
 // one after a restore. A table without rows follows the sender.
 func (m *Mirror) beginRestore(t *table, u Update) {
 	switch {
-	case t.version == 0 && u.WrittenAfter == 0, infra.EraOf(u.NewestVersion) == infra.EraOf(t.version):
+	case t.version == 0 && u.WrittenAfter == 0, infra.VersionEra(u.NewestVersion) == infra.VersionEra(t.version):
 	case u.WrittenAfter != 0:
 		t.restored = m.newRestored(u.WrittenAfter)
 	default:
@@ -53,7 +53,7 @@
 	if r.Version <= known.Version {
 		return false
 	}
-	if infra.EraOf(r.Version) == infra.EraOf(known.Version) || r.Version > t.restored.writtenAfter {
+	if infra.VersionEra(r.Version) == infra.VersionEra(known.Version) || r.Version > t.restored.writtenAfter {
 		delete(t.restored.withheld, r.Key)
 		return t.put(r)
 	}
@@ -105,7 +105,7 @@
 	}
 	// The restored store has neither these rows nor a deletion of them.
 	for key, r := range t.rows {
-		if r.Deleted || infra.EraOf(r.Version) == infra.EraOf(t.version) {
+		if r.Deleted || infra.VersionEra(r.Version) == infra.VersionEra(t.version) {
 			continue
 		}
 		r = Row{Table: name, Key: key, Version: writtenAfter, Deleted: true}
@@ -121,7 +121,7 @@
 	defer m.mu.Unlock()
 	var era uint64
 	for _, t := range m.tables {
-		era = max(era, infra.EraOf(t.version))
+		era = max(era, infra.VersionEra(t.version))
 	}
 	return era
 }
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -74,10 +74,10 @@
 // has another era or the history is lost.
 func (s *restorableStore) read(known uint64) (infra.Changes, bool) {
 	out := infra.Changes{Version: s.version(s.counter)}
-	snapshot := known == 0 || infra.EraOf(known) != s.era
+	snapshot := known == 0 || infra.VersionEra(known) != s.era
 	for key, at := range s.changedAt {
 		_, exists := s.rows[key]
-		if (snapshot && exists) || (!snapshot && at > infra.CounterOf(known)) {
+		if (snapshot && exists) || (!snapshot && at > infra.VersionCounter(known)) {
 			out.Rows = append(out.Rows, s.change(key))
 		}
 	}
