Take groups that serve from the servers' entries after the store was restored

What could be seen: after a restore from an older copy the planner's rows lack the groups of the last seconds or have them in an older state. A new holder of the lease then ordered members of serving groups to leave, or to join under an epoch that they refuse.

Cause: the rows are the planner's only knowledge of what it has ordered, and it took those of the copy for current. The entries of the backend servers show the truth.

The first holder of the lease in an era of the store takes over, for 3 s, the groups of which the entries show all members under one epoch that the rows lack or have in an older state, and removes rows whose members are in other groups; it makes no other change meanwhile. The row "@era" records that this was done. A member that the row of another group names is no longer ordered to leave.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -76,6 +76,7 @@
 func (n *Node) readGroups() {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	era := infra.EraOf(n.platform.Table)
 	var all []infra.Row
 	after := ""
 	for {
@@ -86,7 +87,11 @@
 		}
 		all = append(all, rows...)
 		if len(rows) < scanPageSize {
-			n.post(plannerEvent{formation.RowsRead{Rows: all}})
+			if infra.EraOf(n.platform.Table) != era {
+				n.post(plannerEvent{formation.ReadFailed{}}) // The rows may be of two eras.
+				return
+			}
+			n.post(plannerEvent{formation.RowsRead{Rows: all, Era: era}})
 			return
 		}
 		after = rows[len(rows)-1].Key
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -26,6 +26,8 @@
 	// storeRetryAt is the earliest time of the next read or write of the table after a
 	// failed one, and storeRetryDelay the delay from which it was set.
 	storeRetryAt, storeRetryDelay time.Duration
+	// adoption is set while the rows are brought in line with the servers' entries.
+	adoption *adoption
 	// fenced is set when a server has rejected an order because of a newer token or
 	// epoch. The planner does nothing more until the lease is renewed.
 	fenced bool
@@ -175,7 +177,15 @@
 func (p *Planner) handleRowsRead(now time.Duration, e RowsRead) {
 	p.readingRows, p.rowsLoaded, p.storeRetryDelay = false, true, 0
 	clear(p.groups)
+	adoptedEra := uint64(0)
 	for _, r := range e.Rows {
+		if r.Key == eraKey {
+			var err error
+			if adoptedEra, err = decodeEraRow(r); err != nil {
+				p.emit(LogEntry{Text: "era row skipped", Detail: err.Error()})
+			}
+			continue
+		}
 		row, err := decodeRow(r)
 		if err != nil {
 			p.emit(LogEntry{Text: "group row skipped", Group: ident.GroupID(r.Key), Detail: err.Error()})
@@ -183,6 +193,7 @@
 		}
 		p.groups[row.Group] = &group{Row: row, version: r.Version, rowWrittenAt: now, joinSentAt: make(map[ident.InstanceID]time.Duration)}
 	}
+	p.beginAdoption(now, e, adoptedEra)
 }
 
 func (p *Planner) handleWritten(now time.Duration, e Written) {
@@ -229,7 +240,7 @@
 func (p *Planner) releaseFormerMembers(now time.Duration, g *group) {
 	for _, m := range g.Members {
 		if !slices.ContainsFunc(g.pending.Members, func(n Member) bool { return n.ID == m.ID }) {
-			p.orderLeave(now, m.ID)
+			p.releaseMember(now, g, m)
 		}
 	}
 }
@@ -237,8 +248,19 @@
 // releaseMembers orders all members of a dissolved group to leave.
 func (p *Planner) releaseMembers(now time.Duration, g *group) {
 	for _, m := range g.Members {
-		p.orderLeave(now, m.ID)
+		p.releaseMember(now, g, m)
+	}
+}
+
+// releaseMember orders a former member of a group to leave, unless the row of another group
+// names it.
+func (p *Planner) releaseMember(now time.Duration, g *group, m Member) {
+	for _, other := range p.groups {
+		if other != g && slices.Contains(other.latestRow().Members, m) {
+			return
+		}
 	}
+	p.orderLeave(now, m.ID)
 }
 
 // orderLeave orders a server to leave its group, unless it is in none, dead, or was
@@ -305,6 +327,9 @@
 	}
 	p.removeExpired(now)
 	p.markDeadServers(now)
+	if p.adoptGroups(now) {
+		return
+	}
 	for _, g := range p.sortedGroups() {
 		p.reconcileGroup(now, g)
 	}
--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -28,7 +28,9 @@
 	rows       map[ident.GroupID]infra.Row
 	version    uint64
 	leaseEpoch ident.Epoch
-	planner    *Planner
+	// era is the era of the table, if it is not 0.
+	era     uint64
+	planner *Planner
 	// lostAnswerFraction is the fraction of orders whose answers are lost.
 	// lateOrderFraction is the fraction of orders that are executed seconds after the
 	// call timed out.
@@ -41,6 +43,9 @@
 	refuseWrites  bool
 	writeCalls    int
 	pendingEvents []simEvent
+	// staleEntries are the entries that the list shows instead of the servers' own, of
+	// those that it has.
+	staleEntries map[ident.InstanceID]fleet.Server
 	// listInterval is the time between updates of the list of servers.
 	listInterval time.Duration
 	loadCount    int
@@ -120,6 +125,9 @@
 	for _, s := range sim.servers {
 		if s.listed {
 			entry := s.Server
+			if stale, ok := sim.staleEntries[entry.ID]; ok {
+				entry = stale
+			}
 			entry.Version = 1
 			entry.Staged = slices.Clone(entry.Staged)
 			list.Put(entry)
@@ -157,7 +165,7 @@
 			rows = append(rows, r)
 		}
 		slices.SortFunc(rows, func(a, b infra.Row) int { return cmp.Compare(a.Key, b.Key) })
-		sim.reply(p, callTime, RowsRead{Rows: rows})
+		sim.reply(p, callTime, RowsRead{Rows: rows, Era: sim.era})
 	case WriteRow:
 		sim.writeRow(p, a)
 	case SendOrder:
@@ -371,6 +379,9 @@
 func (sim *simulation) checkOneGroupPerServer() {
 	groupOf := make(map[ident.InstanceID]ident.GroupID)
 	for _, r := range sim.rows {
+		if r.Key == eraKey {
+			continue
+		}
 		row, err := decodeRow(r)
 		assert.NilError(sim.t, err)
 		for _, m := range row.Members {
--- a/formation/types.go
+++ b/formation/types.go
@@ -137,8 +137,12 @@
 	Grant lease.Grant
 }
 
-// RowsRead is the result of ReadRows.
-type RowsRead struct{ Rows []infra.Row }
+// RowsRead is the result of ReadRows, with the store's era at the read; see
+// infra.EraReporter.
+type RowsRead struct {
+	Rows []infra.Row
+	Era  uint64
+}
 
 // ReadFailed is the result of ReadRows when the table could not be read.
 type ReadFailed struct{}
@@ -257,6 +261,10 @@
 	// SettleDelay is how long a new holder of the lease waits before it changes
 	// groups, because its first list of servers may be out of date.
 	SettleDelay time.Duration
+	// AdoptionTime is how long the first holder of the lease in an era of the store only
+	// brings the rows in line with the servers' entries. It covers the time until the
+	// entries that a restore has removed are back.
+	AdoptionTime time.Duration
 	// ListStableTime is how long the list of servers must not have grown before the
 	// first groups are formed; it covers two updates of a reader. ListMaxWait bounds
 	// this wait, counted from the acquisition of the lease, so that all weights are
@@ -282,6 +290,7 @@
 		StoreRetryMin:         100 * time.Millisecond,
 		StoreRetryMax:         800 * time.Millisecond,
 		SettleDelay:           300 * time.Millisecond,
+		AdoptionTime:          3 * time.Second,
 		ListStableTime:        500 * time.Millisecond,
 		ListMaxWait:           2500 * time.Millisecond,
 		SummaryInterval:       2 * time.Second,
