Entry instances store their addresses again after a restore of the store

What could be seen: an address that was stored after the copy was made is gone, so that a restarted instance whose seeds are gone does not find this one.

Cause: the address was written once, at the start. Evidence: TestAddressesAfterRestore without the new call: "condition not met within 5s: all instances have registered again". Each instance now reads the rows again after a restore and writes its own if it is missing; with many instances the first one of each data centre writes the list. The era that was known before is recorded with the first rows, so that a restore just after the start is noticed too.

--- a/edge/control.go
+++ b/edge/control.go
@@ -233,6 +233,9 @@
 
 // applyRows applies changed rows of a table.
 func (n *Node) applyRows(table string, rows []infra.Change) {
+	if !n.storeEraKnown {
+		n.storeEra, n.storeEraKnown = n.mirror.Era(), true
+	}
 	if table == n.platform.OperatorTable {
 		n.applyOperatorRows(rows)
 	} else {
--- a/edge/restore.go
+++ b/edge/restore.go
@@ -9,11 +9,10 @@
 // checkRestore notices that the store was restored from an older copy, and takes over what
 // its copy says once writers have written their rows again.
 func (n *Node) checkRestore() {
-	if era := n.mirror.Era(); !n.storeEraKnown {
-		n.storeEra, n.storeEraKnown = era, n.routes != nil || n.serversReceived
-	} else if era > n.storeEra {
+	if era := n.mirror.Era(); n.storeEraKnown && era > n.storeEra {
 		n.log.WithFields(logrus.Fields{"era": era, "former_era": n.storeEra}).Warn("store was restored from an older copy: rows that may be older are withheld")
 		n.storeEra = era
+		n.registerAgain()
 	}
 	for table, rows := range n.mirror.Settle() {
 		n.log.WithFields(logrus.Fields{"table": table, "era": n.storeEra, "rows": len(rows)}).Info("withheld rows of the restored store in force")
@@ -21,6 +20,13 @@
 	}
 }
 
+// registerAgain writes the addresses of entry instances again that the restored store may
+// lack.
+func (n *Node) registerAgain() {
+	n.addressList.written = nil
+	go n.register(n.ctx)
+}
+
 // isNewerRow reports whether a row is certainly newer than the known one by what its value
 // says: a configuration with a higher version, or a backend server that drains.
 func (n *Node) isNewerRow(table string, known, row infra.Row) bool {
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/bulrushfall/bulrushfall/infra"
 )
 
 // TestChangeAfterRestore guards against changes of operators that never come in force after
@@ -55,3 +57,28 @@
 		return false
 	})
 }
+
+// TestAddressesAfterRestore guards against an entry instance whose address the restored store
+// lacks, so that a restarted one whose seeds are gone can't find it.
+func TestAddressesAfterRestore(t *testing.T) {
+	tc := newTestCluster(t, 32, 2)
+	older := tc.store.copyState()
+	tc.store.put("op", "config", config(5, "k1"))
+	registered := func() bool {
+		tc.store.mu.Lock()
+		defer tc.store.mu.Unlock()
+		for _, n := range tc.nodes {
+			if _, ok := tc.store.rows[infra.RowKey{Table: entryTable, Key: string(n.settings.Instance)}]; !ok {
+				return false
+			}
+		}
+		return true
+	}
+	tc.eventually(5*time.Second, "all instances have registered", registered)
+	for i := range 20 {
+		tc.store.put("other", "row", i)
+	}
+	tc.store.restore(older)
+	tc.store.put("op", "config", config(5, "k1"))
+	tc.eventually(5*time.Second, "all instances have registered again", registered)
+}
