gateway, engine: keep a silent attempt until another group has accepted

What callers saw: a stream that had begun was cut, or an answer was refused with 502 backend-failed, although its engine was sound and only sent nothing for a little over a second.

Cause: engine.progressWatch closed an attempt after ProgressTimeout (1 s) without a token or heartbeat. Only then did runAttempts look for another group. If none was free, or all refused, nothing was left to go on with.

Evidence, TestSilentEngineGoesOn on the code before (an engine sends three tokens, is silent for 1.5 s and goes on):

stream, no other group: done is false: status 200: the stream ended after "012" stream, the other group refuses: done is false: status 200: the stream ended after "012" stream, eight groups refuse: done is false: status 200: the stream ended after "012" collected answer, no other group: status 502: {..."detail":"engine sent neither a token nor a heartbeat in time","outcome":"unknown"} silent before the response header: done is false: status 502: the stream ended after ""

Calls to plain services are not ended by a silence: their test, TestSilentBackendServerGoesOn, passed before too.

Now: a silence starts a search for another group (gateway/silence.go) at the same moment as before, while the attempt stays open. The first of these decides, under one lock: another group opens its stream (the silent attempt is then closed and fails with ErrNoProgress, as before), or the silent engine sends a line (the search and its attempt are canceled). So only one attempt delivers at any time, from the delivered offset. A candidate that falls silent before it was accepted is closed, and the search goes on; attempts of the search count towards maxAttempts. If the connection of the silent engine breaks, the search in progress goes on. The caller's leaving and the deadline end both.

Bound: before the first token the deadline of the request, as before. Once the answer has begun, its deadline no longer applies; then the silence may last as long as the deadline allowed from the arrival to the start, at least resumeWait (10 s), after the 1 s (TestSilenceLimit).

While it is silent, a group is paused for other requests, its idle connections are closed and its run does not count as a copy, as after a failed attempt. The run of a suspect shares its permission with the run that shall replace it: otherwise the suspect could not move before the silent attempt ends (TestSilentSuspect failed without that: the stream ended after 11 s). A silence is still no crash.

New counters engine_silences_total and engine_silences_ended_total.

--- a/engine/data.go
+++ b/engine/data.go
@@ -20,7 +20,7 @@
 	// dialTimeout bounds a connection attempt including its status check.
 	dialTimeout = 500 * time.Millisecond
 	// ProgressTimeout is the time without a token or heartbeat after which a
-	// stream is closed. Engines send a heartbeat every 250 ms while a request is
+	// stream is silent (SilenceObserver). Engines send a heartbeat every 250 ms while a request is
 	// queued or running.
 	ProgressTimeout = time.Second
 	// maxErrorBytes bounds the part of an error response that is read.
@@ -72,6 +72,9 @@
 	Body         []byte
 	Priority     int
 	ResumeOffset int
+	// Observer is told of silences of the engine. If it is nil, a silence closes the
+	// stream.
+	Observer SilenceObserver
 }
 
 // Data is the client that sends completion requests to group leaders and reads
@@ -116,6 +119,7 @@
 		return nil, err
 	}
 	s := &Stream{ctx: ctx, pool: &d.pool, conn: c, lastOffset: -1}
+	s.watch.observer = r.Observer
 	s.watch.start(func() { _ = c.Close() })
 	s.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if s.response, err = c.roundTrip(&r); err != nil {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -67,7 +67,9 @@
 		if err != nil {
 			return s.readError(err)
 		}
-		s.watch.endWait()
+		if !s.watch.endWait() {
+			return ErrNoProgress
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0:
@@ -168,6 +170,7 @@
 	}
 	// The connection is reusable once the response is read to its end. The
 	// progress timeout bounds that read.
+	s.watch.closeOnTimeout()
 	s.watch.startWait()
 	reusable := s.responseComplete && s.conn.readRemaining(s.response)
 	if !s.watch.stop() || !s.stopContextWatch() {
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -151,6 +151,9 @@
 // endCopy removes a copy from the tracked copies when its attempt ends.
 func (s *scheduler) endCopy(p *permit, err error) {
 	f, id := p.pending.request.Fingerprint, ident.GroupID(p.target.backend)
+	if p.silent {
+		s.copies.RecordStart(f, id)
+	}
 	switch {
 	case errors.Is(err, engine.ErrNotSent), errors.Is(err, ErrBackendNotSent):
 		time.AfterFunc(crashReportDelay, func() {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +27,9 @@
 	Release func(Result)
 	// Observe, if not nil, takes the request limit that the response names.
 	Observe func(RequestLimit)
+	// Silence, if not nil, is told that the group has fallen silent (true) or sends
+	// again (false). It is not called after Release.
+	Silence func(silent bool)
 }
 
 func (g *Grant) observe(h http.Header) {
@@ -68,72 +72,153 @@
 }
 
 func (g *Gateway) runAttempts(ctx context.Context, r *Request) (*Answer, error) {
-	var excluded []ident.GroupID
+	d := &dispatch{gateway: g, ctx: ctx, request: r}
+	d.answerBegun.Store(r.firstTokenTimer == nil)
 	var last error
-	for range maxAttempts {
-		grant, err := g.opts.Router.Acquire(ctx, r, excluded)
-		if err != nil {
-			if last != nil && !errors.Is(err, errConvicted) {
+	var a *attempt
+	for {
+		if a == nil {
+			if !d.takeAttempt() {
 				return nil, attemptProblem(last)
 			}
-			return nil, err
+			grant, err := g.opts.Router.Acquire(ctx, r, d.excludedGroups(""))
+			if err != nil {
+				return nil, acquireProblem(last, err)
+			}
+			a = d.newAttempt(ctx, r, grant)
 		}
-		result := g.runAttempt(ctx, r, grant)
-		grant.Release(result)
-		switch {
-		case result.Err == nil:
+		result := a.relay()
+		running := a.finish(result)
+		if result.Err == nil {
 			return &Answer{Streamed: true}, nil
-		case !retryable(result.Err) || ctx.Err() != nil:
+		}
+		if !retryable(result.Err) || ctx.Err() != nil {
+			if running != nil {
+				running.discard(result.Err)
+			}
 			return nil, attemptProblem(result.Err)
 		}
 		g.counters.retries.Inc(1)
 		last = result.Err
-		excluded = append(excluded, grant.Group.ID)
+		d.exclude(a.grant.Group.ID)
+		a = nil
+		if running != nil {
+			next, err := running.wait()
+			if err != nil {
+				return nil, acquireProblem(last, err)
+			}
+			a = next
+		}
 	}
-	return nil, attemptProblem(last)
 }
 
-// runAttempt sends one attempt to a group and relays its frames to the sink.
-func (g *Gateway) runAttempt(ctx context.Context, r *Request, grant Grant) Result {
-	started := g.now()
-	id := ident.AttemptID(uuid.NewString())
-	r.trace.lastTarget = grant.Group.ID
-	s, err := g.opts.Data.Open(ctx, engine.Request{
+// acquireProblem converts the error of a router to the error that the caller gets. last
+// is the error of the last attempt, or nil.
+func acquireProblem(last, err error) error {
+	if last != nil && !errors.Is(err, errConvicted) {
+		return attemptProblem(last)
+	}
+	return err
+}
+
+// attempt is one attempt at a request.
+type attempt struct {
+	dispatch *dispatch
+	ctx      context.Context
+	// cancel ends ctx. It may be nil.
+	cancel context.CancelCauseFunc
+	// request is that of the dispatch, or a copy if the attempt was found by a search.
+	request *Request
+	grant   Grant
+	id      ident.AttemptID
+	started time.Duration
+	stream  *engine.Stream // nil until the group has accepted the request
+
+	mu sync.Mutex
+	// candidate is set until the answer goes on with an attempt that a search has
+	// found.
+	candidate bool
+	ended     bool
+	search    *search // for another group, while the engine is silent
+}
+
+func (d *dispatch) newAttempt(ctx context.Context, r *Request, grant Grant) *attempt {
+	return &attempt{dispatch: d, ctx: ctx, request: r, grant: grant, id: ident.AttemptID(uuid.NewString())}
+}
+
+// open sends the attempt to its group.
+func (a *attempt) open() error {
+	g, r := a.dispatch.gateway, a.request
+	a.started = g.now()
+	r.trace.lastTarget = a.grant.Group.ID
+	s, err := g.opts.Data.Open(a.ctx, engine.Request{
 		Target: engine.Target{
-			Group:       grant.Group.ID,
-			Epoch:       grant.Group.Epoch,
-			Instance:    grant.Group.Leader.Instance,
-			Address:     grant.Group.Leader.Address,
-			Incarnation: grant.Group.Leader.Incarnation,
-			Cold:        grant.Cold,
+			Group:       a.grant.Group.ID,
+			Epoch:       a.grant.Group.Epoch,
+			Instance:    a.grant.Group.Leader.Instance,
+			Address:     a.grant.Group.Leader.Address,
+			Incarnation: a.grant.Group.Leader.Incarnation,
+			Cold:        a.grant.Cold,
 		},
-		Attempt:      id,
+		Attempt:      a.id,
 		Path:         r.Path,
 		Body:         r.Body,
 		Priority:     r.Priority,
-		ResumeOffset: r.Assembler.BeginAttempt(id),
+		ResumeOffset: r.Assembler.BeginAttempt(a.id),
+		Observer:     a,
 	})
 	if err != nil {
 		var refused *engine.RefusedError
 		if errors.As(err, &refused) {
-			grant.observe(refused.Header)
+			a.grant.observe(refused.Header)
+		}
+		return err
+	}
+	a.stream = s
+	a.grant.observe(s.Header())
+	return nil
+}
+
+// relay passes the frames of the attempt to the sink of the request. It opens the
+// attempt unless a search has done so.
+func (a *attempt) relay() Result {
+	d := a.dispatch
+	g, r := d.gateway, d.request
+	if a.stream == nil {
+		if err := a.open(); err != nil {
+			return Result{Err: err}
 		}
-		return Result{Err: err}
+	} else {
+		r.run, r.Isolated, r.trace.lastTarget = a.request.run, a.request.Isolated, a.request.trace.lastTarget
+		r.Assembler.BeginAttempt(a.id)
 	}
-	defer s.Close()
-	grant.observe(s.Header())
 	before := r.Assembler.NextOffset()
 	result := Result{}
-	result.Err = g.relayFrames(r, s, func() {
-		result.FirstToken = g.now() - started
+	result.Err = g.relayFrames(r, a.stream, func() {
+		result.FirstToken = g.now() - a.started
+		d.answerBegun.Store(true)
 		g.recordFirstToken(r)
 		r.run.recordAnswering()
 	})
 	result.Tokens = r.Assembler.NextOffset() - before
+	return result
+}
+
+// finish closes the attempt and releases its credit. It returns the search that is in
+// progress because the engine was silent, or nil.
+func (a *attempt) finish(result Result) *search {
+	running := a.stopObserving()
+	if a.stream != nil {
+		a.stream.Close()
+	}
+	if a.cancel != nil {
+		a.cancel(nil)
+	}
 	if errors.Is(result.Err, engine.ErrNoProgress) {
-		g.opts.Data.CloseIdle(grant.Group.Leader.Address)
+		a.dispatch.gateway.opts.Data.CloseIdle(a.grant.Group.Leader.Address)
 	}
-	return result
+	a.grant.Release(result)
+	return running
 }
 
 // recordFirstToken stops the deadline timer of a request whose answer has started
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 	unauthenticated     tally.Counter
 	callersDisconnected tally.Counter
 	retries             tally.Counter
+	silences            tally.Counter
+	silencesEnded       tally.Counter
 	parked              tally.Counter
 	unparked            tally.Counter
 	parkRefused         tally.Counter
@@ -87,16 +89,17 @@
 
 // Gateway serves callers' requests.
 type Gateway struct {
-	opts          Options
-	counters      counters
-	completion    Endpoint
-	plain         Endpoint
-	backends      *plainClient
-	parked        *parkedStreams
-	draining      atomic.Bool
-	heldBodyBytes atomic.Int64
-	bodyGrace     time.Duration
-	knownKeys     atomic.Pointer[keyIndex]
+	opts            Options
+	counters        counters
+	completion      Endpoint
+	plain           Endpoint
+	backends        *plainClient
+	parked          *parkedStreams
+	draining        atomic.Bool
+	heldBodyBytes   atomic.Int64
+	bodyGrace       time.Duration
+	minSilenceLimit time.Duration
+	knownKeys       atomic.Pointer[keyIndex]
 
 	baseContext context.Context
 	cancel      context.CancelFunc
@@ -118,6 +121,8 @@
 			unauthenticated:     s.Counter("unauthenticated_total"),
 			callersDisconnected: s.Counter("callers_gone_total"),
 			retries:             s.Counter("attempt_retries_total"),
+			silences:            s.Counter("engine_silences_total"),
+			silencesEnded:       s.Counter("engine_silences_ended_total"),
 			parked:              s.Counter("streams_parked_total"),
 			unparked:            s.Counter("streams_unparked_total"),
 			parkRefused:         s.Counter("streams_park_refused_total"),
@@ -125,9 +130,10 @@
 			lookups:             s.Counter("lookups_total"),
 			refusedEarly:        s.Counter("requests_refused_early_total"),
 		},
-		backends:  newPlainClient(opts.DialFrom),
-		bodyGrace: bodyGrace,
-		parked:    newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
+		backends:        newPlainClient(opts.DialFrom),
+		bodyGrace:       bodyGrace,
+		minSilenceLimit: resumeWait,
+		parked:          newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
 	}
 	g.baseContext, g.cancel = context.WithCancel(context.Background())
 	go g.reclaimMemory()
--- a/gateway/pause.go
+++ b/gateway/pause.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
 )
 
 // serverPause is how long a backend server of a plain service gets no new requests
@@ -35,6 +36,24 @@
 	}
 }
 
+// observeSilence pauses the target of a permit when it falls silent, as after a failed
+// attempt. The permit stays in use.
+func (p *permit) observeSilence(silent bool) {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.balancer.now()
+	f, id := p.pending.request.Fingerprint, ident.GroupID(p.target.backend)
+	p.silent = silent
+	if !silent {
+		s.copies.RecordStart(f, id)
+		return
+	}
+	s.recordFailure(now, p.target.backend, engine.ErrNoProgress)
+	s.copies.RecordEnd(f, id, false)
+	s.dispatch(now)
+}
+
 // pausedAfterFailure reports whether a target gets no new requests because an
 // attempt failed there.
 func (s *scheduler) pausedAfterFailure(now time.Duration, t *target) bool {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -94,7 +94,7 @@
 	fingerprint ident.Fingerprint
 	holder      quarantine.Holder
 	exclusive   bool
-	stopRenewal context.CancelFunc // ends the lease renewals of an exclusive run
+	permission  *exclusivePermission // of an exclusive run
 	server      quarantine.Server
 	// traits is what the request may have in common with others, and traitRun the run as
 	// the correlator sees it.
@@ -102,6 +102,77 @@
 	traitRun *quarantine.TraitRun
 }
 
+// permit returns a run that shares the permission of a silent run of the request.
+// Without one, it waits for a permission.
+func (q *Quarantine) permit(ctx context.Context, r *Request) (*trackedRun, error) {
+	run := r.silentRun.replacement()
+	if run == nil {
+		return q.waitForPermission(ctx, r)
+	}
+	remaining, convicted := q.traitsConvicted(run.traits)
+	if standing, left := q.standing(run.fingerprint); standing == quarantine.Convicted {
+		remaining, convicted = left, true
+	}
+	if convicted {
+		run.cancel()
+		q.refused.Inc(1)
+		return nil, &convictedError{ProblemRequestCrashesBackends.WithRetryAfter(remaining)}
+	}
+	return run, nil
+}
+
+// exclusivePermission is the permission for an exclusive run. While the backend server
+// of the run is silent, the run that shall replace it shares the permission.
+type exclusivePermission struct {
+	stopRenewal context.CancelFunc
+	// runs is the number of runs that have not ended, and succeeded is set if one of
+	// them has succeeded. Both are protected by Quarantine.mu.
+	runs      int
+	succeeded bool
+}
+
+// replacement returns a run under the permission of an exclusive run that has not
+// ended, or nil.
+func (s *trackedRun) replacement() *trackedRun {
+	if s == nil || !s.exclusive {
+		return nil
+	}
+	s.q.mu.Lock()
+	defer s.q.mu.Unlock()
+	if s.permission.runs == 0 {
+		return nil
+	}
+	s.permission.runs++
+	return &trackedRun{
+		q: s.q, fingerprint: s.fingerprint, holder: s.holder, exclusive: true, permission: s.permission, traits: s.traits,
+	}
+}
+
+// releasePermission ends an exclusive run. The permission ends with its last run, or
+// with a crash.
+func (s *trackedRun) releasePermission(result quarantine.RunResult) {
+	p := s.permission
+	s.q.mu.Lock()
+	if p.runs == 0 {
+		s.q.mu.Unlock()
+		return
+	}
+	p.runs--
+	p.succeeded = p.succeeded || result == quarantine.RunSucceeded
+	switch {
+	case result == quarantine.RunCrashed:
+		p.runs = 0
+	case p.succeeded:
+		result = quarantine.RunSucceeded
+	}
+	ended := p.runs == 0
+	s.q.mu.Unlock()
+	if ended {
+		p.stopRenewal()
+		s.q.release(s.fingerprint, s.holder, result)
+	}
+}
+
 // waitForPermission waits until a request may run, either as the only suspect on
 // its backend server or normally. It refuses convicted requests.
 func (q *Quarantine) waitForPermission(ctx context.Context, r *Request) (*trackedRun, error) {
@@ -152,7 +223,7 @@
 // renewLease keeps renewing the lease of an exclusive run until the run ends.
 func (s *trackedRun) renewLease() {
 	ctx, cancel := context.WithCancel(context.Background())
-	s.stopRenewal = cancel
+	s.permission = &exclusivePermission{stopRenewal: cancel, runs: 1}
 	s.q.wg.Add(1)
 	go func() {
 		defer s.q.wg.Done()
@@ -206,8 +277,7 @@
 // cancel ends a run that has not begun.
 func (s *trackedRun) cancel() {
 	if s != nil && s.exclusive {
-		s.stopRenewal()
-		s.q.release(s.fingerprint, s.holder, quarantine.RunInconclusive)
+		s.releasePermission(quarantine.RunInconclusive)
 	}
 }
 
@@ -231,8 +301,7 @@
 	cleared := q.tracker.End(now, s.server, s.fingerprint, result == quarantine.RunSucceeded)
 	q.mu.Unlock()
 	if s.exclusive {
-		s.stopRenewal()
-		q.release(s.fingerprint, s.holder, result)
+		s.releasePermission(result)
 	}
 	if cleared {
 		q.cleared.Inc(1)
@@ -292,7 +361,7 @@
 // Acquire implements Router.
 func (g quarantineRouter) Acquire(ctx context.Context, r *Request, excluded []ident.GroupID) (Grant, error) {
 	for {
-		run, err := g.q.waitForPermission(ctx, r)
+		run, err := g.q.permit(ctx, r)
 		if err != nil {
 			return Grant{}, err
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -79,6 +79,9 @@
 	trace           requestTrace
 	// run is the current run of a call to a model service under quarantine.
 	run *trackedRun
+	// silentRun is the run of the silent attempt that the request of a search shall
+	// replace.
+	silentRun *trackedRun
 }
 
 // Sink receives the parts of an answer in order.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release, Observe: p.observeLimit}, nil
+	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release, Observe: p.observeLimit, Silence: p.observeSilence}, nil
 }
 
 // AcquireServer implements ServerRouter.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -69,7 +69,10 @@
 	// exclusive is set if the request is suspected of crashing backend servers. It
 	// then has an exclusive credit and did not pass through the queue.
 	exclusive bool
-	once      sync.Once
+	// silent is set while the target is silent. The run then does not count as a copy
+	// that others of its request wait for. It is protected by the scheduler's mutex.
+	silent bool
+	once   sync.Once
 }
 
 // release returns the credit. Calls after the first have no effect.
--- /dev/null
+++ b/gateway/silence.go
@@ -0,0 +1,354 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// searchRetryInterval is the delay after a router found no group for a request whose
+// engine is silent.
+const searchRetryInterval = 500 * time.Millisecond
+
+var (
+	errAttemptsUsedUp = errors.New("all attempts of the request were made")
+	// errAttemptReplaced ends an attempt that another one has made needless.
+	errAttemptReplaced = errors.Wrap(context.Canceled, "another attempt goes on with the answer")
+)
+
+// dispatch is the state of a request's attempts.
+type dispatch struct {
+	gateway *Gateway
+	ctx     context.Context
+	request *Request
+	// answerBegun is set when the first token has arrived.
+	answerBegun atomic.Bool
+
+	mu       sync.Mutex
+	attempts int
+	excluded []ident.GroupID
+}
+
+// takeAttempt counts an attempt. It returns false if there were maxAttempts.
+func (d *dispatch) takeAttempt() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.attempts >= maxAttempts {
+		return false
+	}
+	d.attempts++
+	return true
+}
+
+// returnAttempt takes back an attempt for which no group was found.
+func (d *dispatch) returnAttempt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts--
+}
+
+func (d *dispatch) exclude(id ident.GroupID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Contains(d.excluded, id) {
+		d.excluded = append(d.excluded, id)
+	}
+}
+
+// excludedGroups returns the groups that failed an attempt, and the given one unless it
+// is empty.
+func (d *dispatch) excludedGroups(silent ident.GroupID) []ident.GroupID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := slices.Clone(d.excluded)
+	if silent != "" && !slices.Contains(out, silent) {
+		out = append(out, silent)
+	}
+	return out
+}
+
+// silenceLimit is how long the engine of an answer that has begun may be silent while
+// no other group takes the request over: as long as the answer was allowed to take to
+// its start, but not less than resumeWait.
+func (d *dispatch) silenceLimit() time.Duration {
+	return max(d.gateway.minSilenceLimit, d.request.Deadline-d.request.Arrived)
+}
+
+// Silent implements engine.SilenceObserver. It starts the search for another group. The
+// attempt stays open, because a sound engine may go on after a pause.
+func (a *attempt) Silent(closeStream func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.ended:
+	case a.candidate:
+		a.ended = true
+		closeStream()
+	default:
+		d := a.dispatch
+		d.gateway.counters.silences.Inc(1)
+		d.gateway.opts.Data.CloseIdle(a.grant.Group.Leader.Address)
+		if a.grant.Silence != nil {
+			a.grant.Silence(true)
+		}
+		a.search = newSearch(a, closeStream)
+		go a.search.run()
+	}
+}
+
+// Resumed implements engine.SilenceObserver. It ends the search unless another group has
+// taken the request over.
+func (a *attempt) Resumed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.search == nil {
+		return !a.ended
+	}
+	if !a.search.abandon() {
+		return false
+	}
+	a.search = nil
+	a.dispatch.gateway.counters.silencesEnded.Inc(1)
+	if a.grant.Silence != nil {
+		a.grant.Silence(false)
+	}
+	return true
+}
+
+// stopObserving makes later silences of the attempt have no effect, and returns the
+// search that is in progress, or nil.
+func (a *attempt) stopObserving() *search {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	return a.search
+}
+
+// accept makes the answer go on with a candidate. It returns false if the candidate
+// has fallen silent.
+func (a *attempt) accept() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	a.candidate = false
+	return true
+}
+
+// search looks for another group while the engine of an attempt is silent. The first of
+// these ends it: another group has accepted the request, the engine sends again, the
+// silence limit or the deadline of the request has passed, or the caller has gone.
+type search struct {
+	silent      *attempt
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	closeSilent func()
+	request     *Request // not shared with the goroutine of the request
+	limit       *time.Timer
+	// attemptEnded is closed when the silent attempt has ended.
+	attemptEnded chan struct{}
+	// done is closed when next and err are set.
+	done chan struct{}
+	next *attempt
+	err  error
+
+	mu sync.Mutex
+	// decided is set when the answer goes on with the silent attempt or with the next
+	// one, or ends. expired is set if it ends.
+	decided, expired bool
+}
+
+// fixedSink is the sink of a search's request. Routers only ask whether the answer has
+// started.
+type fixedSink struct {
+	Sink
+	started bool
+}
+
+// Started implements Sink.
+func (s fixedSink) Started() bool { return s.started }
+
+func newSearch(a *attempt, closeSilent func()) *search {
+	d := a.dispatch
+	s := &search{
+		silent: a, closeSilent: closeSilent,
+		attemptEnded: make(chan struct{}), done: make(chan struct{}),
+	}
+	s.ctx, s.cancel = context.WithCancelCause(d.ctx)
+	r := *a.request
+	r.Assembler.SetOffset(d.request.Assembler.NextOffset())
+	r.Sink = fixedSink{started: answerStarted(d.request)}
+	r.silentRun = r.run
+	if d.answerBegun.Load() {
+		// The deadline of the request was that of the start of its answer.
+		limit := d.silenceLimit()
+		r.Deadline = max(r.Deadline, d.gateway.now()+limit)
+		s.limit = time.AfterFunc(limit, s.expire)
+	}
+	s.request = &r
+	return s
+}
+
+// searchStep is what a search does after it has looked for a group once.
+type searchStep int
+
+const (
+	searchEnds searchStep = iota
+	searchNow
+	searchLater
+)
+
+// run searches until a group has accepted the request or the search is over.
+func (s *search) run() {
+	defer close(s.done)
+	for {
+		step, err := s.tryNext()
+		if step == searchNow {
+			continue
+		}
+		if err == nil || s.ctx.Err() != nil {
+			return
+		}
+		var retry <-chan time.Time
+		select {
+		case <-s.attemptEnded:
+			// Nothing is left that could go on while the search waits.
+			s.err = err
+			return
+		default:
+			if step == searchLater {
+				retry = time.After(searchRetryInterval)
+			}
+		}
+		select {
+		case <-retry:
+		case <-s.attemptEnded:
+			return
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// tryNext opens an attempt at another group and hands the answer over to it. The error
+// is nil if the answer goes on with that attempt.
+func (s *search) tryNext() (searchStep, error) {
+	d := s.silent.dispatch
+	if !d.takeAttempt() {
+		return searchEnds, errAttemptsUsedUp
+	}
+	grant, err := d.gateway.opts.Router.Acquire(s.ctx, s.request, d.excludedGroups(s.silent.grant.Group.ID))
+	switch {
+	case err == nil:
+	case errors.Is(err, errConvicted):
+		d.returnAttempt()
+		return searchEnds, err
+	default:
+		d.returnAttempt()
+		return searchLater, err
+	}
+	next := d.newAttempt(s.ctx, s.request, grant)
+	next.candidate = true
+	if err = next.open(); err == nil {
+		if s.handOver(next) {
+			return searchEnds, nil
+		}
+		err = engine.ErrNoProgress
+		if s.ctx.Err() != nil {
+			err = context.Cause(s.ctx)
+		}
+	}
+	next.finish(Result{Err: err})
+	if s.ctx.Err() != nil || !retryable(err) {
+		return searchEnds, err
+	}
+	d.gateway.counters.retries.Inc(1)
+	d.exclude(grant.Group.ID)
+	return searchNow, err
+}
+
+// handOver makes the answer go on with the next attempt and closes the silent one. It
+// returns false if the silent engine has sent again, or the next one is silent too.
+func (s *search) handOver(next *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.decided || !next.accept() {
+		return false
+	}
+	s.decided = true
+	s.stopLimit()
+	next.cancel = s.cancel
+	s.next = next
+	s.closeSilent()
+	return true
+}
+
+// abandon ends the search because the silent engine sends again. It returns false if
+// another group has accepted the request before.
+func (s *search) abandon() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.decided {
+		return false
+	}
+	s.decided = true
+	s.stopLimit()
+	s.cancel(errAttemptReplaced)
+	return true
+}
+
+// expire ends the silent attempt and the search at the silence limit.
+func (s *search) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.decided {
+		return
+	}
+	s.decided, s.expired = true, true
+	s.cancel(engine.ErrNoProgress)
+	s.closeSilent()
+}
+
+func (s *search) stopLimit() {
+	if s.limit != nil {
+		s.limit.Stop()
+	}
+}
+
+// wait returns the next attempt after the silent one has ended, or nil if the router has
+// to be asked again. An error ends the request.
+func (s *search) wait() (*attempt, error) {
+	s.mu.Lock()
+	// The limits of the router apply from here on.
+	s.stopLimit()
+	s.mu.Unlock()
+	close(s.attemptEnded)
+	<-s.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		s.cancel(nil)
+	}
+	if s.expired {
+		return nil, engine.ErrNoProgress
+	}
+	return s.next, s.err
+}
+
+// discard ends the search because the request has ended.
+func (s *search) discard(err error) {
+	if s.abandon() || s.next == nil {
+		return
+	}
+	if other := s.next.finish(Result{Err: err}); other != nil {
+		other.discard(err)
+	}
+}
