Stand-in's table: restore from an older copy, with the era in each answer

POST /debug/restore and Server.Restore return the table to its state some time ago. Each answer of the stand-in carries the era in Bulrush-Store-Era; infra.Client reports the highest one as infra.EraReporter. The era of a read or transaction is taken under the same lock as its rows. The protocol has no watch, so there is no read that could get ErrHistoryLost.

TestRestore: rows, versions and the era after a restore, also on a refusal.

--- a/infra/client.go
+++ b/infra/client.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,18 +53,20 @@
 	Instances []Instance `json:"instances"`
 }
 
-// Client is a client of the platform's HTTP protocol. It implements Table, ObjectStore
-// and InstanceList.
+// Client is a client of the platform's HTTP protocol. It implements Table, ObjectStore,
+// InstanceList and EraReporter.
 type Client struct {
 	base      string
 	http      *http.Client
 	transport *http.Transport
+	era       atomic.Uint64
 }
 
 var (
 	_ Table        = (*Client)(nil)
 	_ ObjectStore  = (*Client)(nil)
 	_ InstanceList = (*Client)(nil)
+	_ EraReporter  = (*Client)(nil)
 )
 
 // NewClient returns a client for the platform at a base URL such as
@@ -81,6 +84,23 @@
 // call.
 func (c *Client) DialFrom(local netip.Addr) { c.transport.DialContext = dial.From(local, 0) }
 
+// Era implements EraReporter.
+func (c *Client) Era() uint64 { return c.era.Load() }
+
+// observeEra raises the era to the one that an answer names. An answer without the
+// header, or with a malformed one, names none.
+func (c *Client) observeEra(h http.Header) {
+	named, err := strconv.ParseUint(h.Get(EraHeader), 10, 64)
+	if err != nil {
+		return
+	}
+	for seen := c.era.Load(); named > seen; seen = c.era.Load() {
+		if c.era.CompareAndSwap(seen, named) {
+			return
+		}
+	}
+}
+
 // Txn implements Table.
 func (c *Client) Txn(ctx context.Context, t Txn) (uint64, error) {
 	var out TxnResponse
@@ -212,6 +232,7 @@
 		// The request may have reached the store before the connection failed.
 		return rawResponse{}, errors.Wrap(ErrOutcomeUnknown, err.Error())
 	}
+	c.observeEra(resp.Header)
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
--- a/infra/era.go
+++ b/infra/era.go
@@ -3,8 +3,33 @@
 import "github.com/pkg/errors"
 
 // A store that is restored from an older copy gives versions out again. Its era is a number
-// that rises with each restore. The versions that this package's users see combine the era
-// and the store's counter, so that they rise across restores.
+// that rises with each restore. The versions of a platform's adapter may combine the era and
+// the store's counter, so that they rise across restores; those of Client do not.
+
+// EraHeader is the header with the era in each answer of the stand-in's table.
+const EraHeader = "Bulrush-Store-Era"
+
+// EraReporter is implemented by a Table whose store can be restored from an older copy. Each
+// restore starts an era with the next number. A version of an earlier era may be given out
+// again for another content, so a condition on it means nothing in a later era.
+//
+// The era of a store that was never restored is 1. Numbers are below 2^24. An adapter of a
+// platform that may count from 0 adds 1.
+type EraReporter interface {
+	// Era returns the highest era that an answer of the store has named, or 0 if there was
+	// none. The era of an answer counts before the call returns: a caller that reads the
+	// same number before and after a call knows that the answer is of that era or of an
+	// earlier one.
+	Era() uint64
+}
+
+// EraOf returns the era of a table, or 0 if the table reports none.
+func EraOf(t Table) uint64 {
+	if r, ok := t.(EraReporter); ok {
+		return r.Era()
+	}
+	return 0
+}
 
 // eraShift is the number of bits of the counter in a version.
 const eraShift = 40
@@ -25,20 +50,3 @@
 
 // VersionCounter returns the store's counter of a version.
 func VersionCounter(version uint64) uint64 { return version & (1<<eraShift - 1) }
-
-// EraReporter is implemented by a Table whose store can be restored from an older copy.
-type EraReporter interface {
-	// Era returns the highest era that an answer of the store has named, or 0 if there was
-	// none. The era of an answer counts before the call returns: a caller that reads the
-	// same number before and after a call knows that the answer is of that era or of an
-	// earlier one.
-	Era() uint64
-}
-
-// EraOf returns the era of a table, or 0 if the table reports none.
-func EraOf(t Table) uint64 {
-	if r, ok := t.(EraReporter); ok {
-		return r.Era()
-	}
-	return 0
-}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/standin/httpd"
@@ -17,6 +18,12 @@
 	Writes  []TableWrite `json:"writes"`
 }
 
+// RestoreRequest is the body of POST /debug/restore.
+type RestoreRequest struct {
+	// AgeMillis is the age of the copy that the table comes back from.
+	AgeMillis int `json:"age_millis"`
+}
+
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /table/txn", s.handleTxn)
@@ -26,12 +33,22 @@
 	mux.HandleFunc("/objects/{key}", s.handleObject)
 	mux.HandleFunc("GET /weights/{model}/{version}", s.handleWeights)
 	mux.HandleFunc("POST /debug/faults", s.handleFaults)
+	mux.HandleFunc("POST /debug/restore", s.handleRestore)
 	mux.HandleFunc("POST /debug/instances", s.handleInstanceChange)
 	mux.HandleFunc("GET /debug/record", s.handleRecord)
 	mux.HandleFunc("GET /debug/counts", func(w http.ResponseWriter, _ *http.Request) {
 		httpd.WriteJSON(w, http.StatusOK, s.Counts())
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		setEra(w, s.table.currentEra())
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// setEra names the era in the response. A handler that reads or writes rows sets it to
+// the era in which it did.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(infra.EraHeader, strconv.FormatUint(era, 10))
 }
 
 func (s *Server) handleTxn(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +57,8 @@
 		return
 	}
 	s.updateCounts(func(c *Counts) { c.Writes++ })
-	version, conflicts := s.table.apply(txn)
+	version, conflicts, era := s.table.apply(txn)
+	setEra(w, era)
 	if conflicts != nil {
 		httpd.WriteJSON(w, http.StatusConflict, infra.ConflictError{Rows: conflicts})
 		return
@@ -58,7 +76,8 @@
 		return
 	}
 	s.updateCounts(func(c *Counts) { c.Reads++ })
-	row, ok := s.table.get(req.RowKey)
+	row, ok, era := s.table.get(req.RowKey)
+	setEra(w, era)
 	if !ok {
 		http.Error(w, "row not found", http.StatusNotFound)
 		return
@@ -72,7 +91,8 @@
 		return
 	}
 	s.updateCounts(func(c *Counts) { c.Reads++ })
-	rows := s.table.scan(req.Table, req.After, req.Limit)
+	rows, era := s.table.scan(req.Table, req.After, req.Limit)
+	setEra(w, era)
 	httpd.WriteJSON(w, http.StatusOK, infra.ScanResponse{Rows: rows})
 }
 
@@ -170,6 +190,14 @@
 	}
 }
 
+func (s *Server) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var req RestoreRequest
+	if httpd.ReadJSON(w, r, &req) {
+		s.Restore(time.Duration(req.AgeMillis) * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
 func (s *Server) handleInstanceChange(w http.ResponseWriter, r *http.Request) {
 	var c InstanceChange
 	if httpd.ReadJSON(w, r, &c) {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -139,6 +139,11 @@
 	s.faultsChanged = make(chan struct{})
 }
 
+// Restore returns the table to its state some time ago, as if it came back from a copy
+// of that age, and starts the next era. Versions go back and are given out again. The
+// recorded writes stay.
+func (s *Server) Restore(age time.Duration) { s.table.restore(time.Now().Add(-age)) }
+
 // Counts returns the current counts.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -85,6 +85,43 @@
 	assert.Equal(t, counts.Hung, uint64(1))
 }
 
+// TestRestore guards against a restored table that keeps later writes, that brings
+// deleted rows back in the wrong order or gives out other versions than before, and
+// against an answer without the new era.
+func TestRestore(t *testing.T) {
+	s, c := start(t)
+	ctx := context.Background()
+	key := func(k string) infra.RowKey { return infra.RowKey{Table: "t", Key: k} }
+	assert.Equal(t, c.Era(), uint64(0))
+	first, err := c.Txn(ctx, put("a", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, c.Era(), uint64(1))
+	copied := time.Now()
+	later, err := c.Txn(ctx, put("b", 0))
+	assert.NilError(t, err)
+	_, err = c.Txn(ctx, infra.Txn{Writes: []infra.Write{{RowKey: key("a"), Delete: true}}})
+	assert.NilError(t, err)
+	s.table.restore(copied)
+
+	rows, err := c.Scan(ctx, "t", "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Era(), uint64(2))
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Key, "a")
+	assert.Equal(t, rows[0].Version, first)
+	again, err := c.Txn(ctx, put("c", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, again, later, "the version is not given out again")
+	s.SetFaults(Faults{Outage: true})
+	s.Restore(time.Hour)
+	_, err = c.Get(ctx, key("a"))
+	assert.Assert(t, errors.Is(err, infra.ErrUnavailable))
+	assert.Equal(t, c.Era(), uint64(3), "a refusal does not name the era")
+	s.SetFaults(Faults{})
+	_, err = c.Get(ctx, key("a"))
+	assert.Assert(t, errors.Is(err, infra.ErrRowNotFound))
+}
+
 // TestInstanceLag guards against a change that is visible in the instance list before
 // the lag has passed.
 func TestInstanceLag(t *testing.T) {
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -18,6 +18,13 @@
 	Delete  bool      `json:"delete,omitempty"`
 }
 
+// undoEntry is the state of a row before one write to it.
+type undoEntry struct {
+	at      time.Time
+	version uint64
+	before  infra.Row
+}
+
 // table is a transactional in-memory store that holds all named tables. It keeps the
 // keys of each table sorted, for scans.
 type table struct {
@@ -28,6 +35,10 @@
 	logLimit int
 	log      []TableWrite
 	dropped  uint64
+	// era is 1 at first and rises with each restore. undo has the writes that a restore
+	// can take back, oldest first.
+	era  uint64
+	undo []undoEntry
 }
 
 func newTable(logLimit int) *table {
@@ -35,15 +46,35 @@
 		rows:     make(map[infra.RowKey]infra.Row),
 		keys:     make(map[string][]string),
 		logLimit: logLimit,
+		era:      1,
 	}
 }
 
-// apply applies a transaction and returns its version. If a condition fails, it
-// returns the conflicting rows and changes nothing.
-func (t *table) apply(txn infra.Txn) (uint64, []infra.Row) {
+// restore returns the table to its state at a time and starts the next era. Versions go
+// back as well. Writes that are no longer in undo stay.
+func (t *table) restore(to time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n := len(t.undo) - 1; n >= 0 && t.undo[n].at.After(to); n-- {
+		u := t.undo[n]
+		t.undo = t.undo[:n]
+		t.set(u.before)
+		t.version = u.version - 1
+	}
+	t.era++
+}
+
+func (t *table) currentEra() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
+// apply applies a transaction and returns its version and the era. If a condition fails,
+// it returns the conflicting rows and changes nothing.
+func (t *table) apply(txn infra.Txn) (version uint64, conflicts []infra.Row, era uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var conflicts []infra.Row
 	for _, c := range txn.Conditions {
 		row, ok := t.rows[c.RowKey]
 		if !ok {
@@ -54,32 +85,48 @@
 		}
 	}
 	if len(conflicts) > 0 {
-		return 0, conflicts
+		return 0, conflicts, t.era
 	}
 	t.version++
 	for _, w := range txn.Writes {
 		t.write(w)
 	}
-	return t.version, nil
+	return t.version, nil, t.era
 }
 
-func (t *table) write(w infra.Write) {
-	keys := t.keys[w.Table]
-	i := sort.SearchStrings(keys, w.Key)
-	present := i < len(keys) && keys[i] == w.Key
+// set stores a row, or removes it if its version is 0.
+func (t *table) set(row infra.Row) {
+	keys := t.keys[row.Table]
+	i := sort.SearchStrings(keys, row.Key)
+	present := i < len(keys) && keys[i] == row.Key
 	switch {
-	case w.Delete && present:
-		t.keys[w.Table] = append(keys[:i], keys[i+1:]...)
-		delete(t.rows, w.RowKey)
-	case !w.Delete && !present:
+	case row.Version == 0 && present:
+		t.keys[row.Table] = append(keys[:i], keys[i+1:]...)
+		delete(t.rows, row.RowKey)
+	case row.Version != 0 && !present:
 		keys = append(keys, "")
 		copy(keys[i+1:], keys[i:])
-		keys[i] = w.Key
-		t.keys[w.Table] = keys
+		keys[i] = row.Key
+		t.keys[row.Table] = keys
+	}
+	if row.Version != 0 {
+		t.rows[row.RowKey] = row
+	}
+}
+
+func (t *table) write(w infra.Write) {
+	before := t.rows[w.RowKey]
+	before.RowKey = w.RowKey
+	row := infra.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
+	if w.Delete {
+		row = infra.Row{RowKey: w.RowKey}
 	}
-	if !w.Delete {
-		t.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
+	t.set(row)
+	if len(t.undo) >= t.logLimit && len(t.undo) > 0 {
+		drop := min(max(1, t.logLimit/10), len(t.undo))
+		t.undo = append(t.undo[:0], t.undo[drop:]...)
 	}
+	t.undo = append(t.undo, undoEntry{at: time.Now(), version: t.version, before: before})
 	if len(t.log) >= t.logLimit {
 		drop := max(1, t.logLimit/10)
 		drop = min(drop, len(t.log))
@@ -91,16 +138,16 @@
 	})
 }
 
-func (t *table) get(key infra.RowKey) (infra.Row, bool) {
+func (t *table) get(key infra.RowKey) (row infra.Row, ok bool, era uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row, ok := t.rows[key]
-	return row, ok
+	row, ok = t.rows[key]
+	return row, ok, t.era
 }
 
 // scan returns up to limit rows of a table, in key order, with keys greater than
 // after. An empty after starts at the first key. A limit of 0 or less means no limit.
-func (t *table) scan(name, after string, limit int) []infra.Row {
+func (t *table) scan(name, after string, limit int) (rows []infra.Row, era uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	keys := t.keys[name]
@@ -108,11 +155,11 @@
 	if i < len(keys) && keys[i] == after && after != "" {
 		i++
 	}
-	rows := []infra.Row{}
+	rows = []infra.Row{}
 	for ; i < len(keys) && (limit <= 0 || len(rows) < limit); i++ {
 		rows = append(rows, t.rows[infra.RowKey{Table: name, Key: keys[i]}])
 	}
-	return rows
+	return rows, t.era
 }
 
 func (t *table) loggedWrites(name string) []TableWrite {
