Configuration outlives a restore of the store from an older copy

What operators saw: after the store came back from a copy some seconds old, edits were refused with 'is at revision 0, not 3', or accepted at a revision that was given out before and then not in force on any node that held the earlier one; new processes started without accepted drains.

Cause: the order of configuration is the revision of the head row, which goes back with the store, while nodes keep the higher ones. Nothing wrote back what the store had lost, and row versions that nodes remember name another content once they are given out again.

Why this works: revisions begin with the era of the store, so none is given out again, whoever knows it. The first transaction of an era writes the era record, and every transaction of an earlier era requires its absence: a condition on a version that was given out again cannot let it apply. Before that record exists, versions still mean what they meant in the copy. Records that a node holds above the copy's state are written back with new revisions, attempt ids and former revisions kept; content that was accepted later wins. Rows of a read count only if the era was the same before and after it, so a slow answer of an earlier era has no effect.

Ruled out: writing back with the old revisions (a node that is past them does not fetch them; two nodes may hold different content of the same one); a jump of the head alone (a cut-off node may hold any revision below it); a version condition on one era row (its version can be given out again).

Without a restore there are no additional calls (TestEraCostsNoCalls).

Changes to existing tests: the simulated table reports an era and can be restored; no check was changed.

--- a/config/configshell/shell.go
+++ b/config/configshell/shell.go
@@ -206,14 +206,17 @@
 	defer cancel()
 	switch a := a.(type) {
 	case config.ReadHead:
-		r, err := s.store.Head(ctx)
-		s.postEvent(config.HeadRead{Revision: r, Err: err})
+		var e config.HeadRead
+		e.Era, e.Err = s.store.InEra(func() (err error) { e.Revision, err = s.store.Head(ctx); return err })
+		s.postEvent(e)
 	case config.Scan:
-		head, records, err := s.store.Scan(ctx)
-		s.postEvent(config.Scanned{Head: head, Records: records, Err: err})
+		var e config.Scanned
+		e.Era, e.Err = s.store.InEra(func() (err error) { e.Head, e.Records, err = s.store.Scan(ctx); return err })
+		s.postEvent(e)
 	case config.ReadEditRows:
-		rows, err := s.store.Rows(ctx, a.Keys)
-		s.postEvent(config.EditRowsRead{Batch: a.Batch, Rows: rows, Err: err})
+		e := config.EditRowsRead{Batch: a.Batch}
+		e.Era, e.Err = s.store.InEra(func() (err error) { e.Rows, err = s.store.EditRows(ctx, a); return err })
+		s.postEvent(e)
 	case config.Commit:
 		s.postEvent(s.store.Commit(ctx, a))
 	}
--- a/config/configshell/store.go
+++ b/config/configshell/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -47,6 +48,18 @@
 	return infra.RowKey{Table: tableAudit, Key: fmt.Sprintf("%020d", r)}
 }
 
+// InEra runs reads and returns the era of their answers. If a restore of the store came
+// between them, it returns an error and the new era.
+func (s *Store) InEra(read func() error) (uint64, error) {
+	before := infra.EraOf(s.table)
+	err := read()
+	after := infra.EraOf(s.table)
+	if err == nil && before != after && before != 0 {
+		err = errRestored
+	}
+	return after, err
+}
+
 // Head reads the highest accepted revision.
 func (s *Store) Head(ctx context.Context) (ident.Revision, error) {
 	var h config.Head
@@ -61,22 +74,53 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	rows, err := s.scanRecords(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
 	var records []config.Record
+	for _, row := range rows {
+		records = append(records, row.Record)
+	}
+	return head, records, nil
+}
+
+// EditRows reads the rows that an action names.
+func (s *Store) EditRows(ctx context.Context, a config.ReadEditRows) (config.EditRows, error) {
+	if a.All {
+		return s.AllRows(ctx)
+	}
+	return s.Rows(ctx, a.Keys)
+}
+
+// AllRows reads the head row and then the rows of all records.
+func (s *Store) AllRows(ctx context.Context) (config.EditRows, error) {
+	var out config.EditRows
+	var err error
+	if out.HeadVersion, err = s.readRow(ctx, headRow, &out.Head); err != nil {
+		return out, err
+	}
+	out.Records, err = s.scanRecords(ctx)
+	return out, err
+}
+
+func (s *Store) scanRecords(ctx context.Context) ([]config.RecordRow, error) {
+	var out []config.RecordRow
 	for after := ""; ; {
 		rows, err := s.table.Scan(ctx, tableConfig, after, scanPage)
 		if err != nil {
-			return 0, nil, errors.Wrap(err, "scan configuration records")
+			return nil, errors.Wrap(err, "scan configuration records")
 		}
 		for _, row := range rows {
 			var r config.Record
 			if err := json.Unmarshal(row.Value, &r); err != nil {
-				return 0, nil, errors.Wrapf(err, "decode row %s", row.Key)
+				return nil, errors.Wrapf(err, "decode row %s", row.Key)
 			}
-			records = append(records, r)
+			out = append(out, config.RecordRow{Key: r.Key, Record: r, Version: row.Version})
 			after = row.Key
 		}
 		if len(rows) < scanPage {
-			return head, records, nil
+			return out, nil
 		}
 	}
 }
@@ -136,8 +180,14 @@
 	return row.Version, decodeRow(row, out)
 }
 
-// Commit sends the transaction of a batch of edits and returns its outcome.
+// Commit sends the transaction of a batch and returns its outcome.
 func (s *Store) Commit(ctx context.Context, c config.Commit) config.Committed {
+	e := s.commit(ctx, c)
+	e.Era = infra.EraOf(s.table)
+	return e
+}
+
+func (s *Store) commit(ctx context.Context, c config.Commit) config.Committed {
 	txn, err := transaction(c)
 	if err != nil {
 		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
@@ -158,7 +208,7 @@
 
 // resolveConflict returns the outcome of a commit whose conditions failed. If the
 // commit was sent before, the earlier transaction may have applied. It did if the
-// audit row of the commit's first revision has the attempt id of its first edit.
+// audit row of the commit's first revision has the attempt id of its first write.
 func (s *Store) resolveConflict(ctx context.Context, c config.Commit, current []infra.Row) config.Committed {
 	if c.Resent {
 		first := c.Writes[0]
@@ -170,10 +220,13 @@
 			// The head has changed, so some edit has this revision. A read that
 			// does not return its audit row is stale, and the outcome is unknown.
 			return config.Committed{Commit: c, Outcome: config.OutcomeUnknown, Err: errStaleRead}
-		case a.Attempt == first.Record.Attempt:
+		case a.Attempt == first.Audit.Attempt:
 			return config.Committed{Commit: c, Outcome: config.OutcomeApplied}
 		}
 	}
+	if guard, ok := c.Guard(); ok && slices.ContainsFunc(current, func(r infra.Row) bool { return r.RowKey == recordRow(guard) }) {
+		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: errRestored}
+	}
 	rows, err := mergeCurrentRows(c, current)
 	if err != nil {
 		return config.Committed{Commit: c, Outcome: config.OutcomeNotApplied, Err: err}
@@ -181,6 +234,8 @@
 	return config.Committed{Commit: c, Outcome: config.OutcomeConflict, Rows: rows}
 }
 
+var errRestored = errors.New("the store was restored from an older copy since the rows were read: read them again")
+
 var errStaleRead = errors.New("the store answered with an older state than before: repeat the read")
 
 // mergeCurrentRows returns the rows that a commit depends on, with the changed
@@ -227,6 +282,9 @@
 		t.Writes = append(t.Writes, infra.Write{RowKey: key, Value: b})
 		return errors.Wrapf(err, "encode row %s", key.Table)
 	}
+	if guard, ok := c.Guard(); ok {
+		t.Conditions = append(t.Conditions, infra.Condition{RowKey: recordRow(guard)})
+	}
 	for _, w := range c.Writes {
 		key := recordRow(w.Record.Key)
 		t.Conditions = append(t.Conditions, infra.Condition{RowKey: key, Version: w.Replaces.Version})
@@ -238,5 +296,5 @@
 		}
 	}
 	last := c.Writes[len(c.Writes)-1].Record
-	return t, write(headRow, config.Head{Revision: last.Revision, Attempt: last.Attempt})
+	return t, write(headRow, config.Head{Revision: last.Revision, Attempt: last.Attempt, Prior: c.Head.Revision})
 }
--- a/config/event.go
+++ b/config/event.go
@@ -18,6 +18,9 @@
 	VerbDelete  Verb = "delete"
 	VerbDrain   Verb = "drain"
 	VerbRestore Verb = "restore"
+	// VerbWriteBack is the verb in the audit row of a record that a node wrote back,
+	// because the store was restored from an older copy.
+	VerbWriteBack Verb = "write-back"
 )
 
 // Edit is a change of one record that an operator requests.
@@ -41,7 +44,8 @@
 // Event is an input of the machine.
 type Event interface{ event() }
 
-// Events of the machine.
+// Events of the machine. Era is the era of the store's answer, or 0 if the store reports
+// none; see infra.EraReporter.
 type (
 	// Tick runs the work that is due by time. It is sent every TickInterval.
 	Tick struct{}
@@ -50,12 +54,14 @@
 	// HeadRead is the result of ReadHead.
 	HeadRead struct {
 		Revision ident.Revision
+		Era      uint64
 		Err      error
 	}
 	// Scanned is the result of Scan. Head was read before the records.
 	Scanned struct {
 		Head    ident.Revision
 		Records []Record
+		Era     uint64
 		Err     error
 	}
 	// Pulled is the result of Pull.
@@ -78,6 +84,7 @@
 	EditRowsRead struct {
 		Batch uint64
 		Rows  EditRows
+		Era   uint64
 		Err   error
 	}
 	// Committed is the result of Commit.
@@ -86,7 +93,10 @@
 		Outcome Outcome
 		// Rows is set when the outcome is OutcomeConflict.
 		Rows EditRows
-		Err  error
+		// Era is that of the last answer. If it differs from the commit's, an applied
+		// commit may have been applied in either.
+		Era uint64
+		Err error
 	}
 )
 
@@ -170,18 +180,22 @@
 		// Attempt counts from 0.
 		Attempt int
 	}
-	// ReadEditRows reads the head row and the rows of some records.
+	// ReadEditRows reads the head row and the rows of some records, or of all records if
+	// All is set.
 	ReadEditRows struct {
 		Batch uint64
 		Keys  []Key
+		All   bool
 	}
 	// Commit runs one transaction that writes the records, their audit rows and
 	// the head row, on condition that the head row and the replaced rows are
 	// unchanged. When its outcome is unknown the same commit is sent again: the
 	// condition on the head row makes it apply at most once, and the audit row
-	// of its first edit shows whether it did.
+	// of its first edit shows whether it did. Era is the era in which the rows were
+	// read; see Guard.
 	Commit struct {
 		Batch       uint64
+		Era         uint64
 		Head        Head
 		HeadVersion uint64
 		Writes      []EditWrite
--- a/config/machine.go
+++ b/config/machine.go
@@ -35,6 +35,10 @@
 	// FanOut is the number of peers that one node pushes to; these relay the
 	// push to the others. It bounds the connections that an edit opens.
 	FanOut int
+	// RestoreDelay is how long a node waits for pushes after a restore of the store,
+	// before it writes back what the store lost; a random part of RestoreSpread comes on
+	// top, so that mostly one node writes. An edit does not wait for either.
+	RestoreDelay, RestoreSpread time.Duration
 	// JoinPeers is the number of peers that a new process queries to determine
 	// its join floor, the revision that it must reach before it is ready.
 	JoinPeers int
@@ -57,6 +61,8 @@
 		MaxBatch:       32,
 		PeerPollFactor: 5,
 		FanOut:         16,
+		RestoreDelay:   250 * time.Millisecond,
+		RestoreSpread:  time.Second,
 		JoinPeers:      16,
 	}
 }
@@ -74,6 +80,12 @@
 	// Undecodable counts records that this version cannot read. The former
 	// record of the same name stays in force.
 	Undecodable uint64
+	// Restores counts the restores of the store that this node has noticed, and
+	// WrittenBack the records that it has written back after them.
+	Restores, WrittenBack uint64
+	// WriteBacksSuperseded counts records that this node could not write back, because
+	// they were edited after the restore by someone who did not see them.
+	WriteBacksSuperseded uint64
 }
 
 // Machine is the configuration state of one node. It is not safe for
@@ -106,6 +118,14 @@
 	nextBatch                  uint64
 	storeFailing               bool
 
+	// era is the highest era of the store that an answer named, and restored the one of
+	// the latest era record.
+	era      uint64
+	restored restored
+	// startEraAt and writeBackAt are when a node without waiting edits starts the era or
+	// writes back records. writeBackAt is 0 while there are none.
+	startEraAt, writeBackAt time.Duration
+
 	// Counters may be read between calls of Step.
 	Counters Counters
 }
@@ -143,7 +163,7 @@
 	case HeadRead:
 		out = m.headRead(now, e)
 	case Scanned:
-		out = m.scanned(e)
+		out = m.scanned(now, e)
 	case Pulled:
 		out = m.pulled(now, e)
 	case PushReceived:
@@ -215,6 +235,7 @@
 
 func (m *Machine) headRead(now time.Duration, e HeadRead) []Action {
 	m.headInFlight = false
+	e.Err = m.eraError(now, e.Era, e.Err)
 	m.join.storeAnswered(e.Revision, e.Err)
 	if e.Err != nil && !m.storeFailing {
 		// While the store fails, only peers report edits that a push missed.
@@ -267,9 +288,11 @@
 	}
 }
 
-func (m *Machine) scanned(e Scanned) []Action {
+func (m *Machine) scanned(now time.Duration, e Scanned) []Action {
 	m.fetch.inFlight = false
-	if e.Err != nil {
+	if m.eraError(now, e.Era, e.Err) != nil || eraOf(e.Head) < m.era {
+		// Before an era starts, the store may have records of transactions that were
+		// sent before the restore and arrived after it.
 		m.Counters.ScanErrors++
 		return nil
 	}
@@ -339,14 +362,14 @@
 	return changed
 }
 
-// apply stores a record if its revision is higher than that of the stored record
-// with the same key, and reports whether it did.
+// apply stores a record if it replaces the stored record with the same key, and reports
+// whether it did.
 func (m *Machine) apply(r Record) bool {
 	if r.Revision > m.completeRevision {
 		m.outOfOrder[r.Revision] = struct{}{}
 	}
 	m.head = max(m.head, r.Revision)
-	if stored, ok := m.records[r.Key]; ok && stored.Revision >= r.Revision {
+	if stored, ok := m.records[r.Key]; ok && !r.replaces(stored) {
 		if stored.Revision > r.Revision {
 			m.Counters.StaleIgnored++
 		}
@@ -361,6 +384,10 @@
 // revisions that follow it without a gap.
 func (m *Machine) advance(to ident.Revision) {
 	m.completeRevision = max(m.completeRevision, to)
+	if m.completeRevision >= m.restored.prior {
+		// What is missing of earlier eras gets revisions of this one, or is lost.
+		m.completeRevision = max(m.completeRevision, firstRevision(m.restored.era))
+	}
 	for {
 		if _, ok := m.outOfOrder[m.completeRevision+1]; !ok {
 			break
--- a/config/record.go
+++ b/config/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,8 @@
 const (
 	KindService Kind = "service"
 	KindDrain   Kind = "drain"
+	// KindEra is the kind of the record that starts an era of the store.
+	KindEra Kind = "era"
 )
 
 // Key identifies a record.
@@ -43,6 +46,38 @@
 	// Attempt is the writer's attempt id, by which the writer recognises the
 	// rows of its own commit.
 	Attempt ident.AttemptID `json:"attempt" msgpack:"a"`
+	// Former has the revisions that the record had, with the same content, before it was
+	// written back after restores of the store. The first is the one at which it was
+	// accepted; of the others only the latest are kept.
+	Former []ident.Revision `json:"former,omitempty" msgpack:"f,omitempty"`
+}
+
+// was reports whether the record has or had a revision with the same content.
+func (r Record) was(x ident.Revision) bool {
+	return r.Revision == x || slices.Contains(r.Former, x)
+}
+
+// accepted returns the revision at which the content of the record was accepted.
+func (r Record) accepted() ident.Revision {
+	if len(r.Former) > 0 {
+		return r.Former[0]
+	}
+	return r.Revision
+}
+
+// replaces reports whether the record replaces another one of the same key. One that was
+// written back does not replace content that was accepted later, nor other content that was
+// accepted at the same revision: that can only be content of a transaction that was sent
+// before a restore and arrived after it.
+func (r Record) replaces(held Record) bool {
+	switch {
+	case r.Revision <= held.Revision || r.accepted() < held.accepted():
+		return false
+	case r.accepted() == held.accepted():
+		return r.Attempt == held.Attempt || len(held.Former) > 0
+	default:
+		return true
+	}
 }
 
 // DrainKind is the kind of object that a drain record takes out of service.
@@ -92,6 +127,19 @@
 type Head struct {
 	Revision ident.Revision  `json:"revision"`
 	Attempt  ident.AttemptID `json:"attempt"`
+	// Prior is the revision of the head before the transaction that wrote it.
+	Prior ident.Revision `json:"prior,omitempty"`
+}
+
+// prior returns the revision up to which a copy of the store with this head has every
+// record. The last transaction in the copy may have been sent before the restore and have
+// arrived after it, with revisions that others got before the restore. A former version
+// wrote no Prior; its transaction had at most maxBatch records.
+func (h Head) prior(maxBatch int) ident.Revision {
+	if h.Prior > 0 {
+		return h.Prior
+	}
+	return h.Revision - min(h.Revision, ident.Revision(maxBatch))
 }
 
 // Audit is the value of an audit row. Before is the revision of the record that
--- a/config/sim_test.go
+++ b/config/sim_test.go
@@ -25,13 +25,44 @@
 	staleRows   map[infra.RowKey]infra.Row // an earlier state, for stale reads
 	version     uint64
 	unavailable bool
+	calls, txns int
 	servesStale bool
 	// lostOutcome, if set, makes Txn return ErrOutcomeUnknown: "applied" applies
 	// the transaction first, "late" applies it some seconds later.
 	lostOutcome string
-	s           *sim
+	// era rises by one with each restore. history has the states that a restore can
+	// return to.
+	era     uint64
+	history []savedTable
+	// beforeTxn, if set, is called once, right before the next transaction applies.
+	beforeTxn func()
+	s         *sim
 }
 
+// savedTable is the state of the table from a time on.
+type savedTable struct {
+	at      time.Duration
+	rows    map[infra.RowKey]infra.Row
+	version uint64
+}
+
+// restore returns the table to its state some time ago. Versions go back as well.
+func (t *table) restore(age time.Duration) {
+	for n := len(t.history) - 1; n > 0 && t.history[n].at > t.s.now-age; n-- {
+		t.history = t.history[:n]
+	}
+	last := t.history[len(t.history)-1]
+	t.rows, t.version = maps.Clone(last.rows), last.version
+	t.era++
+}
+
+func (t *table) save() {
+	t.history = append(t.history, savedTable{at: t.s.now, rows: maps.Clone(t.rows), version: t.version})
+}
+
+// Era implements infra.EraReporter.
+func (t *table) Era() uint64 { return t.era }
+
 func (t *table) apply(x infra.Txn) (uint64, error) {
 	var failed []infra.Row
 	for _, c := range x.Conditions {
@@ -47,10 +78,17 @@
 	for _, w := range x.Writes {
 		t.rows[w.RowKey] = infra.Row{RowKey: w.RowKey, Version: t.version, Value: w.Value}
 	}
+	t.save()
 	return t.version, nil
 }
 
 func (t *table) Txn(_ context.Context, x infra.Txn) (uint64, error) {
+	t.calls++
+	t.txns++
+	if fn := t.beforeTxn; fn != nil && !t.unavailable {
+		t.beforeTxn = nil
+		fn()
+	}
 	switch {
 	case t.unavailable:
 		return 0, infra.ErrUnavailable
@@ -72,6 +110,7 @@
 }
 
 func (t *table) Get(_ context.Context, k infra.RowKey) (infra.Row, error) {
+	t.calls++
 	if t.unavailable {
 		return infra.Row{}, infra.ErrUnavailable
 	}
@@ -82,6 +121,7 @@
 }
 
 func (t *table) Scan(_ context.Context, name, after string, limit int) ([]infra.Row, error) {
+	t.calls++
 	if t.unavailable {
 		return nil, infra.ErrUnavailable
 	}
@@ -121,7 +161,9 @@
 	addr         string
 	machine      *config.Machine
 	disconnected bool
-	readyAt      time.Duration
+	// storeCut is set while the node does not reach the store.
+	storeCut bool
+	readyAt  time.Duration
 	// readyRevision is the revision of the view at readyAt.
 	readyRevision   ident.Revision
 	recordRevisions map[config.Key]ident.Revision
@@ -137,7 +179,9 @@
 	store   *configshell.Store
 	nodes   []*node
 	answers map[ident.AttemptID]config.AnswerEdit
-	edits   int
+	// answeredAt has the times of answers.
+	answeredAt map[ident.AttemptID]time.Duration
+	edits      int
 	// loss is the probability that a peer message is lost. With the same
 	// probability, one that is not lost is reported as lost but arrives seconds
 	// later.
@@ -145,12 +189,16 @@
 	// padding is the number of bytes added to each document; maxMessage, if set,
 	// bounds the record bytes of a peer message.
 	padding, maxMessage int
-	fail                func(format string, args ...any)
+	// commitDelay is how much longer commits take to arrive at the store.
+	commitDelay time.Duration
+	fail        func(format string, args ...any)
 }
 
 func newSim(seed uint64, n int, fail func(string, ...any)) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), answers: make(map[ident.AttemptID]config.AnswerEdit), fail: fail}
-	s.table = &table{rows: make(map[infra.RowKey]infra.Row), s: s}
+	s.answeredAt = make(map[ident.AttemptID]time.Duration)
+	s.table = &table{rows: make(map[infra.RowKey]infra.Row), era: 1, s: s}
+	s.table.save()
 	s.store = configshell.NewStore(s.table)
 	s.store.MaxConcurrentReads = 1 // Concurrent reads would make runs differ.
 	for i := range n {
@@ -254,9 +302,14 @@
 func (s *sim) runAction(n *node, m *config.Machine, a config.Action) {
 	reply := func(e config.Event) { s.schedule(s.randomUpTo(20*time.Millisecond), func() { s.step(n, m, e) }) }
 	ctx := context.Background()
+	if e := unreachable(a); n.storeCut && e != nil {
+		reply(e)
+		return
+	}
 	switch a := a.(type) {
 	case config.AnswerEdit:
 		s.answers[a.Attempt] = a
+		s.answeredAt[a.Attempt] = s.now
 	case config.Pull:
 		s.send(n, a.From, func(to *node) {
 			resp := to.machine.AnswerPull(a.Request)
@@ -271,21 +324,41 @@
 		}, func() { reply(config.PushDone{Push: a, Err: errLost}) })
 	case config.ReadHead:
 		s.schedule(s.randomUpTo(20*time.Millisecond), func() {
-			r, err := s.store.Head(ctx)
-			reply(config.HeadRead{Revision: r, Err: err})
+			var e config.HeadRead
+			e.Era, e.Err = s.store.InEra(func() (err error) { e.Revision, err = s.store.Head(ctx); return err })
+			reply(e)
 		})
 	case config.Scan:
 		s.schedule(s.randomUpTo(20*time.Millisecond), func() {
-			head, records, err := s.store.Scan(ctx)
-			reply(config.Scanned{Head: head, Records: records, Err: err})
+			var e config.Scanned
+			e.Era, e.Err = s.store.InEra(func() (err error) { e.Head, e.Records, err = s.store.Scan(ctx); return err })
+			reply(e)
 		})
 	case config.ReadEditRows:
 		s.schedule(s.randomUpTo(20*time.Millisecond), func() {
-			rows, err := s.store.Rows(ctx, a.Keys)
-			reply(config.EditRowsRead{Batch: a.Batch, Rows: rows, Err: err})
+			e := config.EditRowsRead{Batch: a.Batch}
+			e.Era, e.Err = s.store.InEra(func() (err error) { e.Rows, err = s.store.EditRows(ctx, a); return err })
+			reply(e)
 		})
 	case config.Commit:
-		s.schedule(s.randomUpTo(20*time.Millisecond), func() { reply(s.store.Commit(ctx, a)) })
+		s.schedule(s.randomUpTo(20*time.Millisecond)+s.commitDelay, func() { reply(s.store.Commit(ctx, a)) })
+	}
+}
+
+// unreachable returns the result of an action on a store that cannot be reached, or nil
+// for an action on peers.
+func unreachable(a config.Action) config.Event {
+	switch a := a.(type) {
+	case config.ReadHead:
+		return config.HeadRead{Err: infra.ErrUnavailable}
+	case config.Scan:
+		return config.Scanned{Err: infra.ErrUnavailable}
+	case config.ReadEditRows:
+		return config.EditRowsRead{Batch: a.Batch, Err: infra.ErrUnavailable}
+	case config.Commit:
+		return config.Committed{Commit: a, Outcome: config.OutcomeNotApplied, Err: infra.ErrUnavailable}
+	default:
+		return nil
 	}
 }
 
@@ -336,7 +409,7 @@
 func (s *sim) clearFaults() {
 	s.table.unavailable, s.table.servesStale, s.table.lostOutcome, s.loss = false, false, "", 0
 	for _, n := range s.nodes {
-		n.disconnected = false
+		n.disconnected, n.storeCut = false, false
 	}
 }
 
--- a/config/view.go
+++ b/config/view.go
@@ -110,6 +110,10 @@
 			return
 		}
 		m.decoded.drains[r.Key] = DrainView{Revision: r.Revision, Attempt: r.Attempt, Drain: drain}
+	case r.Kind == KindEra:
+		if m.noteEra(r) != nil {
+			m.Counters.Undecodable++
+		}
 	default:
 		m.Counters.Undecodable++
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -31,6 +31,8 @@
 	latestInstances atomic.Pointer[[]infra.Instance]
 	// readyLogged is set once the log says that the configuration is ready.
 	readyLogged bool
+	// restoresLogged is the number of restores of the store that the log has.
+	restoresLogged uint64
 	// documents are the documents in force, computed from documentsView.
 	documents     []service.Document
 	documentsView *config.View
@@ -71,6 +73,7 @@
 // tickConfig runs the time-driven work of the configuration and reports its counters.
 func (l *Loop) tickConfig(now time.Duration) {
 	l.config.shell.Step(now, config.Tick{})
+	l.logRestore()
 	for i := range l.config.counters {
 		l.config.counters[i].report()
 	}
@@ -80,6 +83,17 @@
 	}
 }
 
+// logRestore logs a restore of the store.
+func (l *Loop) logRestore() {
+	c := &l.config
+	if c.machine.Counters.Restores == c.restoresLogged {
+		return
+	}
+	c.restoresLogged = c.machine.Counters.Restores
+	l.opts.Log.WithField("revision", c.shell.View().Revision).
+		Warn("the platform's store was restored from an older copy: entry instances write back the configuration that it lost")
+}
+
 // updateConfigPeers passes the addresses of the peers to the configuration machine.
 // The seeds of the settings are used until the instance list has other entry
 // instances.
--- a/control/config_counters.go
+++ b/control/config_counters.go
@@ -46,6 +46,9 @@
 	add("config_commit_conflicts_total", func(c *config.Counters) uint64 { return c.CommitConflicts })
 	add("config_commits_repeated_total", func(c *config.Counters) uint64 { return c.Resubmitted })
 	add("config_undecodable_records_total", func(c *config.Counters) uint64 { return c.Undecodable })
+	add("config_store_restores_total", func(c *config.Counters) uint64 { return c.Restores })
+	add("config_records_written_back_total", func(c *config.Counters) uint64 { return c.WrittenBack })
+	add("config_write_backs_superseded_total", func(c *config.Counters) uint64 { return c.WriteBacksSuperseded })
 	return out
 }
 
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -119,6 +119,56 @@
 	assert.Assert(t, allOutOfService(c.Snapshot()))
 }
 
+// TestStoreRestoredUnderEntries guards against a drain or a document that an entry instance
+// accepted and that is lost when the store comes back from a copy without them, and against
+// later edits that are refused, or not in force on another entry instance within 3 s.
+func TestStoreRestoredUnderEntries(t *testing.T) {
+	store, err := standin.Start(standin.DefaultConfig())
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	a := startLoop(t, "entry-a", "dc-a", store)
+	b := startLoop(t, "entry-b", "dc-b", store, a.opts.Self.PeerAddress)
+	var list []infra.Instance
+	for _, l := range []*Loop{a, b} {
+		self := l.opts.Self
+		list = append(list, infra.Instance{
+			ID: self.Instance, Kind: infra.KindEntry, State: infra.StateLive,
+			DataCentre: self.DataCentre, PeerAddress: self.PeerAddress,
+		})
+	}
+	store.PutInstances(list...)
+	for _, l := range []*Loop{a, b} {
+		eventually(t, "the entry instance is ready and both are in its snapshot", 10*time.Second, func() bool {
+			return l.Snapshot().Ready && len(l.Snapshot().Entries) == 2
+		})
+	}
+	start := time.Now()
+	applyEdit(t, a, config.Edit{Verb: config.VerbApply, Key: config.ServiceKey("orders"), Body: ordersDocument(t)})
+	applyEdit(t, b, drainEdit(t, config.DrainDataCentre, "dc-a"))
+	drained := func(l *Loop, kind config.DrainKind, name string) func() bool {
+		return func() bool { return l.Configuration().View().Drains.IsOut(kind, name) }
+	}
+	eventually(t, "entry-a drains dc-a", 3*time.Second, drained(a, config.DrainDataCentre, "dc-a"))
+
+	store.SetFaults(standin.Faults{Outage: true})
+	store.Restore(time.Since(start))
+	store.SetFaults(standin.Faults{})
+	requested := time.Now()
+	applyEdit(t, a, drainEdit(t, config.DrainPartner, "firm"))
+	assert.Assert(t, time.Since(requested) < 3*time.Second)
+	eventually(t, "entry-b drains the partner", 3*time.Second, drained(b, config.DrainPartner, "firm"))
+	for _, l := range []*Loop{a, b} {
+		assert.Assert(t, drained(l, config.DrainDataCentre, "dc-a")())
+		_, ok := l.Configuration().View().Service("orders")
+		assert.Assert(t, ok, "%s lost the document", l.opts.Self.Instance)
+	}
+	// A process without peers serves what the store has again.
+	alone := startLoop(t, "entry-c", "dc-b", store)
+	eventually(t, "entry-c drains dc-a", 10*time.Second, drained(alone, config.DrainDataCentre, "dc-a"))
+	_, ok := alone.Configuration().View().Service("orders")
+	assert.Assert(t, ok)
+}
+
 // assertEditsTraced checks that the trace has exactly the edit and the two drains.
 func assertEditsTraced(t *testing.T, l *Loop) {
 	t.Helper()
--- a/trace/machines/config.go
+++ b/trace/machines/config.go
@@ -223,7 +223,7 @@
 		head, records, err := n.store.Scan(ctx)
 		c.deliverAfter(now, d, n, config.Scanned{Head: head, Records: records, Err: err})
 	case config.ReadEditRows:
-		rows, err := n.store.Rows(ctx, a.Keys)
+		rows, err := n.store.EditRows(ctx, a)
 		c.deliverAfter(now, d, n, config.EditRowsRead{Batch: a.Batch, Rows: rows, Err: err})
 	case config.Commit:
 		c.deliverAfter(now, d, n, n.store.Commit(ctx, a))
