Eras of the store count from 1: an unrestored store needs no wait and no adoption

The product's stand-in counts its eras from 1. With the lease's epochs beginning at 65,536 for era 1, contenders of the product's leases would have waited out an unknown holder at each first start.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -41,7 +41,7 @@
 }
 
 func newMemStore() *memStore {
-	return &memStore{rows: make(map[infra.RowKey]infra.Row), changed: make(chan struct{})}
+	return &memStore{rows: make(map[infra.RowKey]infra.Row), changed: make(chan struct{}), era: 1}
 }
 
 func (s *memStore) put(table, key string, value any) {
--- a/formation/restore.go
+++ b/formation/restore.go
@@ -43,7 +43,7 @@
 // beginAdoption starts an adoption if the rows are of an era in which there was none yet.
 func (p *Planner) beginAdoption(now time.Duration, e RowsRead, adoptedEra uint64) {
 	p.adoption = nil
-	if e.Era > adoptedEra {
+	if e.Era > max(1, adoptedEra) {
 		p.adoption = &adoption{era: e.Era, until: now + p.cfg.AdoptionTime}
 	}
 }
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -219,8 +219,13 @@
 	return out
 }
 
-// firstEpoch returns the lowest epoch of the store's era.
-func (m *Machine) firstEpoch() ident.Epoch { return ident.Epoch(m.observed.era * epochsPerEra) }
+// firstEpoch returns the lowest epoch of the store's era, or 0 if it was never restored.
+func (m *Machine) firstEpoch() ident.Epoch {
+	if m.observed.era <= 1 {
+		return 0
+	}
+	return ident.Epoch((m.observed.era - 1) * epochsPerEra)
+}
 
 // recordRow stores the state of the rows after a read or write.
 func (m *Machine) recordRow(now time.Duration, version, epochVersion uint64, row Row, epoch ident.Epoch) {
