Send no new requests to backend servers that say they leave

Callers' requests reached backend servers of the users' platform for as long as the list of servers had them as ready, although the entry instance had passed on answers with Server-Leaving: the header was not read. With the store out of reach the list stays as it is for any time.

The first response head with the header, of any status and also if the response is discarded, now marks the run (id and incarnation). Others get the requests at once. If no other server can take a request, the leaving one gets it for half of DrainMs, 1 s at most, counted from the first such answer; then the request is refused as not run. The bound counts from the passing on of the answer, which is later, to the sending by the caller, which is earlier than the choice of the server, so half of DrainMs remains as a margin. The mark outlives the entry by 10 minutes, because entries that are lost in an outage of the store return. It is not shared by beacons: the bound is for each entry instance, and each learns from its first response, which costs no request.

The harness of forward got a clock that tests can advance, and TestSettings a DrainMs; no bound or check changed.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -260,6 +260,7 @@
 		CallerAddress: at(8001), ReadyAddress: at(8002), LookupAddress: at(8003), PeerPort: 8004, MetricsPort: 8005,
 		FirstStart: true, StoreAddress: "memory", GracePeriod: 4 * time.Second, LookupTTL: 5 * time.Second,
 		ColdFactor: 1.5, ColdSlack: 5, LoadWindow: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		DrainTime: 2 * time.Second,
 	}
 }
 
@@ -293,7 +294,7 @@
 	n := &testNode{view: view, stop: stop, stopped: make(chan struct{})}
 	n.Node = New(settings, Platform{
 		Table: view, Watcher: view, Servers: tc.servers,
-		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model", RequestLimit: "X-Limit"},
+		Headers:       forward.Headers{RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run", Attestation: "X-Proof", Model: "X-Model", RequestLimit: "X-Limit", ServerLeaving: "X-Leaving"},
 		Prompt:        testPrompt,
 		OperatorTable: "op", ServerTable: "servers", ConfigKey: "config", EvacuatePrefix: "out/",
 		DecodeConfig: func(b []byte) (route.Config, []error, error) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -165,7 +165,8 @@
 		Headers: platform.Headers, Now: n.now, Peers: n.peers, Log: log, Metrics: metrics,
 		DataCentre: settings.DataCentre, ColdFactor: settings.ColdFactor, ColdSlack: settings.ColdSlack,
 		RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		Prompt: platform.Prompt, OnFindings: n.requestBeacon,
+		DrainTime: settings.DrainTime,
+		Prompt:    platform.Prompt, OnFindings: n.requestBeacon,
 		OnStalledGroup: n.reportStall,
 	})
 	return n
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -61,6 +61,9 @@
 	// may be retried, and the number beyond it in each window.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// DrainTime is the time from the first response of a leaving backend server after which
+	// no request may be sent to it. 0 means that none may be sent at all.
+	DrainTime time.Duration
 }
 
 // Validate returns an error that names a required setting that is missing.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -151,6 +151,7 @@
 		if err != nil {
 			return a.recordConnFailure("head", err)
 		}
+		a.recordLeaving(resp.Header)
 		if id := resp.Header.Get(a.req.handler.opts.Headers.RequestID); id != "" && id != a.req.id {
 			// A late response to an earlier request on this connection.
 			if !discardBody(resp) {
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -54,6 +54,8 @@
 	load, weight float64
 	// failsAll marks a server that fails all requests.
 	failsAll bool
+	// leaving marks a server that leaves and is used only if there are no others.
+	leaving bool
 }
 
 // pick chooses a backend server among those not tried yet.
@@ -91,6 +93,10 @@
 		if b.paused(s, now) {
 			continue
 		}
+		use := c.handler.departures.use(now, b.key)
+		if use == fleet.UseNever {
+			continue
+		}
 		if s.Cold(now) && !b.belowColdLimit(now, c.coldLimit()) {
 			outcome = max(outcome, someCold)
 			continue
@@ -104,7 +110,7 @@
 			outcome = max(outcome, someBusy)
 			continue
 		}
-		o := candidate{server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now)}
+		o := candidate{server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
 		anyWorking = anyWorking || !o.failsAll
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
@@ -117,7 +123,7 @@
 	if anyWorking {
 		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
 	}
-	return out, outcome
+	return preferStaying(out), outcome
 }
 
 // sampleWeighted returns a random candidate, with probabilities in proportion to the
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -45,6 +45,8 @@
 	// RequestLimit is the number of requests a second that a backend server takes from all
 	// entry instances together, for as long as its responses name it.
 	RequestLimit string
+	// ServerLeaving is set on all responses of a backend server that will stop.
+	ServerLeaving string
 }
 
 // Standard headers that the proxy handles.
@@ -92,6 +94,9 @@
 	// in each RetryWindow: the number of requests times RetryRatio, plus RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// DrainTime is the time from a response of a leaving backend server after which no new
+	// request may be sent to it.
+	DrainTime time.Duration
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
@@ -112,6 +117,8 @@
 	draining atomic.Bool
 	crashes  *crashes
 	limits   *limits
+	// departures are the backend servers that get no new requests because they leave.
+	departures *departures
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -126,6 +133,7 @@
 		opts:        opts,
 		crashes:     newCrashes(),
 		limits:      newLimits(),
+		departures:  newDepartures(opts.DrainTime),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
@@ -147,6 +155,7 @@
 // the state of backend servers that are gone or restarted.
 func (h *Handler) SetView(v *View) {
 	h.view.Store(v)
+	h.departures.updateList(h.opts.Now(), v)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, b := range h.backends {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	return Headers{
 		RequestID: "X-Request", Deadline: "X-Deadline", Server: "X-Server", Account: "X-Account", NotRun: "X-Not-Run",
 		Attestation: "X-Proof", Model: "X-Model", Priority: "X-Priority", FailedMember: "X-Culprit",
+		ServerLeaving: "X-Leaving",
 	}
 }
 
@@ -140,13 +142,15 @@
 	frontend      *httptest.Server
 	stalledGroups chan ident.GroupID
 	start         time.Time
+	// stoppedAt, if not 0, is the time of the handler, which then stands still.
+	stoppedAt atomic.Int64
 }
 
 func newTestSetup(t *testing.T, servers ...fleet.Server) *testSetup {
 	t.Helper()
 	r := &testSetup{t: t, stalledGroups: make(chan ident.GroupID, 8), start: time.Now()}
 	r.handler = New(Options{
-		Headers: testHeaders(), Now: func() time.Duration { return time.Since(r.start) }, Peers: noPeers{},
+		Headers: testHeaders(), Now: r.now, Peers: noPeers{}, DrainTime: testDrainTime,
 		ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		OnStalledGroup: func(g ident.GroupID, _ ident.Epoch) { r.stalledGroups <- g },
 	})
@@ -160,6 +164,14 @@
 	return r
 }
 
+// now returns the time of the handler.
+func (r *testSetup) now() time.Duration {
+	if at := r.stoppedAt.Load(); at != 0 {
+		return time.Duration(at)
+	}
+	return time.Since(r.start)
+}
+
 func (r *testSetup) setServers(servers ...fleet.Server) {
 	l := fleet.NewList()
 	for _, s := range servers {
