Let engines and plain backend servers say in answers that they leave

On the product's own path, completions and calls went on to a backend server that was about to stop until the instance list or an operator said so; its answers had no way of saying it. They have the header Bulrush-Server-Leaving now.

The balancer gives the header of each response (refusals included) to the same fleet.Departures as the platform's path. Targets that leave have no free credits while another target has one; as a last resort they are used for 1 s after the first such answer, then never. The run is the leader and its incarnation, so a restarted engine serves again. The departures are kept for all services of the entry instance. Waiting requests are placed by the same count of credits, suspects by the same order, and a leaving target is no replacement for targets that failed an attempt. Backend servers of plain services have no incarnation in the instance list: they are tried again after a minute. Grant.Observe and Result carry the header of the response instead of the request limit alone.

No existing test changed.

--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -19,6 +19,9 @@
 	// HeaderRequestLimit is set on the responses of a backend server in need: the requests a
 	// second that it takes from all entry instances together, for as long as it is set.
 	HeaderRequestLimit = "Bulrush-Request-Limit"
+	// HeaderServerLeaving is set on all responses of a backend server that will stop: it gets
+	// no new requests.
+	HeaderServerLeaving = "Bulrush-Server-Leaving"
 	// HeaderNotRun is set by a backend server on an error response when it
 	// did not run the request.
 	HeaderNotRun = "Bulrush-Not-Run"
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -24,13 +24,13 @@
 	// Cold reports whether the credit was granted for a cold engine.
 	Cold    bool
 	Release func(Result)
-	// Observe, if not nil, takes the request limit that the response names.
-	Observe func(RequestLimit)
+	// Observe, if not nil, takes the header of the response.
+	Observe func(http.Header)
 }
 
 func (g *Grant) observe(h http.Header) {
 	if g.Observe != nil {
-		g.Observe(requestLimit(h))
+		g.Observe(h)
 	}
 }
 
@@ -41,8 +41,8 @@
 	// none.
 	FirstToken time.Duration
 	Tokens     int
-	// Limit is the request limit that the response names, of a call to a plain service.
-	Limit RequestLimit
+	// Header is the header of the response, if any, of a call to a plain service.
+	Header http.Header
 }
 
 // Router picks a group for an attempt and acquires a credit there. It waits until
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/credit"
+	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
 )
 
@@ -74,8 +75,12 @@
 // there is none.
 func (s *scheduler) isolationTarget(now time.Duration, pr *pendingRequest, reserved credit.BackendID) int {
 	best, bestKey := -1, uint64(0)
+	least := s.leastUse(now, func(i int) bool { return s.targets[i].usable(now) })
 	for i := range s.targets {
 		c := &s.targets[i]
+		if use := s.use(now, i); use == fleet.UseNever || use > least {
+			continue
+		}
 		if !c.usable(now) || !s.limitAllows(now, c.backend) || slices.Contains(pr.excluded, c.backend) {
 			continue
 		}
--- a/gateway/named_limit.go
+++ b/gateway/named_limit.go
@@ -67,13 +67,6 @@
 	l.usedAt = now
 }
 
-// observeLimit applies the request limit in the response of a permit's target.
-func (p *permit) observeLimit(r RequestLimit) {
-	p.scheduler.mu.Lock()
-	defer p.scheduler.mu.Unlock()
-	p.scheduler.observeLimit(p.scheduler.balancer.now(), p.target.backend, r)
-}
-
 // limitAllows reports whether the request limit of a target allows a request now.
 func (s *scheduler) limitAllows(now time.Duration, id credit.BackendID) bool {
 	l := s.limits[id]
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -38,16 +38,14 @@
 // countFreeCredits updates freeCredits and reports whether any target has a free
 // credit.
 func (s *scheduler) countFreeCredits(now time.Duration) bool {
-	found := false
 	for i := range s.targets {
 		t := &s.targets[i]
 		s.freeCredits[i] = 0
 		if t.usable(now) && s.limitAllows(now, t.backend) && !s.pausedAfterFailure(now, t) && s.holder.Incarnation(t.backend) == t.incarnation() {
 			s.freeCredits[i] = s.holder.FreeCredits(now, t.backend, true)
 		}
-		found = found || s.freeCredits[i] > 0
 	}
-	return found
+	return s.hideLeaving(now)
 }
 
 // tryAcquire acquires a credit for a request at the best target. A target without
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -58,14 +58,15 @@
 	}
 }
 
-// send makes one attempt and returns the whole answer.
-func (c *plainClient) send(ctx context.Context, r *Request, b *view.Backend, attempt ident.AttemptID) (*Answer, RequestLimit, error) {
+// send makes one attempt and returns the whole answer, and the header of the response if there
+// was one.
+func (c *plainClient) send(ctx context.Context, r *Request, b *view.Backend, attempt ident.AttemptID) (*Answer, http.Header, error) {
 	// The decoded path is escaped again, so that the backend server gets the path
 	// that was classified: a decoded question mark must not start a query.
 	target := url.URL{Scheme: "http", Host: b.Address, Path: r.Path, RawQuery: r.Query}
 	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, RequestLimit{}, errors.Wrap(ErrBackendNotSent, err.Error())
+		return nil, nil, errors.Wrap(ErrBackendNotSent, err.Error())
 	}
 	req.GetBody = nil
 	if r.ContentType != "" {
@@ -78,10 +79,10 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, RequestLimit{}, transportError(err)
+		return nil, nil, transportError(err)
 	}
 	a, err := readAnswer(resp)
-	return a, requestLimit(resp.Header), err
+	return a, resp.Header, err
 }
 
 func transportError(err error) error {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -380,9 +380,9 @@
 		return nil, nil, errBecameSuspect
 	}
 	r.trace.lastTarget = ident.GroupID(b.Instance)
-	a, limit, err := g.backends.send(ctx, r, b, ident.AttemptID(r.AnswerID))
+	a, header, err := g.backends.send(ctx, r, b, ident.AttemptID(r.AnswerID))
 	run.end(plainRunResult(ctx, err))
-	release(Result{Err: err, Limit: limit})
+	release(Result{Err: err, Header: header})
 	return a, b, err
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -56,6 +56,8 @@
 	counters     balancerCounters
 	syncRequests chan ident.ServiceName
 	recorder     *trace.Recorder
+	// departures are the backend servers that get no new requests because they leave.
+	departures *departures
 
 	mu         sync.RWMutex
 	schedulers map[ident.ServiceName]*scheduler
@@ -82,6 +84,7 @@
 			retryRefused: m.Scope.Counter("retry_budget_refused_total"),
 		},
 		syncRequests: make(chan ident.ServiceName, 64),
+		departures:   newDepartures(m.Scope.Counter("backend_servers_leaving_total")),
 		schedulers:   make(map[ident.ServiceName]*scheduler),
 	}
 }
@@ -100,6 +103,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			b.departures.updateList(b.now(), b.snapshot)
 			b.mu.RLock()
 			for _, s := range b.schedulers {
 				s.tick(b.now())
@@ -140,7 +144,7 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release, Observe: p.observeLimit}, nil
+	return Grant{Group: p.target.group, Cold: p.credit.Cold, Release: p.release, Observe: p.observe}, nil
 }
 
 // AcquireServer implements ServerRouter.
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -176,8 +176,10 @@
 	if len(pr.excluded) == 0 {
 		return true
 	}
+	// One that leaves is no replacement for those that failed, unless all leave.
+	least := s.leastUse(s.balancer.now(), func(int) bool { return true })
 	for i := range s.targets {
-		if !slices.Contains(pr.excluded, s.targets[i].backend) {
+		if !slices.Contains(pr.excluded, s.targets[i].backend) && s.use(s.balancer.now(), i) <= least {
 			return true
 		}
 	}
@@ -349,7 +351,9 @@
 	defer s.mu.Unlock()
 	now := s.balancer.now()
 	s.holder.Release(p.credit)
-	s.observeLimit(now, p.target.backend, r.Limit)
+	if r.Header != nil {
+		s.observe(now, &p.target, r.Header)
+	}
 	if s.holder.AllocationUsedUp(p.target.backend) {
 		s.requestSync()
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -39,6 +39,7 @@
 	coldLimitFrom      time.Time // requests that arrive earlier do not count against the cold limit
 	warmAt             time.Time
 	slowdown           float64
+	leaving            bool // responses say that the engine leaves
 	memberLost         bool // a member of the group crashed or restarted
 	memberIncarnations map[ident.InstanceID]ident.Incarnation
 	active             map[*request]struct{}
@@ -86,6 +87,7 @@
 	}
 	e.server, e.addr = s, s.Addr()
 	e.bootCount++
+	e.leaving = false
 	e.incarnation = ident.Incarnation(fmt.Sprintf("%s-%d-%d", e.cfg.Instance, e.bootCount, time.Now().UnixNano()))
 	e.state = engine.StateIdle
 	e.assigned = engine.AssignCommand{}
@@ -169,6 +171,14 @@
 	}
 }
 
+// SetLeaving sets whether all responses to requests say that the engine leaves. A restart ends
+// that.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // SetSlowdown multiplies the time per token.
 func (e *Engine) SetSlowdown(factor float64) {
 	e.mu.Lock()
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -137,6 +137,12 @@
 	if e.cfg.RequestLimit > 0 {
 		w.Header().Set(engine.HeaderRequestLimit, strconv.FormatFloat(e.cfg.RequestLimit, 'f', -1, 64))
 	}
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	if leaving {
+		w.Header().Set(engine.HeaderServerLeaving, "1")
+	}
 	r := e.parseRequest(w, hr)
 	if r == nil || !e.admit(w, r) {
 		return
--- a/standin/orders/orders.go
+++ b/standin/orders/orders.go
@@ -36,6 +36,8 @@
 	// LoseAnswers is the number of following orders that run but whose connection
 	// is closed without a response. A negative number applies to all.
 	LoseAnswers int `json:"lose_answers"`
+	// Leaving makes all responses say that the order system leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Order is the request body of POST /orders.
@@ -94,8 +96,8 @@
 	s := &Server{cfg: cfg, faults: cfg.Faults, closed: make(chan struct{})}
 	s.record.Counts = make(map[string]int)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /orders", s.handleOrder)
-	mux.HandleFunc("GET /stock/{item}", s.handleStock)
+	mux.HandleFunc("POST /orders", s.announceLeaving(s.handleOrder))
+	mux.HandleFunc("GET /stock/{item}", s.announceLeaving(s.handleStock))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /debug/faults", s.handleFaults)
 	mux.HandleFunc("GET /debug/counts", func(w http.ResponseWriter, _ *http.Request) {
@@ -142,6 +144,20 @@
 	return r
 }
 
+// announceLeaving adds the header of a leaving backend server to responses while Faults.Leaving
+// is set.
+func (s *Server) announceLeaving(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		leaving := s.faults.Leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set(engine.HeaderServerLeaving, "1")
+		}
+		next(w, r)
+	}
+}
+
 // orderResult is the result of one order, with the faults to apply to its response.
 type orderResult struct {
 	refused, loseAnswer bool
