--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -25,8 +25,8 @@
 	// Cold reports whether the credit was granted for a cold engine.
 	Cold    bool
 	Release func(Result)
-	// Observe, if not nil, takes the request limit that the response names.
-	Observe func(RequestLimit)
+	// Observe, if not nil, takes the header of the response.
+	Observe func(http.Header)
 	// Silence, if not nil, is told that the group has fallen silent (true) or sends
 	// again (false). It is not called after Release.
 	Silence func(silent bool)
@@ -34,7 +34,7 @@
 
 func (g *Grant) observe(h http.Header) {
 	if g.Observe != nil {
-		g.Observe(requestLimit(h))
+		g.Observe(h)
 	}
 }
 
@@ -45,8 +45,8 @@
 	// none.
 	FirstToken time.Duration
 	Tokens     int
-	// Limit is the request limit that the response names, of a call to a plain service.
-	Limit RequestLimit
+	// Header is the header of the response, if any, of a call to a plain service.
+	Header http.Header
 }
 
 // Router picks a group for an attempt and acquires a credit there. It waits until
