Send nothing to a backend server while it asks for a pause, on the platform's path

Callers saw requests refused by backend servers that had already answered 503 with Retry-After: entry instances passed the header on but did not heed it, and went on to send to such a server.

The cause: nothing read Retry-After. Pauses after failures and stalls belong to an epoch of a group, are ended by data and answers, and last about a second.

admission.RequestedPauses keeps the longest pause of each run (id and incarnation) of a backend server from the moment the answer's head was read. forward leaves such servers out of the choice, checks again once a connection stands, and refuses requests at once, as not run, when all servers ask for a pause, to come back when the first one ends. The state is apart from the connection state, which is dropped when a server is missing from the list for a moment. Values that are no number of seconds are ignored; an hour is the most.

Evidence: before the change the new tests failed:

TestNoRequestsDuringRequestedPause/order_not_run: 16 requests reached the server that asked for a pause TestNoRequestsDuringRequestedPause/stream_ran: 22 requests reached the server that asked for a pause TestAllServersAskForPause: /o/: 10 and 10 requests TestRequestedPauseIsNotEndedEarly: got "200 id: 0 data: piece-0", want "503": after data and the end of a stream

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -102,6 +102,11 @@
 		return a, notSent
 	}
 	a.conn = conn
+	if c.handler.pauses.pausedNow(c.now(), s) {
+		// The backend server has asked for a pause since it was picked.
+		a.finish()
+		return a, notSent
+	}
 	a.stopContextWatch = context.AfterFunc(ctx, conn.close)
 	now = c.now()
 	c.triedServers = append(c.triedServers, s.ID)
@@ -161,6 +166,7 @@
 		a.resp = resp
 		a.conn.setIdleTimeout(resp.Header)
 		a.recordLimit()
+		a.recordRequestedPause()
 		a.backend.recordReceived(a.req.now())
 		return a.classifyResponse()
 	}
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -35,6 +35,9 @@
 	// noServer means that each backend server that can run the request was tried
 	// already or is paused, or that there is none.
 	noServer
+	// somePauseRequested means that no backend server can be chosen, and that at least one
+	// could be but for the pause that it asks for.
+	somePauseRequested
 	// someBusy means that no backend server can be chosen, and that at least one could
 	// be but for its load.
 	someBusy
@@ -87,6 +90,10 @@
 		if slices.Contains(c.triedServers, s.ID) {
 			continue
 		}
+		if c.handler.pauses.pausedNow(now, s) {
+			outcome = max(outcome, somePauseRequested)
+			continue
+		}
 		b := c.handler.backend(s)
 		if b.paused(s, now) {
 			continue
@@ -163,6 +170,8 @@
 		c.refuse(refusal{reason: "all backend servers are cold", retryAfter: busyRetryAfter})
 	case someLimited:
 		c.refuse(refusal{reason: "all backend servers limit their requests", retryAfter: busyRetryAfter})
+	case somePauseRequested:
+		c.refuse(refusal{reason: "all backend servers ask for a pause", retryAfter: c.retryAfter(noServerRetryAfter)})
 	default:
 		c.refuse(refusal{reason: "no backend server", retryAfter: noServerRetryAfter})
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -112,6 +112,7 @@
 	draining atomic.Bool
 	crashes  *crashes
 	limits   *limits
+	pauses   *requestedPauses
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -126,6 +127,7 @@
 		opts:        opts,
 		crashes:     newCrashes(),
 		limits:      newLimits(),
+		pauses:      newRequestedPauses(),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -105,7 +105,7 @@
 // was not run only if that is certain for each send.
 func (c *call) giveUp(reason string) {
 	if c.possibleRuns == 0 {
-		c.refuse(refusal{reason: reason, retryAfter: busyRetryAfter})
+		c.refuse(refusal{reason: reason, retryAfter: c.retryAfter(busyRetryAfter)})
 		return
 	}
 	c.fail(http.StatusBadGateway, reason)
