Send nothing to an engine or plain server while it asks for a pause, on the product's path

Callers saw completions, calls and orders refused by backend servers that had already answered 503 with Retry-After, or held until their deadline.

The cause: only headers of request limits reached the router. After such an answer a target was left out until its next status poll, or for a second and never if it was the only one.

ServerPauses feeds the same decision code, admission.RequestedPauses, with the responses of engines and plain servers, and the scheduler, isolated runs and the choice without credits leave paused targets out. The pause is checked again once a connection stands. Requests of which all targets ask for a pause are refused at once, also those that wait already, as not run and to come back when the first one ends; a stream that resumes waits if that is within its time. Engines of the stand-in can refuse with Retry-After.

--- a/cmd/bulrushfalld/daemon.go
+++ b/cmd/bulrushfalld/daemon.go
@@ -125,6 +125,8 @@
 	d.cacheFeed = gateway.NewCacheFeed(d.balancer, d.cacheEventClient.CacheEvents, d.metrics)
 	d.loop.SetCacheRelay(d.cacheFeed)
 	d.balancer.SetRecorder(d.recorder)
+	pauses := gateway.NewServerPauses(now, log)
+	d.balancer.SetPauses(pauses)
 	d.creditSyncer = control.NewSyncer(d.loop, d.balancer)
 	d.orders, err = gateway.NewOrderComponents(gateway.OrderOptions{
 		Table: store, Objects: store, Node: d.node, Snapshot: d.loop.Snapshot, Now: now, Self: self, Scope: d.metrics.Scope,
@@ -145,6 +147,7 @@
 		Quarantine:           d.orders.Quarantine,
 		Self:                 self,
 		DialFrom:             cfg.LocalAddr(),
+		Pauses:               pauses,
 		Recorder:             d.recorder,
 		LookupTTL:            cfg.LookupTTL,
 		MaxBodyBytes:         cfg.Limits.MaxBodyBytes,
--- a/engine/data.go
+++ b/engine/data.go
@@ -72,6 +72,9 @@
 	Body         []byte
 	Priority     int
 	ResumeOffset int
+	// MaySend, if not nil, is called once a connection stands. The request is not sent if it
+	// returns false.
+	MaySend func() bool
 }
 
 // Data is the client that sends completion requests to group leaders and reads
@@ -115,6 +118,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		_ = c.Close()
+		return nil, errors.Wrap(ErrNotSent, "engine asks for a pause")
+	}
 	s := &Stream{ctx: ctx, pool: &d.pool, conn: c, lastOffset: -1}
 	s.watch.start(func() { _ = c.Close() })
 	s.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/experiment/quarantine.go
+++ b/experiment/quarantine.go
@@ -440,6 +440,8 @@
 	}
 	balancer := gateway.NewBalancer(self, opts.Snapshot, now, metrics)
 	opts.ServerRouter = balancer
+	opts.Pauses = gateway.NewServerPauses(now, nil)
+	balancer.SetPauses(opts.Pauses)
 	if quarantined {
 		opts.Quarantine = parts.Quarantine
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -73,7 +73,7 @@
 	for range maxAttempts {
 		grant, err := g.opts.Router.Acquire(ctx, r, excluded)
 		if err != nil {
-			if last != nil && !errors.Is(err, errConvicted) {
+			if last != nil && !errors.Is(err, errConvicted) && !prefersPauseRefusal(err, asProblem(attemptProblem(last))) {
 				return nil, attemptProblem(last)
 			}
 			return nil, err
@@ -98,6 +98,7 @@
 	started := g.now()
 	id := ident.AttemptID(uuid.NewString())
 	r.trace.lastTarget = grant.Group.ID
+	run := runOf(&grant.Group.Leader)
 	s, err := g.opts.Data.Open(ctx, engine.Request{
 		Target: engine.Target{
 			Group:       grant.Group.ID,
@@ -112,11 +113,13 @@
 		Body:         r.Body,
 		Priority:     r.Priority,
 		ResumeOffset: r.Assembler.BeginAttempt(id),
+		MaySend:      func() bool { return !g.opts.Pauses.paused(g.now(), run) },
 	})
 	if err != nil {
 		var refused *engine.RefusedError
 		if errors.As(err, &refused) {
 			grant.observe(refused.Header)
+			g.opts.Pauses.observe(run, refused.Status, refused.Header)
 		}
 		return Result{Err: err}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// DialFrom is the local address of connections to plain backend servers. The
 	// zero address lets the system choose.
 	DialFrom netip.Addr
+	// Pauses are the pauses that backend servers ask for, shared with the routers. If it is nil,
+	// the gateway has its own.
+	Pauses *ServerPauses
 	// Recorder receives trace events while a recording runs. If it is nil, nothing
 	// is recorded.
 	Recorder *trace.Recorder
@@ -111,6 +114,9 @@
 	if opts.BodyMemoryBytes == 0 {
 		opts.BodyMemoryBytes = defaultBodyMemoryBytes
 	}
+	if opts.Pauses == nil {
+		opts.Pauses = NewServerPauses(opts.Now, nil)
+	}
 	s := opts.Metrics.Scope
 	g := &Gateway{
 		opts: opts,
@@ -125,7 +131,7 @@
 			lookups:             s.Counter("lookups_total"),
 			refusedEarly:        s.Counter("requests_refused_early_total"),
 		},
-		backends:  newPlainClient(opts.DialFrom),
+		backends:  newPlainClient(opts.DialFrom, opts.Pauses),
 		bodyGrace: bodyGrace,
 		parked:    newParkedStreams(opts.AccountParkedStreams, opts.ProcessParkedStreams),
 	}
--- a/gateway/isolate.go
+++ b/gateway/isolate.go
@@ -28,6 +28,10 @@
 			return p, nil
 		}
 		reserved = next
+		if err := s.isolationRefusal(pr); err != nil {
+			s.cancelIsolation(reserved)
+			return nil, err
+		}
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
@@ -76,7 +80,7 @@
 	best, bestKey := -1, uint64(0)
 	for i := range s.targets {
 		c := &s.targets[i]
-		if !c.usable(now) || !s.limitAllows(now, c.backend) || slices.Contains(pr.excluded, c.backend) {
+		if !c.usable(now) || !s.limitAllows(now, c.backend) || s.pauseRequested(now, c) || slices.Contains(pr.excluded, c.backend) {
 			continue
 		}
 		if c.backend == reserved {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -12,6 +12,7 @@
 	if s.queue.Len()+len(s.copyWaiters) == 0 {
 		return
 	}
+	s.refusePaused(now, false)
 	free := s.countFreeCredits(now)
 	s.requeueCopyWaiters(now)
 	for free && s.queue.Len() > 0 {
@@ -42,7 +43,7 @@
 	for i := range s.targets {
 		t := &s.targets[i]
 		s.freeCredits[i] = 0
-		if t.usable(now) && s.limitAllows(now, t.backend) && !s.pausedAfterFailure(now, t) && s.holder.Incarnation(t.backend) == t.incarnation() {
+		if t.usable(now) && s.limitAllows(now, t.backend) && !s.pauseRequested(now, t) && !s.pausedAfterFailure(now, t) && s.holder.Incarnation(t.backend) == t.incarnation() {
 			s.freeCredits[i] = s.holder.FreeCredits(now, t.backend, true)
 		}
 		found = found || s.freeCredits[i] > 0
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -48,11 +48,13 @@
 	// may be dead without notice, and the transport may resend a request on a
 	// reused one.
 	singleUse *http.Transport
+	pauses    *ServerPauses
 }
 
-func newPlainClient(local netip.Addr) *plainClient {
-	from := dial.From(local, plainDialTimeout)
+func newPlainClient(local netip.Addr, pauses *ServerPauses) *plainClient {
+	from := dialUnpaused(dial.From(local, plainDialTimeout), pauses)
 	return &plainClient{
+		pauses:    pauses,
 		pooled:    &http.Transport{DialContext: from, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
 		singleUse: &http.Transport{DialContext: from, DisableKeepAlives: true},
 	}
@@ -63,6 +65,11 @@
 	// The decoded path is escaped again, so that the backend server gets the path
 	// that was classified: a decoded question mark must not start a query.
 	target := url.URL{Scheme: "http", Host: b.Address, Path: r.Path, RawQuery: r.Query}
+	run := runOf(b)
+	if c.pauses.paused(c.pauses.now(), run) {
+		return nil, RequestLimit{}, errors.Wrap(ErrBackendNotSent, errPauseRequested.Error())
+	}
+	ctx = context.WithValue(ctx, plainRunKey{}, run)
 	req, err := http.NewRequestWithContext(ctx, r.Method, target.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, RequestLimit{}, errors.Wrap(ErrBackendNotSent, err.Error())
@@ -80,6 +87,7 @@
 	if err != nil {
 		return nil, RequestLimit{}, transportError(err)
 	}
+	c.pauses.observe(run, resp.StatusCode, resp.Header)
 	a, err := readAnswer(resp)
 	return a, requestLimit(resp.Header), err
 }
@@ -114,9 +122,10 @@
 // data centre.
 func (g *Gateway) pickBackend(r *Request, excluded []ident.InstanceID) *view.Backend {
 	var local, remote []*view.Backend
+	now := g.now()
 	for _, b := range r.Service.Backends {
 		switch {
-		case b.Draining || slices.Contains(excluded, b.Instance):
+		case b.Draining || slices.Contains(excluded, b.Instance) || g.opts.Pauses.paused(now, runOf(b)):
 		case b.DataCentre == g.opts.Self.DataCentre:
 			local = append(local, b)
 		default:
@@ -147,6 +156,9 @@
 	if b := g.pickBackend(r, excluded); b != nil {
 		return b, func(Result) {}, nil
 	}
+	if err := g.pauseProblem(r, excluded); err != nil {
+		return nil, nil, err
+	}
 	return nil, nil, ProblemNoCapacity.WithDetail("service %q has no backend server in service", r.Name).WithRetryAfter(time.Second)
 }
 
@@ -163,7 +175,7 @@
 		switch {
 		case err == nil:
 			return a, nil
-		case b == nil && (last == nil || errors.Is(err, errConvicted)):
+		case b == nil && (last == nil || errors.Is(err, errConvicted) || prefersPauseRefusal(err, asProblem(plainProblem(last)))):
 			return nil, plainProblem(err)
 		case b == nil:
 			return nil, plainProblem(last)
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -56,6 +56,7 @@
 	counters     balancerCounters
 	syncRequests chan ident.ServiceName
 	recorder     *trace.Recorder
+	pauses       *ServerPauses
 
 	mu         sync.RWMutex
 	schedulers map[ident.ServiceName]*scheduler
@@ -82,6 +83,7 @@
 			retryRefused: m.Scope.Counter("retry_budget_refused_total"),
 		},
 		syncRequests: make(chan ident.ServiceName, 64),
+		pauses:       NewServerPauses(now, nil),
 		schedulers:   make(map[ident.ServiceName]*scheduler),
 	}
 }
--- a/gateway/route_test.go
+++ b/gateway/route_test.go
@@ -25,6 +25,7 @@
 	return func(o *Options) {
 		b := NewBalancer(o.Self, o.Snapshot, o.Now, telemetry.New())
 		*out, o.Router = b, b
+		o.Pauses = b.pauses
 		for _, p := range prepare {
 			p(b)
 		}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -150,6 +150,8 @@
 	case !s.ensureAllowedTarget(pr):
 		pr.result <- acquireResult{err: ProblemNoCapacity.WithDetail("every backend server of service %q failed an attempt", s.name).WithRetryAfter(time.Second)}
 		return
+	case s.refusedForPause(now, pr):
+		return
 	case !s.chargeRetryBudget(pr):
 		s.balancer.counters.retryRefused.Inc(1)
 		pr.result <- acquireResult{err: ProblemNoCapacity.WithDetail("retry budget of service %q is used up", s.name).WithRetryAfter(time.Second)}
@@ -241,6 +243,7 @@
 	if s.outOfCredits(now) {
 		s.refuseWaiting(now)
 	}
+	s.refusePaused(now, true)
 	s.dispatch(now)
 	if waits := s.queue.Len() > 0 || len(s.copyWaiters) > 0 || len(s.isolatedSuspects) > 0; waits && now-s.lastSyncForWaiting >= syncForWaitingInterval {
 		s.lastSyncForWaiting = now
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -39,7 +39,9 @@
 	coldLimitFrom      time.Time // requests that arrive earlier do not count against the cold limit
 	warmAt             time.Time
 	slowdown           float64
-	memberLost         bool // a member of the group crashed or restarted
+	retryAfter         string // requests are refused with this Retry-After, if not empty
+	pauseRefusals      int    // refusals with Retry-After
+	memberLost         bool   // a member of the group crashed or restarted
 	memberIncarnations map[ident.InstanceID]ident.Incarnation
 	active             map[*request]struct{}
 	queue              []*request
@@ -169,6 +171,21 @@
 	}
 }
 
+// AskForPause makes the engine refuse all requests with a value of Retry-After, or none
+// if it is empty. A restart does not end it.
+func (e *Engine) AskForPause(retryAfter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = retryAfter
+}
+
+// PauseRefusals returns the number of requests that were refused with Retry-After.
+func (e *Engine) PauseRefusals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pauseRefusals
+}
+
 // SetSlowdown multiplies the time per token.
 func (e *Engine) SetSlowdown(factor float64) {
 	e.mu.Lock()
--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -95,6 +95,8 @@
 		return "group lost a member"
 	case e.cfg.ChecksFencing && (r.record.Group != e.assigned.Group || r.record.Epoch != e.assigned.Epoch):
 		return fmt.Sprintf("engine holds group %s epoch %d", e.assigned.Group, e.assigned.Epoch)
+	case e.retryAfter != "":
+		return "engine asks for a pause"
 	}
 	return ""
 }
@@ -112,6 +114,10 @@
 	e.refresh()
 	if reason := e.refusalReason(r); reason != "" {
 		e.recordEvent(EventRefused, fmt.Sprintf("attempt %s: %s", r.record.Attempt, reason))
+		if e.retryAfter != "" {
+			e.pauseRefusals++
+			w.Header().Set("Retry-After", e.retryAfter)
+		}
 		writeNotRun(w, http.StatusServiceUnavailable, reason)
 		return false
 	}
