--- a/engine/data.go
+++ b/engine/data.go
@@ -75,6 +75,9 @@
 	// Observer is told of silences of the engine. If it is nil, a silence closes the
 	// stream.
 	Observer SilenceObserver
+	// MaySend, if not nil, is called once a connection stands. The request is not sent if it
+	// returns false.
+	MaySend func() bool
 }
 
 // Data is the client that sends completion requests to group leaders and reads
@@ -118,6 +121,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		_ = c.Close()
+		return nil, errors.Wrap(ErrNotSent, "engine asks for a pause")
+	}
 	s := &Stream{ctx: ctx, pool: &d.pool, conn: c, lastOffset: -1}
 	s.watch.observer = r.Observer
 	s.watch.start(func() { _ = c.Close() })
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -119,6 +119,7 @@
 	limits   *limits
 	// departures are the backend servers that get no new requests because they leave.
 	departures *departures
+	pauses     *requestedPauses
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -134,6 +135,7 @@
 		crashes:     newCrashes(),
 		limits:      newLimits(),
 		departures:  newDepartures(opts.DrainTime),
+		pauses:      newRequestedPauses(),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -34,11 +34,7 @@
 func (d *departures) use(now time.Duration, key backendKey) fleet.Use {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.decider.Use(now, runOf(key))
-}
-
-func runOf(key backendKey) fleet.Run {
-	return fleet.Run{ID: key.id, Incarnation: key.incarnation}
+	return d.decider.Use(now, fleet.Run{ID: key.id, Incarnation: key.incarnation})
 }
 
 // updateList tells the departures which runs a view lists.
@@ -56,7 +52,7 @@
 	if header.Get(h.opts.Headers.ServerLeaving) == "" {
 		return
 	}
-	if !h.departures.step(a.req.now(), fleet.SaidLeaving{Run: runOf(a.backend.key)}) {
+	if !h.departures.step(a.req.now(), fleet.SaidLeaving{Run: runOf(a.server)}) {
 		return
 	}
 	h.count(metricLeaving)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -115,7 +115,7 @@
 // acquireProblem converts the error of a router to the error that the caller gets. last
 // is the error of the last attempt, or nil.
 func acquireProblem(last, err error) error {
-	if last != nil && !errors.Is(err, errConvicted) {
+	if last != nil && !errors.Is(err, errConvicted) && !prefersPauseRefusal(err, asProblem(attemptProblem(last))) {
 		return attemptProblem(last)
 	}
 	return err
@@ -151,6 +151,7 @@
 	g, r := a.dispatch.gateway, a.request
 	a.started = g.now()
 	r.trace.lastTarget = a.grant.Group.ID
+	run := runOf(&a.grant.Group.Leader)
 	s, err := g.opts.Data.Open(a.ctx, engine.Request{
 		Target: engine.Target{
 			Group:       a.grant.Group.ID,
@@ -166,11 +167,13 @@
 		Priority:     r.Priority,
 		ResumeOffset: r.Assembler.BeginAttempt(a.id),
 		Observer:     a,
+		MaySend:      func() bool { return !g.opts.Pauses.paused(g.now(), run) },
 	})
 	if err != nil {
 		var refused *engine.RefusedError
 		if errors.As(err, &refused) {
 			a.grant.observe(refused.Header)
+			g.opts.Pauses.observe(run, refused.Status, refused.Header)
 		}
 		return err
 	}
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -84,9 +84,9 @@
 // backend server.
 func (t *target) run() fleet.Run {
 	if t.group != nil {
-		return fleet.Run{ID: t.group.Leader.Instance, Incarnation: t.group.Leader.Incarnation}
+		return runOf(&t.group.Leader)
 	}
-	return fleet.Run{ID: t.server.Instance, Incarnation: t.server.Incarnation}
+	return runOf(t.server)
 }
 
 // use returns how a target may be used for a new request.
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -58,6 +58,7 @@
 	recorder     *trace.Recorder
 	// departures are the backend servers that get no new requests because they leave.
 	departures *departures
+	pauses     *ServerPauses
 
 	mu         sync.RWMutex
 	schedulers map[ident.ServiceName]*scheduler
@@ -85,6 +86,7 @@
 		},
 		syncRequests: make(chan ident.ServiceName, 64),
 		departures:   newDepartures(m.Scope.Counter("backend_servers_leaving_total")),
+		pauses:       NewServerPauses(now, nil),
 		schedulers:   make(map[ident.ServiceName]*scheduler),
 	}
 }
