Follow silent attempts in turn until one of them delivers

A silent attempt stays open until another one has sent an event or an answer. If several are silent they are followed in turn. Unread data is looked for before a server counts as silent, a silent request takes the retry before the place at a limited server, and a read that timed out is no crash.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,9 +32,6 @@
 	expired
 	// canceled means that the caller closed the connection.
 	canceled
-	// overtaken means that a silent attempt at the same request has received data before
-	// this one.
-	overtaken
 	// retryReserved means that the request is to be sent to another backend server, and
 	// that the retry has been taken from the retry budget.
 	retryReserved
@@ -42,7 +39,7 @@
 
 // String returns the name of the result in logs.
 func (r sendResult) String() string {
-	return [...]string{"answered", "not-sent", "not-run", "unknown", "stalled", "expired", "left", "overtaken", "retry"}[r]
+	return [...]string{"answered", "not-sent", "not-run", "unknown", "stalled", "expired", "left", "retry"}[r]
 }
 
 // attempt is one send of a request to a backend server.
@@ -59,15 +56,16 @@
 	// lastProgress is when the attempt began or last made progress: on streams a whole
 	// event, otherwise any data.
 	lastProgress time.Duration
+	// checkedAt is the lastProgress at which unread data was last looked for.
+	checkedAt time.Duration
 	// eventReceived is true once a stream has received an event, at firstEventAt.
 	eventReceived bool
 	// buf holds the received data of a stream that is not sent to the caller yet.
 	buf []byte
 	// silent is true once the backend server was silent for a progress timeout. The attempt
-	// then looks for another backend server, at moveAt at the earliest. Once the request was
-	// sent there, this attempt ends at closeAt.
-	silent                      bool
-	moveAt, closeAt, nextReport time.Duration
+	// then looks for another backend server, at moveAt at the earliest.
+	silent             bool
+	moveAt, nextReport time.Duration
 	// sentAt is when the request was written to the connection.
 	sentAt, firstEventAt time.Duration
 	// run is the attempt as the attribution of crashes sees it, with its result. survived is
@@ -87,6 +85,10 @@
 // progress of its backend server.
 const progressCheckInterval = 100 * time.Millisecond
 
+// unreadProbeTime bounds the look for unread data before a backend server counts as silent: it
+// may have sent some while this process did not run or wrote to its caller.
+const unreadProbeTime = time.Millisecond
+
 // checkInterval returns how long the attempt may wait for data between two checks. It is a
 // fraction of a long progress timeout, because each check wakes the process.
 func (a *attempt) checkInterval() time.Duration {
@@ -239,10 +241,18 @@
 			a.req.addStep("expired:" + string(a.server.ID))
 			return expired
 		}
-		if a.stalledNow(now) {
+		wait := min(a.checkInterval(), remaining)
+		isStalled := a.stalledNow(now)
+		if isStalled {
+			wait = unreadProbeTime
+		}
+		err := a.conn.waitReadable(time.Now().Add(wait))
+		switch {
+		case isStalled && err == nil && a.checkedAt != a.lastProgress:
+			a.checkedAt = a.lastProgress
+		case isStalled && (err == nil || isTimeout(err)):
 			return stalled
 		}
-		err := a.conn.waitReadable(time.Now().Add(min(a.checkInterval(), remaining)))
 		if err == nil {
 			if a.req.route.Kind != route.Streaming {
 				a.lastProgress = a.req.now()
@@ -260,9 +270,6 @@
 			a.req.addStep("disbanded:" + string(a.server.ID))
 			return mayHaveRun
 		}
-		if a.req.wakeSilentAttempt() {
-			return overtaken
-		}
 	}
 }
 
@@ -282,7 +289,9 @@
 		return canceled
 	}
 	a.req.addStep(step + ":" + string(a.server.ID) + ":" + err.Error())
-	a.runResult = quarantine.RunCrashed
+	if !isTimeout(err) {
+		a.runResult = quarantine.RunCrashed
+	}
 	a.logInterrupted(err)
 	a.backend.pauseAfterFailure(a.server.Epoch, a.req.now(), connFailurePause)
 	if a.resp == nil {
--- a/forward/call.go
+++ b/forward/call.go
@@ -63,10 +63,9 @@
 	possibleRuns int
 	// unsentCount is the number of attempts that did not reach a backend server.
 	unsentCount int
-	// silent are attempts whose backend servers are silent while another attempt is under
-	// way. awake is one of them that has received data since.
+	// silent are attempts whose backend servers are silent while another attempt is
+	// followed.
 	silent []*attempt
-	awake  *attempt
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	// steps describe the failed attempts, for the log.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
@@ -16,12 +15,6 @@
 	// silenceReportInterval is the least time between two reports of a request that its
 	// group is silent.
 	silenceReportInterval = time.Second
-	// handoverTime is how long the attempt at a silent backend server stays open after the
-	// request was sent to another one. A server that is full refuses a request at once.
-	handoverTime = progressCheckInterval
-	// silentProbeTime bounds the wait for data of a silent backend server while another
-	// attempt is under way.
-	silentProbeTime = time.Millisecond
 )
 
 // metricSilentResumed counts the attempts whose backend server went on after a silence.
@@ -45,8 +38,8 @@
 }
 
 // serve sends a request to backend servers until it has ended. An attempt at a backend
-// server that is silent ends only once another one has accepted the request: a sound server
-// may be silent for a while.
+// server that is silent ends only once another one has answered: a sound server may be
+// silent for a while.
 func (c *call) serve(x exchange) {
 	defer c.finishSilent()
 	for a := c.sendNext(x); a != nil; {
@@ -124,8 +117,6 @@
 		return nil
 	case retryReserved:
 		return c.sendNext(x)
-	case overtaken:
-		return c.awake
 	case stalled:
 		return c.moveElsewhere(x, a)
 	case notSent:
@@ -141,23 +132,19 @@
 	return c.silentOrGiveUp(x, res.String())
 }
 
-// moveElsewhere sends a request whose backend server is silent to another one. It returns
-// the attempt to follow: the silent one, if no other server can take the request at present.
+// moveElsewhere sends a request whose backend server is silent to another one, and returns the
+// attempt to follow. If no other server can take the request at present, its silent attempts
+// are followed in turn.
 func (c *call) moveElsewhere(x exchange, a *attempt) *attempt {
 	now := c.now()
 	c.recordSilence(a, now)
-	a.moveAt = now + moveRetryDelay
-	if !c.mayRetry(stalled) || c.deadline-now < minSendTime {
-		return a
-	}
-	s, b, _ := c.pick(now)
-	if s == nil || !c.takeRetry(now) {
-		return a
-	}
 	c.silent = append(c.silent, a)
-	next := c.sendTo(x, s, b)
-	a.closeAt = c.now() + handoverTime
-	return next
+	if c.mayRetry(stalled) && c.deadline-now >= minSendTime {
+		if candidates, _ := c.eligibleServers(now); len(candidates) > 0 && c.takeRetry(now) {
+			return c.sendNext(x)
+		}
+	}
+	return c.takeSilent()
 }
 
 // recordSilence records that the backend server of an attempt is silent, and reports its
@@ -192,42 +179,18 @@
 	return nil
 }
 
-// takeSilent removes the latest silent attempt from c.silent and returns it, or nil if
-// there is none.
+// takeSilent removes the attempt from c.silent that was not followed for the longest time and
+// returns it, or nil if there is none.
 func (c *call) takeSilent() *attempt {
 	if len(c.silent) == 0 {
 		return nil
 	}
-	a := c.silent[len(c.silent)-1]
-	c.silent = c.silent[:len(c.silent)-1]
+	a := c.silent[0]
+	c.silent = c.silent[1:]
 	a.moveAt = c.now() + moveRetryDelay
 	return a
 }
 
-// wakeSilentAttempt reports whether a silent attempt has received data, and makes it
-// c.awake then. It ends the silent attempts that have failed, and those whose request
-// another backend server has not refused within handoverTime.
-func (c *call) wakeSilentAttempt() bool {
-	for _, a := range slices.Clone(c.silent) {
-		err := a.conn.waitReadable(time.Now().Add(silentProbeTime))
-		ended := a.groupChanged() || (err != nil && (!isTimeout(err) || c.now() >= a.closeAt))
-		if err != nil && !ended {
-			continue
-		}
-		c.silent = slices.DeleteFunc(c.silent, func(o *attempt) bool { return o == a })
-		if !ended {
-			a.moveAt = c.now() + moveRetryDelay
-			c.awake = a
-			return true
-		}
-		if err != nil && !isTimeout(err) {
-			a.recordConnFailure("read", err)
-		}
-		a.finish()
-	}
-	return false
-}
-
 // finishSilent ends the silent attempts.
 func (c *call) finishSilent() {
 	for _, a := range c.silent {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -36,7 +36,7 @@
 func (c *call) servePlain() { c.serve(plainExchange{c}) }
 
 func (x plainExchange) timeouts(*fleet.Server, *Backend) (progress, firstEvent time.Duration) {
-	if x.route.Repeatable() && x.sendCount+1 < x.route.AttemptLimit {
+	if x.route.Repeatable() && (x.sendCount+1 < x.route.AttemptLimit || len(x.silent) > 0) {
 		return progressTimeoutFactor * x.route.LatencyGoal, 0
 	}
 	return 0, 0
