--- a/edge/restore.go
+++ b/edge/restore.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"strings"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/infra"
@@ -27,8 +29,8 @@
 	go n.register(n.ctx)
 }
 
-// isNewerRow reports whether a row is certainly newer than the known one by what its value
-// says: a configuration with a higher version, or a backend server that drains.
+// isNewerRow implements mirror.NewerFunc: a configuration with a higher version, a backend
+// server that drains, or an evacuation, which does no harm if it has ended.
 func (n *Node) isNewerRow(table string, known, row infra.Row) bool {
 	switch {
 	case table == n.platform.ServerTable:
@@ -40,5 +42,5 @@
 		after, _, afterErr := n.platform.DecodeConfig(row.Value)
 		return afterErr == nil && (err != nil || after.Version > before.Version)
 	}
-	return false
+	return table == n.platform.OperatorTable && strings.HasPrefix(row.Key, n.platform.EvacuatePrefix)
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -197,6 +197,10 @@
 }
 
 func (p *Planner) handleWritten(now time.Duration, e Written) {
+	if e.Group == eraKey {
+		p.handleAdoptionRecorded(now, e)
+		return
+	}
 	g, ok := p.groups[e.Group]
 	if !ok || !g.writing {
 		return
--- a/formation/restore.go
+++ b/formation/restore.go
@@ -38,6 +38,9 @@
 type adoption struct {
 	era   uint64
 	until time.Duration
+	// done is set once only the row of the era has to be written, writing while that is
+	// under way.
+	done, writing bool
 }
 
 // beginAdoption starts an adoption if the rows are of an era in which there was none yet.
@@ -57,10 +60,13 @@
 		return false
 	}
 	if now >= p.adoption.until || (len(p.groups) == 0 && !p.anyMember()) {
-		p.finishAdoption()
-		return false
+		p.adoption.done = true
 	}
-	if now < p.storeRetryAt {
+	switch {
+	case p.adoption.done:
+		p.recordAdoption(now)
+		return false
+	case now < p.storeRetryAt:
 		return true
 	}
 	for _, row := range p.listedGroups() {
@@ -84,19 +90,34 @@
 	return true
 }
 
-// finishAdoption records in the store that the rows are in line with the entries.
-func (p *Planner) finishAdoption() {
+// recordAdoption records in the store that the rows are in line with the entries.
+func (p *Planner) recordAdoption(now time.Duration) {
+	if p.adoption.writing || now < p.storeRetryAt {
+		return
+	}
+	p.adoption.writing = true
 	b, err := json.Marshal(eraRow{Era: p.adoption.era})
 	if err != nil {
 		panic(err) // It holds only an integer.
 	}
-	p.adoption = nil
 	p.emit(WriteRow{Group: eraKey, Txn: infra.Txn{
 		Conditions: []infra.Condition{{RowKey: lease.EpochKey(LeaseName), Version: p.grant.EpochVersion}},
 		Writes:     []infra.Write{{RowKey: Key(eraKey), Value: b}},
 	}})
 }
 
+// handleAdoptionRecorded handles the result of the write of recordAdoption.
+func (p *Planner) handleAdoptionRecorded(now time.Duration, e Written) {
+	switch {
+	case p.adoption == nil:
+	case e.Outcome == infra.OutcomeApplied:
+		p.adoption = nil
+	default:
+		p.adoption.writing = false
+		p.delayStoreRetry(now)
+	}
+}
+
 // anyMember reports whether the entry of any of the service's servers names a group.
 func (p *Planner) anyMember() bool {
 	return slices.ContainsFunc(p.servers.Servers, func(s *fleet.Server) bool {
--- a/formation/restore_test.go
+++ b/formation/restore_test.go
@@ -89,3 +89,36 @@
 		}
 	}
 }
+
+// TestRefusedEndOfAdoption guards against an adoption whose end is never recorded because the
+// store refused the write once, so that each later read of the rows starts another one.
+func TestRefusedEndOfAdoption(t *testing.T) {
+	sim := newSimulation(t, 3, 4, 9)
+	sim.era = 1
+	sim.startPlanner()
+	sim.run(100 * time.Second)
+	sim.step(TrafficStarted{})
+	older := sim.copyState()
+	sim.run(2 * time.Second)
+	sim.restore(older, false)
+	for sim.planner.adoption == nil {
+		sim.run(tickInterval)
+	}
+	for !sim.planner.adoption.done {
+		sim.refuseWrites = sim.planner.adoption.until-sim.now < 300*time.Millisecond
+		sim.run(tickInterval)
+	}
+	sim.run(300 * time.Millisecond)
+	sim.refuseWrites = false
+	sim.run(60 * time.Second)
+	_, recorded := sim.rows[eraKey]
+	// A conflict or a lost answer makes the planner read its rows again.
+	for id := range sim.planner.groups {
+		sim.planner.groups[id].writing = true
+		sim.step(Written{Group: id, Outcome: infra.OutcomeUnknown})
+		break
+	}
+	sim.run(2 * time.Second)
+	assert.Check(t, recorded, "era row is missing a minute after the refused write")
+	assert.Check(t, sim.planner.adoption == nil, "another adoption a minute later")
+}
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -339,6 +339,9 @@
 // mayAcquire reports whether no other entry instance can hold the lease: either the row
 // names this one, or the row was still unchanged in a read after takeoverWait.
 func (m *Machine) mayAcquire() bool {
+	if m.heldUntilRestore && m.observed.epoch < m.firstEpoch() {
+		return true // The row is that of an earlier holder.
+	}
 	if m.formerHolderUnknown() && m.observed.lastSeen-m.observed.eraSince < m.cfg.Length+Margin(m.cfg.Length) {
 		return false
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -108,6 +108,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(name)
+	before := t.version
 	if infra.VersionEra(c.Version) < infra.VersionEra(t.version) {
 		return nil
 	}
@@ -126,16 +127,21 @@
 		newChanges = append(newChanges, t.applySnapshot(name, c.Version, present)...)
 		t.version = max(t.version, c.Version)
 	}
-	m.notifyWaiters(len(newChanges) > 0)
+	m.notifyWaiters(len(newChanges) > 0 || t.restored != nil && t.version > before)
 	return newChanges
 }
 
 // applySnapshot records that the rows of a snapshot have been applied, and returns the
-// deletions of the rows that it lacks.
+// deletions of the rows that it lacks. After a restore these are only rows that were seen
+// since; Settle deletes the others.
 func (t *table) applySnapshot(name string, version uint64, present map[string]bool) []infra.Change {
 	t.snapshotVersion = max(t.snapshotVersion, version)
 	if t.restored != nil {
-		return nil // Settle deletes them.
+		for key, r := range t.restored.withheld {
+			if !present[key] && r.Version <= version {
+				delete(t.restored.withheld, key)
+			}
+		}
 	}
 	return t.deleteMissing(name, version, present)
 }
@@ -145,7 +151,7 @@
 func (t *table) deleteMissing(name string, version uint64, present map[string]bool) []infra.Change {
 	var out []infra.Change
 	for key, r := range t.rows {
-		if r.Deleted || present[key] || r.Version > version {
+		if r.Deleted || present[key] || r.Version > version || (t.restored != nil && infra.VersionEra(r.Version) != infra.VersionEra(version)) {
 			continue
 		}
 		t.put(Row{Table: name, Key: key, Version: version, Deleted: true})
@@ -189,6 +195,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.tableNamed(u.Table)
+	before := t.version
 	if infra.VersionEra(u.NewestVersion) < infra.VersionEra(t.version) {
 		return nil, nil
 	}
@@ -196,7 +203,11 @@
 	var newChanges []infra.Change
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
-		present[r.Key] = true
+		// A sender that withholds rows also sends known ones that the store may lack.
+		present[r.Key] = present[r.Key] || infra.VersionEra(r.Version) == infra.VersionEra(u.NewestVersion)
+		if t.restored == nil && infra.VersionEra(r.Version) < infra.VersionEra(t.version) {
+			continue
+		}
 		if m.offer(t, r) {
 			newChanges = append(newChanges, infra.Change{
 				Row:     infra.Row{RowKey: infra.RowKey{Table: r.Table, Key: r.Key}, Version: r.Version, Value: r.Value},
@@ -210,7 +221,7 @@
 	// The update is complete up to its version, which may be that of a snapshot and
 	// above all rows.
 	t.version = max(t.version, u.NewestVersion)
-	m.notifyWaiters(len(newChanges) > 0)
+	m.notifyWaiters(len(newChanges) > 0 || t.restored != nil && t.version > before)
 	return newChanges, nil
 }
 
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -11,15 +11,16 @@
 // are back: those that their writers had written after the copy was made.
 const settleTime = 2500 * time.Millisecond
 
-// NewerFunc reports whether a row of a table is certainly newer than the known one, by what
-// its value says.
+// NewerFunc reports whether a row of a table may replace the known one at once, because its
+// value says that it is newer, or because it does no harm if it is not. The known row has no
+// value if it was deleted.
 type NewerFunc func(table string, known, row infra.Row) bool
 
 // restored is the state of a table for settleTime after the store came back from an older
 // copy. The rows of the copy may be older than the known ones, and lack some of them, until
 // their writers have written them again. Meanwhile a row of the restored store replaces a
-// known one only if it was written since the restore or says itself that it is newer. The
-// others are withheld, and nothing is deleted for being missing.
+// known one only if it was written since the restore or NewerFunc lets it. The others are
+// withheld, and known rows that the first reads lack are kept.
 type restored struct {
 	until time.Duration
 	// writtenAfter is the version after which rows have been written since the restore.
@@ -61,7 +62,7 @@
 		t.put(r)
 		return false
 	}
-	if !r.Deleted && !known.Deleted && m.newer(r.Table, known.infraRow(), r.infraRow()) {
+	if !r.Deleted && m.newer(r.Table, known.infraRow(), r.infraRow()) {
 		return t.put(r)
 	}
 	if old, ok := t.restored.withheld[r.Key]; !ok || r.Version > old.Version {
@@ -88,17 +89,25 @@
 		if out == nil {
 			out = make(map[string][]infra.Change)
 		}
-		out[name] = t.settle(name)
+		out[name] = m.settle(name, t)
 		m.notifyWaiters(true)
 	}
 	return out
 }
 
-func (t *table) settle(name string) []infra.Change {
+// settle ends the withholding of rows of a table. A known row that is certainly newer than the
+// withheld one stays.
+func (m *Mirror) settle(name string, t *table) []infra.Change {
 	var changes []infra.Change
 	withheld, writtenAfter := t.restored.withheld, t.restored.writtenAfter
 	t.restored = nil
 	for _, r := range withheld {
+		known := t.rows[r.Key]
+		if !known.Deleted && !r.Deleted && m.newer(name, r.infraRow(), known.infraRow()) {
+			known.Version = max(known.Version, r.Version)
+			t.put(known)
+			continue
+		}
 		if t.put(r) {
 			changes = append(changes, infra.Change{Row: r.infraRow(), Deleted: r.Deleted})
 		}
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -97,15 +97,28 @@
 // come back older, against changes that never arrive, and against replicas that stay
 // different.
 func TestRestoredStore(t *testing.T) {
-	for seed := range int64(400) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			rng := rand.New(rand.NewSource(seed))
-			playRestore(t, rng)
-		})
+	for name, p := range map[string]restorePlay{
+		"as told":                   {rewriteTime: 2 * time.Second},
+		"rewritten soon":            {rewriteTime: 400 * time.Millisecond},
+		"readers follow each other": {rewriteTime: 2 * time.Second, readersFollow: true},
+		"history lost again":        {rewriteTime: 2 * time.Second, lostHistory: 8},
+		"all":                       {rewriteTime: 400 * time.Millisecond, readersFollow: true, lostHistory: 8},
+	} {
+		for seed := range int64(400) {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) { p.run(t, rand.New(rand.NewSource(seed))) })
+		}
 	}
 }
 
-func playRestore(t *testing.T, rng *rand.Rand) {
+// restorePlay is a kind of play. Rows are written again within rewriteTime after a restore. If
+// lostHistory is not 0, one in that many reads is a snapshot.
+type restorePlay struct {
+	rewriteTime   time.Duration
+	readersFollow bool
+	lostHistory   int
+}
+
+func (p restorePlay) run(t *testing.T, rng *rand.Rand) {
 	const step, length = 100 * time.Millisecond, 20 * time.Second
 	now := time.Duration(0)
 	store := newRestorableStore()
@@ -134,17 +147,17 @@
 		if now == restoreAt && older.rows != nil {
 			store.restore(older)
 			restores++
-			for key := range truth {
-				rewrites[key] = now + time.Duration(rng.Int63n(int64(2*time.Second)))
+			for _, key := range slices.Sorted(maps.Keys(truth)) {
+				rewrites[key] = now + time.Duration(rng.Int63n(int64(p.rewriteTime)))
 			}
-			for key := range store.rows {
+			for _, key := range slices.Sorted(maps.Keys(store.rows)) {
 				if _, ok := truth[key]; !ok {
-					rewrites[key] = now + time.Duration(rng.Int63n(int64(2*time.Second)))
+					rewrites[key] = now + time.Duration(rng.Int63n(int64(p.rewriteTime)))
 				}
 			}
 		}
-		for key, at := range rewrites {
-			if now < at {
+		for _, key := range slices.Sorted(maps.Keys(rewrites)) {
+			if now < rewrites[key] {
 				continue
 			}
 			delete(rewrites, key)
@@ -170,6 +183,15 @@
 			}
 		}
 		for i := range versions {
+			if p.lostHistory > 0 && rng.Intn(p.lostHistory) == 0 {
+				versions[i] = 0
+			}
+			if p.readersFollow && rng.Intn(2) == 0 {
+				for _, u := range updates(mirrors[1-i], mirrors[i].Versions()) {
+					_, err := mirrors[i].Merge(u)
+					assert.NilError(t, err)
+				}
+			}
 			if rng.Intn(3) > 0 {
 				c, snapshot := store.read(versions[i])
 				mirrors[i].Apply("t", c, snapshot)
