gateway: the last group that is left is not given up for its silence

What callers saw: a stream ended after 7.7 s when its silent engine had broken off and the only other group took 1.5 s to accept: that group was given up after 1 s, six times.

Cause: an attempt of the search closes itself when it is silent, also when the attempt that it was to replace has ended. It now stays open then, bounded by the search's limit.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -138,6 +138,7 @@
 	// candidate is set until the answer goes on with an attempt that a search has
 	// found.
 	candidate bool
+	foundBy   *search
 	ended     bool
 	search    *search // for another group, while the engine is silent
 }
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -88,6 +88,8 @@
 	defer a.mu.Unlock()
 	switch {
 	case a.ended:
+	case a.candidate && a.foundBy.silentEnded():
+		// No other attempt is left. The search's limit bounds the wait.
 	case a.candidate:
 		a.ended = true
 		closeStream()
@@ -256,7 +258,7 @@
 		return searchLater, err
 	}
 	next := d.newAttempt(s.ctx, s.request, grant)
-	next.candidate = true
+	next.candidate, next.foundBy = true, s
 	if err = next.open(); err == nil {
 		if s.handOver(next) {
 			return searchEnds, nil
@@ -326,14 +328,11 @@
 // wait returns the next attempt after the silent one has ended, or nil if the router has
 // to be asked again. An error ends the request.
 func (s *search) wait() (*attempt, error) {
-	s.mu.Lock()
-	// The limits of the router apply from here on.
-	s.stopLimit()
-	s.mu.Unlock()
 	close(s.attemptEnded)
 	<-s.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopLimit()
 	if s.next == nil {
 		s.cancel(nil)
 	}
@@ -343,6 +342,17 @@
 	return s.next, s.err
 }
 
+// silentEnded reports whether the silent attempt has ended, so that the answer can only go on
+// with another one.
+func (s *search) silentEnded() bool {
+	select {
+	case <-s.attemptEnded:
+		return true
+	default:
+		return false
+	}
+}
+
 // discard ends the search because the request has ended.
 func (s *search) discard(err error) {
 	if s.abandon() || s.next == nil {
