gateway: a silent engine is replaced by the next token of another group, not by its acceptance

What callers saw: a stream ended although its engine was sound and silent for 1.5 s only, because the group that had accepted the request broke off 0.2 s later.

Cause: the head of a response was taken for the certainty that the answer goes on. Engines send it when they queue a request.

The search now reads the first frame before it hands the answer over.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -56,11 +56,26 @@
 	lastOffset int
 	idBuf      []byte
 	dataBuf    []byte
+	// first is the frame that AwaitFirst has read, until Next returns it.
+	first    Frame
+	hasFirst bool
+}
+
+// AwaitFirst reads the first frame, which the next call of Next returns. The goroutine that
+// calls Next has to wait for its return.
+func (s *Stream) AwaitFirst() error {
+	err := s.Next(&s.first)
+	s.hasFirst = err == nil
+	return err
 }
 
 // Next reads the next frame into f. Heartbeats restart the progress timeout and are
 // skipped.
 func (s *Stream) Next(f *Frame) error {
+	if s.hasFirst {
+		*f, s.hasFirst = s.first, false
+		return nil
+	}
 	*f = Frame{Offset: -1}
 	for {
 		line, err := s.reader.ReadSlice('\n')
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -146,7 +146,7 @@
 }
 
 // search looks for another group while the engine of an attempt is silent. The first of
-// these ends it: another group has accepted the request, the engine sends again, the
+// these ends it: another group has sent the next token, the engine sends again, the
 // silence limit or the deadline of the request has passed, or the caller has gone.
 type search struct {
 	silent      *attempt
@@ -208,7 +208,7 @@
 	searchLater
 )
 
-// run searches until a group has accepted the request or the search is over.
+// run searches until a group has sent the next token or the search is over.
 func (s *search) run() {
 	defer close(s.done)
 	for {
@@ -260,6 +260,9 @@
 	next := d.newAttempt(s.ctx, s.request, grant)
 	next.candidate, next.foundBy = true, s
 	if err = next.open(); err == nil {
+		err = next.stream.AwaitFirst()
+	}
+	if err == nil {
 		if s.handOver(next) {
 			return searchEnds, nil
 		}
@@ -294,7 +297,7 @@
 }
 
 // abandon ends the search because the silent engine sends again. It returns false if
-// another group has accepted the request before.
+// another group has sent the next token before.
 func (s *search) abandon() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
