--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -21,7 +21,7 @@
 	HeaderRequestLimit = "Bulrush-Request-Limit"
 	// HeaderServerLeaving is set on all responses of a backend server that will stop: it gets
 	// no new requests.
-	HeaderServerLeaving = "Bulrush-Server-Leaving"
+	HeaderServerLeaving = "Bulrush-Leaving"
 	// HeaderNotRun is set by a backend server on an error response when it
 	// did not run the request.
 	HeaderNotRun = "Bulrush-Not-Run"
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -135,7 +135,7 @@
 	stream  *engine.Stream // nil until the group has accepted the request
 
 	mu sync.Mutex
-	// candidate is set until the answer goes on with an attempt that a search has
+	// candidate is set until the answer continues with an attempt that a search has
 	// found.
 	candidate bool
 	foundBy   *search
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -163,7 +163,7 @@
 	err  error
 
 	mu sync.Mutex
-	// decided is set when the answer goes on with the silent attempt or with the next
+	// decided is set when the answer continues with the silent attempt or with the next
 	// one, or ends. expired is set if it ends.
 	decided, expired bool
 }
--- a/gateway/silent_engine_test.go
+++ b/gateway/silent_engine_test.go
@@ -29,7 +29,7 @@
 
 const (
 	// pausedTokens is the number of tokens of an answer, and pauseOffset the offset
-	// of the token before which an engine falls silent.
+	// of the token before which an engine pauses.
 	pausedTokens = 6
 	pauseOffset  = 3
 	// enginePause is a silence of a sound engine.
--- a/infra/era.go
+++ b/infra/era.go
@@ -7,7 +7,7 @@
 // the store's counter, so that they rise across restores; those of Client do not.
 
 // EraHeader is the header with the era in each answer of the stand-in's table.
-const EraHeader = "Bulrush-Store-Era"
+const EraHeader = "Bulrush-Table-Era"
 
 // EraReporter is implemented by a Table whose store can be restored from an older copy. Each
 // restore starts an era with the next number. A version of an earlier era may be given out
