--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 	cases := map[string]func(*record) int{
 		"memory": caseMemory,
 		"copies": caseCopies,
+		"late":   caseLate,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin CASE RECORD")
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,6 +33,10 @@
 	SchemaVersion uint64
 }
 
+type transaction struct {
+	ExpectRev, Puts, Remove []txEntry
+}
+
 // store is a stand-in of the platform's metadata store.
 type store struct {
 	mu      sync.Mutex
@@ -43,6 +48,10 @@
 	// era is named in all answers if it is set.
 	era     uint64
 	address string
+	// late, if not nil, decides whether a transaction gets no answer, and how much later it is done.
+	late func(t *transaction) (time.Duration, bool)
+	// onLate, if not nil, is called when that is done.
+	onLate func(applied bool)
 	// delay, if not nil, returns the additional time of a call.
 	delay func(r *http.Request) time.Duration
 }
@@ -55,7 +64,7 @@
 	}
 	s.address = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.transaction)
+	mux.HandleFunc("POST /rows-tx", s.serveTransaction)
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	go func() { _ = http.Serve(l, mux) }()
@@ -116,21 +125,38 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *store) transaction(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		ExpectRev, Puts, Remove []txEntry
-	}
+func (s *store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var t transaction
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.late != nil {
+		if by, late := s.late(&t); late {
+			time.AfterFunc(by, func() {
+				s.mu.Lock()
+				status, _ := s.perform(&t)
+				s.mu.Unlock()
+				if s.onLate != nil {
+					s.onLate(status == http.StatusOK)
+				}
+			})
+			<-r.Context().Done()
+			return
+		}
+	}
 	s.wait(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, v := s.perform(&t)
+	s.answer(w, status, v)
+}
+
+// perform performs a transaction if its conditions hold. The mutex must be held.
+func (s *store) perform(t *transaction) (int, map[string]any) {
 	for _, p := range slices.Concat(t.Puts, t.Remove) {
 		if p.Table == "op" || p.Table == "servers" {
-			s.answer(w, http.StatusForbidden, map[string]any{})
-			return
+			return http.StatusForbidden, map[string]any{}
 		}
 	}
 	current, failed := []row{}, false
@@ -144,13 +170,29 @@
 		}
 	}
 	if failed {
-		s.answer(w, http.StatusPreconditionFailed, map[string]any{"Rows": current, "SchemaVersion": s.version})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"Rows": current, "SchemaVersion": s.version}
 	}
 	s.apply(t.Puts, t.Remove)
-	s.answer(w, http.StatusOK, map[string]any{"SchemaVersion": s.version})
+	return http.StatusOK, map[string]any{"SchemaVersion": s.version}
 }
 
+// leaseHolder returns the machine that last wrote the lease.
+func (s *store) leaseHolder() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, r := range s.rows {
+		if name.Table != "lease" {
+			continue
+		}
+		if m := holderName.FindSubmatch(r.Value); m != nil {
+			return string(m[1])
+		}
+	}
+	return ""
+}
+
+var holderName = regexp.MustCompile(`"instance":"([^"]+)"`)
+
 // pageRows is the largest number of rows of one answer.
 const pageRows = 500
 
