--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -17,6 +17,7 @@
 	loadTime      = 16 * time.Second
 	formTime      = 300 * time.Millisecond
 	stallTime     = 4 * time.Second
+	coldTime      = 3 * time.Second
 	// quickLoads divides the time of loads before the first request.
 	quickLoads = 10
 )
@@ -32,6 +33,8 @@
 	// broken holds what broke the rules TWO and PARTIAL.
 	twoBroken []string
 	orders    int
+	// onTainted, if not nil, handles a request with a part that crashes workers.
+	onTainted func(w *groupWorker, id string)
 	requests  int
 	served    int
 }
@@ -61,7 +64,9 @@
 	maxEpoch, maxFence uint64
 	sequence           int
 	stallSince         time.Time
-	gone               bool
+	// coldUntil is the end of the time for which a worker that started during traffic is cold.
+	coldUntil time.Time
+	gone      bool
 }
 
 func newCluster(s *store, rec *record) *cluster {
@@ -83,6 +88,9 @@
 	w.server = &http.Server{Handler: w}
 	c.mu.Lock()
 	c.workers[id] = w
+	if c.traffic {
+		w.coldUntil = time.Now().Add(coldTime)
+	}
 	w.write()
 	c.mu.Unlock()
 	go func() { _ = w.server.Serve(l) }()
@@ -100,7 +108,7 @@
 	}
 	v := map[string]any{
 		"Service": "member-desk-llm", "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": w.slots, "State": w.state,
-		"ColdLeftMs": 0, "Stage": "unified", "Models": models, "Sequence": w.sequence, "born": w.born, "Domain": w.domain, "Staged": w.staged,
+		"ColdLeftMs": max(0, time.Until(w.coldUntil).Milliseconds()), "Stage": "unified", "Models": models, "Sequence": w.sequence, "born": w.born, "Domain": w.domain, "Staged": w.staged,
 	}
 	if w.group != nil {
 		v["group"] = w.group
@@ -316,6 +324,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if c.onTainted != nil && isTainted(r.Header.Get("Prompt-Prefix")) {
+		c.onTainted(w, id)
+		panic(http.ErrAbortHandler)
+	}
 	rw.Header().Set("Server-Seal", seal(id))
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for n := 1; n <= 3; n++ {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,9 +13,11 @@
 
 func main() {
 	cases := map[string]func(*record) int{
-		"memory": caseMemory,
-		"copies": caseCopies,
-		"late":   caseLate,
+		"memory":  caseMemory,
+		"copies":  caseCopies,
+		"late":    caseLate,
+		"silence": caseSilence,
+		"tainted": caseTainted,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin CASE RECORD")
