--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -130,6 +130,14 @@
 				Name: "look", Host: "a.example", Prefix: "/l/", Kind: route.Idempotent, AttemptLimit: 2,
 				Timeout: time.Second, LatencyGoal: 100 * time.Millisecond, Targets: []route.Target{{Service: "plain", Weight: 1}},
 			},
+			{
+				Name: "long-order", Host: "a.example", Prefix: "/long-o/", Kind: route.NonIdempotent, AttemptLimit: 1,
+				Timeout: 5 * time.Second, LatencyGoal: 200 * time.Millisecond, Targets: []route.Target{{Service: "plain", Weight: 1}},
+			},
+			{
+				Name: "long-look", Host: "a.example", Prefix: "/long-l/", Kind: route.Idempotent, AttemptLimit: 2,
+				Timeout: 5 * time.Second, LatencyGoal: 100 * time.Millisecond, Targets: []route.Target{{Service: "plain", Weight: 1}},
+			},
 		},
 		Services: []route.Service{
 			{Name: "plain"},
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -286,7 +286,7 @@
 		"chunk": func(w io.Writer, id string) {
 			streamHead(w, id)
 			chunk(w, event(1))
-			_, _ = io.WriteString(w, "16\r\nid: 2\n")
+			_, _ = io.WriteString(w, "15\r\nid: 2\n")
 			time.Sleep(silence)
 			_, _ = io.WriteString(w, "data: piece-2\n\n\r\n")
 		},
