httpconn: decode responses from what has arrived, so that no silence ends one

What callers saw: streams cut, and 502 for requests that had run, orders included, about a second after a sound server had fallen silent inside a header, a chunk size, the data or CRLF of a chunk or before the last chunk; streams without length and chunks cut whenever their connection ended after the last event.

Cause: the state of a half-read response was in net/http's readers, which cannot go on after an error. So a read that had begun got a time limit of its own (1 s), which was taken for a broken connection; and between two reads only "bytes are there" and "the connection failed" could be told apart, so the orderly end of a connection counted as a failure (and as a crash of the server) whatever the framing. The class: the result of an exchange depends on how its bytes are split into segments.

Fix: httpconn keeps the undecoded bytes and the decoder's state in the connection. ReadHead and ReadBody decode what has arrived and never wait; Await waits for more, and a wait that ends at its deadline loses nothing. Only the framing decides what the end of a connection means. The proxy of the platform (forward) waits for each part of a response in one place, waitForData, where deadline, silence, re-formed groups and convictions are checked; bodies of other requests and of 5xx answers included. The client of engines (engine) reads through the same decoder. The rest of a response that is not needed is waited for 50 ms at most; engines were given up to 1 s before, during which the caller's stream did not end.

A stream without length and chunks that ends before its first event is no success: nothing tells it from a server that has ended.

TestResponseInPieces decodes each response split at each byte.

Ruled out: a longer limit, which only moves the length of the silence that is lost.

--- a/engine/conn.go
+++ b/engine/conn.go
@@ -48,7 +48,7 @@
 	if err := c.write(r); err != nil {
 		return nil, err
 	}
-	resp, err := c.readResponse(postRequest)
+	resp, err := c.ReadResponse(postRequest)
 	if err != nil {
 		return nil, errors.Wrap(ErrConnectionFailed, err.Error())
 	}
@@ -119,7 +119,7 @@
 	if _, err := c.Write(request); err != nil {
 		return err
 	}
-	resp, err := c.readResponse(nil)
+	resp, err := c.ReadResponse(nil)
 	if err != nil {
 		return err
 	}
@@ -138,9 +138,6 @@
 	return c.SetDeadline(time.Time{})
 }
 
-// readRemaining reads a response to its end and reports whether the connection can
+// drain reads the rest of a response that is not needed and reports whether the connection can
 // be used for another request.
-func (c *dataConn) readRemaining(resp *http.Response) bool {
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil && !resp.Close && c.Reader.Buffered() == 0
-}
+func (c *dataConn) drain(resp *http.Response) bool { return !resp.Close && c.Drain() }
--- a/engine/data.go
+++ b/engine/data.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -145,10 +144,10 @@
 // Header returns the header of the response.
 func (s *Stream) Header() http.Header { return s.response.Header }
 
-// refusal reads an error response.
+// readRefusal reads an error response. It does not wait long for a detail that is late.
 func (s *Stream) readRefusal() error {
-	detail, err := io.ReadAll(io.LimitReader(s.response.Body, maxErrorBytes))
-	s.responseComplete = err == nil && len(detail) < maxErrorBytes
+	detail := s.conn.ReadPrefix(maxErrorBytes)
+	s.responseComplete = len(detail) < maxErrorBytes
 	return &RefusedError{
 		Status: s.response.StatusCode,
 		NotRun: s.response.Header.Get(HeaderNotRun) != "",
--- a/engine/poll.go
+++ b/engine/poll.go
@@ -145,12 +145,9 @@
 	if _, err = c.Write(c.request); err != nil {
 		return false, false, err
 	}
-	if _, err = c.Reader.Peek(1); err != nil {
-		return false, false, err
-	}
-	resp, err := c.readResponse(nil)
+	resp, err := c.ReadResponse(nil)
 	if err != nil {
-		return true, false, err
+		return c.Buffered() > 0, false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var buf bytes.Buffer
@@ -168,5 +165,5 @@
 		}
 		c.lastStatus, c.lastBody = s, append(c.lastBody[:0], buf.Bytes()...)
 	}
-	return true, !resp.Close && buf.Len() < maxControlBytes && c.Reader.Buffered() == 0, nil
+	return true, !resp.Close && buf.Len() < maxControlBytes && c.Buffered() == 0, nil
 }
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -122,13 +122,6 @@
 	w.observer.Silent(w.closeIfSilent)
 }
 
-// closeOnTimeout makes the next wait that reaches ProgressTimeout close the stream.
-func (w *progressWatch) closeOnTimeout() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.observer = nil
-}
-
 func (w *progressWatch) stalled() bool { return w.waitStart.Load() == watchStalled }
 
 // stop ends the watch and reports whether the watch left the stream open. A timer
--- a/engine/response.go
+++ b/engine/response.go
@@ -20,20 +20,6 @@
 	return responseConn{httpconn.New(c, readerBytes)}
 }
 
-// readResponse reads the header of the response to a request and skips informational
-// responses. A nil request stands for a GET request.
-func (c responseConn) readResponse(to *http.Request) (*http.Response, error) {
-	for {
-		resp, err := c.ReadResponse(to)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-}
-
 // statusRequest returns an encoded request for a status report.
 func statusRequest(addr string) ([]byte, error) {
 	req := http.Request{
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -183,14 +183,8 @@
 	if s.conn == nil {
 		return
 	}
-	// The connection is reusable once the response is read to its end. The
-	// progress timeout bounds that read.
-	s.watch.closeOnTimeout()
-	s.watch.startWait()
-	reusable := s.responseComplete && s.conn.readRemaining(s.response)
-	if !s.watch.stop() || !s.stopContextWatch() {
-		reusable = false
-	}
+	watchLeftOpen, contextLeftOpen := s.watch.stop(), s.stopContextWatch()
+	reusable := watchLeftOpen && contextLeftOpen && s.responseComplete && s.conn.drain(s.response)
 	if reusable {
 		s.pool.put(s.conn)
 	} else {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/route"
 )
@@ -48,7 +50,13 @@
 	server  *fleet.Server
 	backend *Backend
 	conn    *conn
-	resp    *http.Response
+	// resp is the response, once its head was read. unmatchedResponses is the number of responses
+	// to other requests before it, and discarding is true while the body of one is read, of
+	// which discardLeft bytes may still come.
+	resp               *http.Response
+	unmatchedResponses int
+	discarding         bool
+	discardLeft        int
 	// progressTimeout is how long to wait for progress while the backend server sends
 	// nothing to any request of this entry instance. 0 means until the deadline.
 	// firstEventTimeout replaces it until the first event of a stream, if it is longer.
@@ -60,7 +68,7 @@
 	checkedAt time.Duration
 	// eventReceived is true once a stream has received an event, at firstEventAt.
 	eventReceived bool
-	// buf holds the received data of a stream that is not sent to the caller yet.
+	// buf holds the received data that is not sent to the caller yet.
 	buf []byte
 	// silent is true once the backend server was silent for a progress timeout. The attempt
 	// then looks for another backend server, at moveAt at the earliest.
@@ -162,22 +170,31 @@
 )
 
 // readResponseHead reads the head of the response to the request and discards
-// responses to other requests.
+// responses to other requests. After the result stalled it can be called again.
 func (a *attempt) readResponseHead() sendResult {
-	for range maxUnmatchedResponses + 1 {
-		if r := a.waitForData(); r != answered {
-			return r
+	for {
+		if a.discarding {
+			if r := a.discardUnmatched(); r != answered {
+				return r
+			}
 		}
-		resp, err := a.conn.readResponseHead(a.req.request)
-		if err != nil {
+		resp, err := a.conn.ReadHead(a.req.request)
+		switch {
+		case errors.Is(err, httpconn.ErrIncomplete):
+			if r := a.waitForData(); r != answered {
+				return r
+			}
+			continue
+		case err != nil:
 			return a.recordConnFailure("head", err)
 		}
 		a.recordLeaving(resp.Header)
 		if id := resp.Header.Get(a.req.handler.opts.Headers.RequestID); id != "" && id != a.req.id {
 			// A late response to an earlier request on this connection.
-			if !discardBody(resp) {
+			if a.unmatchedResponses++; a.unmatchedResponses > maxUnmatchedResponses {
 				return a.recordConnFailure("stray", errUnmatchedResponses)
 			}
+			a.discarding, a.discardLeft = true, maxDiscardBytes
 			continue
 		}
 		a.resp = resp
@@ -188,6 +205,26 @@
 		a.recordResumed()
 		return a.classifyResponse()
 	}
+}
+
+// discardUnmatched reads the body of a response to another request.
+func (a *attempt) discardUnmatched() sendResult {
+	var scratch [1 << 10]byte
+	for a.discardLeft > 0 {
+		n, err := a.conn.ReadBody(scratch[:])
+		a.discardLeft -= n
+		switch {
+		case err == io.EOF:
+			a.discarding = false
+			return answered
+		case errors.Is(err, httpconn.ErrIncomplete):
+			if r := a.waitForData(); r != answered {
+				return r
+			}
+		case err != nil:
+			return a.recordConnFailure("stray", err)
+		}
+	}
 	return a.recordConnFailure("stray", errUnmatchedResponses)
 }
 
@@ -197,7 +234,7 @@
 	switch {
 	case h.Get(a.req.handler.opts.Headers.NotRun) != "" || a.resp.StatusCode == http.StatusMisdirectedRequest:
 		a.req.addStep("not-run:" + string(a.server.ID) + ":" + a.resp.Status + failedMemberSuffix(h.Get(a.req.handler.opts.Headers.FailedMember)))
-		a.reusable = discardBody(a.resp) && !a.resp.Close
+		a.drain()
 		a.req.possibleRuns--
 		return notRun
 	case a.resp.StatusCode < 200, a.resp.StatusCode/100 == 2 && !a.isAttested(), h.Get("Content-Encoding") != "":
@@ -217,12 +254,9 @@
 	return a.resp.Header.Get(names.Attestation) != "" && a.resp.Header.Get(names.RequestID) == a.req.id
 }
 
-// discardBody reads the rest of a response that is not used, and reports whether it was
-// read whole, so that the connection can carry another request.
-func discardBody(resp *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes+1))
-	return err == nil && n <= maxDiscardBytes
-}
+// drain reads the rest of a response that is not used, so that the connection can carry another
+// request.
+func (a *attempt) drain() { a.reusable = !a.resp.Close && a.conn.Drain() }
 
 func failedMemberSuffix(id string) string {
 	if id == "" {
@@ -246,7 +280,7 @@
 		if isStalled {
 			wait = unreadProbeTime
 		}
-		err := a.conn.waitReadable(time.Now().Add(wait))
+		err := a.conn.Await(time.Now().Add(wait))
 		switch {
 		case isStalled && err == nil && a.checkedAt != a.lastProgress:
 			a.checkedAt = a.lastProgress
@@ -262,7 +296,7 @@
 		if !isTimeout(err) {
 			return a.recordConnFailure("read", err)
 		}
-		if _, convicted := a.req.isConvicted(); convicted && !a.eventReceived {
+		if _, convicted := a.req.isConvicted(); convicted && !a.answerBegun() {
 			a.req.addStep("quarantined:" + string(a.server.ID))
 			return mayHaveRun
 		}
@@ -273,6 +307,11 @@
 	}
 }
 
+// answerBegun reports whether the backend server has begun its answer.
+func (a *attempt) answerBegun() bool {
+	return a.eventReceived || (a.resp != nil && a.req.route.Kind != route.Streaming)
+}
+
 // groupChanged reports whether the group that the request was sent to has been
 // re-formed or dissolved, in which case no more data will arrive for the request.
 func (a *attempt) groupChanged() bool {
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -184,7 +184,7 @@
 		if c == nil {
 			break
 		}
-		if now < c.idleDeadline && c.isReusable() {
+		if now < c.idleDeadline && c.Alive() {
 			c.reused = true
 			return c, nil
 		}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -97,7 +97,7 @@
 	if a.resp.StatusCode >= http.StatusInternalServerError && len(c.silent) > 0 {
 		// The silent attempt may still succeed.
 		c.addStep("status:" + string(a.server.ID) + ":" + a.resp.Status)
-		a.reusable = discardBody(a.resp)
+		a.drain()
 		return mayHaveRun
 	}
 	return x.relay(a)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/route"
 )
@@ -16,6 +18,8 @@
 	// of it is sent to the caller, so that the request can be retried if the response
 	// breaks off.
 	maxBufferedBody = 256 << 10
+	// bodyBufferSize is the initial size of the buffer for a response body.
+	bodyBufferSize = 1 << 10
 	// progressTimeoutFactor times the latency goal is how long an idempotent request
 	// waits for data from a backend server before it is sent to another one.
 	progressTimeoutFactor = 2
@@ -71,35 +75,76 @@
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() &&
 		c.sendCount < c.route.AttemptLimit && c.timeLeft() > minSendTime && c.takeRetry(c.now()) {
 		c.addStep("status:" + string(a.server.ID) + ":" + resp.Status)
-		a.reusable = discardBody(resp)
+		a.drain()
 		a.runResult = quarantine.RunSucceeded
 		a.recordOutcome()
 		return retryReserved
 	}
-	a.conn.setDeadline(time.Now().Add(max(minSendTime, c.timeLeft())))
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
-	if err != nil {
-		return a.recordConnFailure("body", err)
+	complete, res := a.bufferBody()
+	if res != answered {
+		return res
 	}
-	bodyComplete := len(body) < maxBufferedBody
 	copyHeader(c.writer.Header(), resp)
-	if bodyComplete {
+	if complete {
 		a.runResult = quarantine.RunSucceeded
-		a.reusable = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		a.reusable = true
 		a.recordOutcome()
 	}
 	c.writer.WriteHeader(resp.StatusCode)
-	_, _ = c.writer.Write(body) // The context reports a closed connection.
-	if !bodyComplete {
-		if _, err := io.Copy(c.writer, resp.Body); err != nil {
-			c.abort("body broke off")
-		}
+	_, _ = c.writer.Write(a.buf) // The context reports a closed connection.
+	if !complete {
+		a.relayRest()
 		a.reusable = true
 	}
 	c.recordAnswered(resp.StatusCode)
 	return answered
 }
 
+// bufferBody reads a response body into a.buf, up to maxBufferedBody, and reports whether
+// that is all of it. After the result stalled it can be called again.
+func (a *attempt) bufferBody() (complete bool, res sendResult) {
+	for len(a.buf) < maxBufferedBody {
+		if len(a.buf) == cap(a.buf) {
+			a.buf = append(make([]byte, 0, min(maxBufferedBody, max(bodyBufferSize, 2*cap(a.buf)))), a.buf...)
+		}
+		n, err := a.conn.ReadBody(a.buf[len(a.buf):cap(a.buf)])
+		a.buf = a.buf[:len(a.buf)+n]
+		switch {
+		case err == io.EOF:
+			return true, answered
+		case errors.Is(err, httpconn.ErrIncomplete):
+			if res := a.waitForData(); res != answered {
+				return false, res
+			}
+		case err != nil:
+			return false, a.recordConnFailure("body", err)
+		}
+	}
+	return false, answered
+}
+
+// relayRest relays the rest of a response of which the caller has received a part. It closes the
+// connection to the caller if the response breaks off.
+func (a *attempt) relayRest() {
+	a.progressTimeout = 0
+	b := a.buf[:cap(a.buf)]
+	for {
+		n, err := a.conn.ReadBody(b)
+		_, _ = a.req.writer.Write(b[:n]) // The context reports a closed connection.
+		switch {
+		case err == io.EOF:
+			return
+		case errors.Is(err, httpconn.ErrIncomplete):
+			if res := a.waitForData(); res != answered {
+				a.req.abort("body broke off: " + res.String())
+			}
+		case err != nil:
+			a.recordConnFailure("body", err)
+			a.req.abort("body broke off")
+		}
+	}
+}
+
 // recordOutcome records a complete response for the health of the backend server. A
 // server error on a route that is not streaming is no failure of the backend server,
 // because applications return some at any time. A working group returns none.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 )
 
@@ -111,25 +113,24 @@
 // if the stream is complete.
 func (r *relay) relayEvents(a *attempt) sendResult {
 	for {
-		if res := a.waitForData(); res != answered {
-			return res
-		}
-		a.conn.setDeadline(time.Now().Add(responseReadTimeout))
 		if cap(a.buf)-len(a.buf) < eventBufferSize/2 {
 			a.buf = append(make([]byte, 0, 2*cap(a.buf)+eventBufferSize), a.buf...)
 		}
-		n, err := a.resp.Body.Read(a.buf[len(a.buf):cap(a.buf)])
+		n, err := a.conn.ReadBody(a.buf[len(a.buf):cap(a.buf)])
 		a.buf = a.buf[:len(a.buf)+n]
-		now := r.req.now()
-		if !r.writeEvents(a, now) {
+		if n > 0 && !r.writeEvents(a, r.req.now()) {
 			return mayHaveRun
 		}
 		switch {
-		case err == io.EOF && len(a.buf) > 0:
+		case errors.Is(err, httpconn.ErrIncomplete):
+			if res := a.waitForData(); res != answered {
+				return res
+			}
+		case err == io.EOF && !r.endsWhole(a):
 			r.req.addStep("torn:" + string(a.server.ID))
 			return mayHaveRun
 		case err == io.EOF:
-			a.reusable = a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+			a.reusable = true
 			r.recordComplete(a)
 			return answered
 		case err != nil:
@@ -140,6 +141,12 @@
 	}
 }
 
+// endsWhole reports whether a stream whose body has ended is whole. One that ends with its
+// connection before any event looks like that of a backend server that has ended.
+func (r *relay) endsWhole(a *attempt) bool {
+	return len(a.buf) == 0 && (a.eventReceived || !a.conn.BodyUntilEnd())
+}
+
 // recordComplete logs and counts a stream that was relayed to its end.
 func (r *relay) recordComplete(a *attempt) {
 	if !r.headersSent {
@@ -184,6 +191,9 @@
 	defer func() {
 		if progress {
 			a.recordEvents(now)
+			// The time that the caller took to accept the events is no silence of the
+			// backend server.
+			a.lastProgress = r.req.now()
 		}
 	}()
 	for {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,33 +1,65 @@
 // Package httpconn implements a connection of an HTTP client that one goroutine at a
-// time uses. The size of response headers is bounded, because the other end is not
-// trusted, and an idle connection can be checked without blocking.
+// time uses.
+//
+// Responses are decoded from the bytes that have arrived. A wait for more bytes that ends at
+// its deadline loses nothing: the response can be read on later, wherever its bytes part.
+// The size of response headers is bounded, because the other end is not trusted, and an idle
+// connection can be checked without blocking.
 package httpconn
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
-// MaxHeaderBytes bounds the header of a response, in bytes.
-const MaxHeaderBytes = 64 << 10
+// Limits of responses.
+const (
+	// MaxHeaderBytes bounds the header of a response together with those of the informational
+	// responses before it, in bytes.
+	MaxHeaderBytes = 64 << 10
+	// DrainTimeout bounds the wait for the rest of a response that is not needed. A new
+	// connection costs less than a longer wait.
+	DrainTimeout = 50 * time.Millisecond
+	// largeBufferBytes is the size of the read buffer while a large body arrives.
+	largeBufferBytes = 32 << 10
+	// maxDrainBytes limits the rest of a response that is read to keep the connection.
+	maxDrainBytes = 1 << 20
+)
 
-// ErrHeaderTooLarge means that the header of a response exceeds MaxHeaderBytes.
-var ErrHeaderTooLarge = errors.New("response header exceeds " + strconv.Itoa(MaxHeaderBytes) + " bytes")
+// Errors of responses.
+var (
+	// ErrIncomplete means that more bytes have to arrive; see Await.
+	ErrIncomplete = errors.New("response is not complete yet")
+	// ErrHeaderTooLarge means that the header of a response exceeds MaxHeaderBytes.
+	ErrHeaderTooLarge = errors.New("response header exceeds " + strconv.Itoa(MaxHeaderBytes) + " bytes")
+	// ErrMalformed means that the bytes are no HTTP response.
+	ErrMalformed = errors.New("malformed HTTP response")
+)
 
 // Conn is a connection on which one goroutine at a time writes requests and reads
 // the responses.
 type Conn struct {
 	net.Conn
-	// Reader is the buffered reader of the connection.
-	Reader *bufio.Reader
-	// headerBytesLeft is the number of bytes that may still be read of a header.
-	// It is negative while a body is read.
-	headerBytesLeft int
+	// buf[start:end] holds the bytes that are received and not decoded yet.
+	buf        []byte
+	start, end int
+	bufferSize int
+	// needsMore is true if the undecoded bytes cannot be decoded without further ones.
+	needsMore bool
+	// endErr is the error after the last received byte: io.EOF or a failure.
+	endErr error
+	head   headScanner
+	body   bodyDecoder
 	// rawConn and probe check the connection without blocking. idleAndOpen is the
 	// result: the connection is open and has no unread bytes.
 	rawConn     syscall.RawConn
@@ -36,9 +68,8 @@
 }
 
 // New returns a connection with a read buffer of the given size.
-func New(c net.Conn, readerBytes int) *Conn {
-	r := &Conn{Conn: c, headerBytesLeft: -1}
-	r.Reader = bufio.NewReaderSize(r, readerBytes)
+func New(c net.Conn, bufferSize int) *Conn {
+	r := &Conn{Conn: c, bufferSize: bufferSize, buf: make([]byte, bufferSize)}
 	if s, ok := c.(syscall.Conn); ok {
 		r.rawConn, _ = s.SyscallConn() // with nil, Alive reports false
 	}
@@ -53,29 +84,236 @@
 
 // Alive reports whether an idle connection can be reused: it is open and has no
 // unread bytes. A server that stopped has closed it, and bytes that arrive before a
-// request are no response to one. If the read deadline has passed, Alive reports
-// false.
+// request are no response to one. It ends the read deadline of Await.
 func (c *Conn) Alive() bool {
-	return c.rawConn != nil && c.Reader.Buffered() == 0 && c.rawConn.Read(c.probe) == nil && c.idleAndOpen
+	return c.Conn.SetReadDeadline(time.Time{}) == nil && c.rawConn != nil && c.Buffered() == 0 && c.endErr == nil && c.rawConn.Read(c.probe) == nil && c.idleAndOpen
+}
+
+// Buffered returns the number of bytes that are received and not decoded yet.
+func (c *Conn) Buffered() int { return c.end - c.start }
+
+// Await waits until bytes of a response can be decoded or the connection has ended, which the
+// next ReadHead or ReadBody reports. It returns os.ErrDeadlineExceeded if neither happens
+// before the deadline, and can be called again then. It replaces the read deadline of the
+// connection; the zero time is none.
+func (c *Conn) Await(until time.Time) error {
+	if c.endErr != nil || (c.Buffered() > 0 && !c.needsMore) {
+		return nil
+	}
+	if err := c.Conn.SetReadDeadline(until); err != nil {
+		c.endErr = err
+		return nil
+	}
+	return c.receive()
+}
+
+// receive reads once from the connection. It returns an error only at the read deadline.
+func (c *Conn) receive() error {
+	if c.endErr != nil {
+		return nil
+	}
+	c.makeRoom()
+	n, err := c.Conn.Read(c.buf[c.end:])
+	c.end += n
+	if n > 0 {
+		c.needsMore = false
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if n == 0 {
+			return err
+		}
+	default:
+		c.endErr = err
+	}
+	return nil
+}
+
+// makeRoom makes room for further bytes in the buffer. The buffer grows for a response header,
+// which is decoded as a whole, and for a body whose bytes arrive faster than they are decoded.
+func (c *Conn) makeRoom() {
+	if c.start == c.end {
+		size := c.bufferSize
+		if c.end == len(c.buf) && !c.body.complete() {
+			size = max(size, largeBufferBytes)
+		}
+		c.start, c.end = 0, 0
+		if len(c.buf) != size {
+			c.buf = make([]byte, size)
+		}
+	}
+	if c.end < len(c.buf) {
+		return
+	}
+	if c.start > 0 {
+		c.end = copy(c.buf, c.buf[c.start:c.end])
+		c.start = 0
+		return
+	}
+	c.buf = append(make([]byte, 0, 2*len(c.buf)), c.buf...)
+	c.buf = c.buf[:cap(c.buf)]
 }
 
-// Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) {
-	if c.headerBytesLeft < 0 {
-		return c.Conn.Read(b)
+// ReadHead decodes the status line and header of the response to a request. A nil request
+// stands for a GET request. It returns ErrIncomplete if more bytes have to arrive. Informational
+// responses are skipped. Until the body has been read to its end, ReadHead must not be called
+// again. The Body of the response reads it with waits that end at the connection's read deadline.
+func (c *Conn) ReadHead(to *http.Request) (*http.Response, error) {
+	for {
+		n, err := c.head.scan(c.buf[c.start:c.end])
+		if err != nil {
+			return nil, err
+		}
+		if n == 0 {
+			return nil, c.incomplete()
+		}
+		resp, err := parseHead(c.buf[c.start:c.start+n], to)
+		if err != nil {
+			return nil, err
+		}
+		c.start += n
+		if resp.StatusCode < http.StatusContinue {
+			return nil, errors.Wrapf(ErrMalformed, "status %d", resp.StatusCode)
+		}
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			c.head.skip()
+			continue
+		}
+		c.head = headScanner{}
+		c.body.begin(resp)
+		resp.Body = bodyReader{c}
+		return resp, nil
 	}
-	if c.headerBytesLeft == 0 {
-		return 0, ErrHeaderTooLarge
+}
+
+// ReadBody decodes bytes of the response body from those that have arrived. It returns
+// ErrIncomplete if more have to arrive, and io.EOF at the end of the body.
+func (c *Conn) ReadBody(p []byte) (int, error) {
+	n, used, err := c.body.decode(p, c.buf[c.start:c.end])
+	c.start += used
+	switch {
+	case n > 0 || err != nil:
+		return n, err
+	case c.body.complete():
+		return 0, io.EOF
+	case len(p) == 0:
+		return 0, nil
+	case c.endErr == io.EOF && c.body.framing == untilEnd:
+		c.body.connEnded = true
+		return 0, io.EOF
+	}
+	return 0, c.incomplete()
+}
+
+// incomplete returns ErrIncomplete, or the error at the end of the connection.
+func (c *Conn) incomplete() error {
+	switch c.endErr {
+	case nil:
+		c.needsMore = true
+		return ErrIncomplete
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return c.endErr
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.headerBytesLeft)])
-	c.headerBytesLeft -= n
-	return n, err
 }
 
-// ReadResponse reads the header of the response to a request. A nil request stands for a
-// GET request. Informational responses are returned too.
+// ReadResponse reads the head of a response and waits for it until the connection's read
+// deadline, after which it can be called again.
 func (c *Conn) ReadResponse(to *http.Request) (*http.Response, error) {
-	c.headerBytesLeft = MaxHeaderBytes
-	defer func() { c.headerBytesLeft = -1 }()
-	return http.ReadResponse(c.Reader, to)
+	for {
+		resp, err := c.ReadHead(to)
+		if !errors.Is(err, ErrIncomplete) {
+			return resp, err
+		}
+		if err := c.receive(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// BodyUntilEnd reports whether the body has neither a length nor chunks, so that it ends with
+// the connection.
+func (c *Conn) BodyUntilEnd() bool { return c.body.framing == untilEnd }
+
+// Drain reads the rest of a response that is not needed, and reports whether the connection can
+// carry another request. It waits for DrainTimeout at most.
+func (c *Conn) Drain() bool {
+	if c.body.framing == untilEnd {
+		return false
+	}
+	var scratch [4 << 10]byte
+	until := time.Now().Add(DrainTimeout)
+	for left := maxDrainBytes; left > 0; {
+		n, err := c.readUntil(scratch[:], until)
+		left -= n
+		if err != nil {
+			return err == io.EOF && c.Buffered() == 0
+		}
+	}
+	return false
+}
+
+// ReadPrefix returns the start of a response body, up to a number of bytes, as far as it
+// arrives within DrainTimeout.
+func (c *Conn) ReadPrefix(limit int) []byte {
+	b := make([]byte, limit)
+	n := 0
+	for until := time.Now().Add(DrainTimeout); n < limit; {
+		k, err := c.readUntil(b[n:], until)
+		n += k
+		if err != nil {
+			break
+		}
+	}
+	return b[:n]
+}
+
+// readUntil reads a part of a response body, for which it waits until a deadline.
+func (c *Conn) readUntil(p []byte, until time.Time) (int, error) {
+	for {
+		n, err := c.ReadBody(p)
+		if !errors.Is(err, ErrIncomplete) {
+			return n, err
+		}
+		if err := c.Await(until); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// bodyReader is the body of a response.
+type bodyReader struct{ conn *Conn }
+
+// Read implements io.Reader.
+func (b bodyReader) Read(p []byte) (int, error) {
+	for {
+		n, err := b.conn.ReadBody(p)
+		if !errors.Is(err, ErrIncomplete) {
+			return n, err
+		}
+		if err := b.conn.receive(); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// Close implements io.Closer.
+func (bodyReader) Close() error { return nil }
+
+// headReaders holds *bufio.Reader for parseHead.
+var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// parseHead parses a whole response head.
+func parseHead(b []byte, to *http.Request) (*http.Response, error) {
+	r := headReaders.Get().(*bufio.Reader)
+	defer headReaders.Put(r)
+	r.Reset(bytes.NewReader(b))
+	resp, err := http.ReadResponse(r, to)
+	r.Reset(nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrMalformed, err.Error())
+	}
+	return resp, nil
 }
