forward: a re-formed group ends no answer whose body arrives

A body that arrives needs no group any more, and an earlier epoch is no news. Events of a stream still end with a later epoch or the end of the membership: the re-formed group sends no more of them (TestGroupIsReformed).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -300,7 +300,7 @@
 			a.req.addStep("quarantined:" + string(a.server.ID))
 			return mayHaveRun
 		}
-		if a.groupChanged() {
+		if a.groupChanged() && !a.bodyArrives() {
 			a.req.addStep("disbanded:" + string(a.server.ID))
 			return mayHaveRun
 		}
@@ -308,8 +308,11 @@
 }
 
 // answerBegun reports whether the backend server has begun its answer.
-func (a *attempt) answerBegun() bool {
-	return a.eventReceived || (a.resp != nil && a.req.route.Kind != route.Streaming)
+func (a *attempt) answerBegun() bool { return a.eventReceived || a.bodyArrives() }
+
+// bodyArrives reports whether the body of a response that is no stream is being read.
+func (a *attempt) bodyArrives() bool {
+	return a.resp != nil && (a.req.route.Kind != route.Streaming || a.resp.StatusCode != http.StatusOK)
 }
 
 // groupChanged reports whether the group that the request was sent to has been
@@ -319,7 +322,11 @@
 		return false
 	}
 	s, ok := a.req.handler.view.Load().servers.Get(a.server.ID)
-	return ok && (s.Group != a.server.Group || s.Epoch != a.server.Epoch)
+	if !ok || (s.Group == a.server.Group && s.Epoch == a.server.Epoch) {
+		return false
+	}
+	// An entry of an earlier epoch is an old one that was read late.
+	return s.Group == "" || s.Epoch > a.server.Epoch
 }
 
 // recordConnFailure records a connection that failed during a request.
