--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -74,6 +74,8 @@
 	// then looks for another backend server, at moveAt at the earliest.
 	silent             bool
 	moveAt, nextReport time.Duration
+	// expiredAt is when the attempt was first found to have passed its deadline.
+	expiredAt time.Duration
 	// sentAt is when the request was written to the connection.
 	sentAt, firstEventAt time.Duration
 	// run is the attempt as the attribution of crashes sees it, with its result. survived is
@@ -271,11 +273,11 @@
 	for {
 		now := a.req.now()
 		remaining := a.req.deadline - now
-		if remaining <= 0 {
-			a.req.addStep("expired:" + string(a.server.ID))
-			return expired
+		isExpired := remaining <= 0
+		if isExpired && !a.mayReadReady(now) {
+			return a.expire()
 		}
-		wait := min(a.checkInterval(), remaining)
+		wait := max(unreadProbeTime, min(a.checkInterval(), remaining))
 		isStalled := a.stalledNow(now)
 		if isStalled {
 			wait = unreadProbeTime
@@ -300,6 +302,9 @@
 		if !isTimeout(err) {
 			return a.recordConnFailure("read", err)
 		}
+		if isExpired {
+			return a.expire()
+		}
 		if _, convicted := a.req.isConvicted(); convicted && !a.answerBegun() {
 			a.req.addStep("quarantined:" + string(a.server.ID))
 			return mayHaveRun
@@ -311,6 +316,22 @@
 	}
 }
 
+// mayReadReady reports whether an attempt whose deadline has passed may read data that has arrived
+// already, for minSendTime at most: an answer that is ready is delivered late rather than not at
+// all.
+func (a *attempt) mayReadReady(now time.Duration) bool {
+	if a.expiredAt == 0 {
+		a.expiredAt = now
+	}
+	return now-a.expiredAt < minSendTime
+}
+
+// expire records that the deadline has passed.
+func (a *attempt) expire() sendResult {
+	a.req.addStep("expired:" + string(a.server.ID))
+	return expired
+}
+
 // answerBegun reports whether the backend server has begun its answer.
 func (a *attempt) answerBegun() bool { return a.eventReceived || a.bodyArrives() }
 
--- a/forward/response_test.go
+++ b/forward/response_test.go
@@ -151,3 +151,20 @@
 		assert.Equal(t, body, "ok")
 	}
 }
+
+// TestAnswerReadyAtDeadline guards against an answer that is lost because the deadline passed
+// between its head and its body, both of which have arrived.
+func TestAnswerReadyAtDeadline(t *testing.T) {
+	var r *testSetup
+	s := startScriptedServer(t, func(w io.Writer, _ *http.Request) bool {
+		// This process does not run from here until after the deadline.
+		r.stoppedAt.Store(int64(time.Since(r.start) + time.Minute))
+		reply(w, "id-1", "200 OK", strings.Repeat("x", 64<<10))
+		return true
+	})
+	r = newTestSetup(t, s.server("s1"))
+	resp, body, err := r.do(r.request("POST", "/long-o/", "prompt"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, len(body), 64<<10)
+}
