engine: a connection that still owes bytes of the status response carries no request

Found by the review: the status check before the first request on a connection decoded the report and ignored whether the rest of the response had come (a last chunk 0.5 s or more late) and whether the engine closes the connection. The completion then met "status line begins with 0\r\n\r\nHT" or an ended connection, which counts as a crash of the engine. Such a connection is given up as not sent; the request goes elsewhere.

--- a/engine/conn.go
+++ b/engine/conn.go
@@ -86,6 +86,10 @@
 	return nil
 }
 
+// errStatusNotRead means that the connection of a status check cannot carry a request, because the
+// rest of the status response is missing or the engine closes the connection after it.
+var errStatusNotRead = errors.New("status response of the engine leaves no usable connection")
+
 // dialChecked opens a connection and checks the engine's status on it before the
 // first request.
 func (d *Data) dialChecked(ctx context.Context, target Target, key poolKey) (*dataConn, error) {
@@ -128,12 +132,13 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&s); err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
 	switch {
 	case s.Incarnation != target.Incarnation:
 		return ErrIncarnationChanged
 	case s.Cold && !target.Cold:
 		return ErrEngineCold
+	case !c.drain(resp):
+		return errStatusNotRead
 	}
 	return c.SetDeadline(time.Time{})
 }
