httpconn: a bare line feed ends no line of a chunked body

Found by the review: "3;x\nabc\r\n0\r\n\r\n" gave the body "0\r\n", because the line feed was taken as a part of the extension, and "0\r\n\n" waited for more bytes.

--- a/internal/httpconn/decoder.go
+++ b/internal/httpconn/decoder.go
@@ -178,8 +178,11 @@
 	case chunkSize:
 		return d.stepSize(c)
 	case chunkExtension:
-		if c == '\r' {
+		switch c {
+		case '\r':
 			d.state = chunkSizeLF
+		case '\n':
+			return errors.Wrap(ErrMalformed, "line feed without carriage return after a chunk size")
 		}
 		return nil
 	case chunkSizeLF:
@@ -190,9 +193,12 @@
 		d.digits = 0
 		return d.expect(c, '\n', chunkSize)
 	case trailerLineStart:
-		if c == '\r' {
+		switch c {
+		case '\r':
 			d.state = lastLF
-		} else {
+		case '\n':
+			return errors.Wrap(ErrMalformed, "line feed without carriage return after a chunked body")
+		default:
 			d.state = trailerLine
 		}
 		return nil
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -200,3 +200,14 @@
 		assert.Equal(t, fmt.Sprint(resp.Status), other.Status)
 	})
 }
+
+// TestLineFeedInExtension guards against a chunk whose end depends on whether a bare line feed ends
+// the line of its size, as net/http refuses it.
+func TestLineFeedInExtension(t *testing.T) {
+	for _, text := range []string{"3;x\nabc\r\n0\r\n\r\n", "3 \nabc\r\n0\r\n\r\n", "0\r\n\n"} {
+		t.Run(text, func(t *testing.T) {
+			_, body, err := readPieces(New(&piecewise{pieces: []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + text}, end: errors.New("waits for more bytes")}, 64))
+			assert.ErrorIs(t, err, ErrMalformed, "%q, body %q", text, body)
+		})
+	}
+}
