--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -134,14 +134,10 @@
 // which is decoded as a whole, and for a body whose bytes arrive faster than they are decoded.
 func (c *Conn) makeRoom() {
 	if c.start == c.end {
-		size := c.bufferSize
-		if c.end == len(c.buf) && !c.body.complete() {
-			size = max(size, largeBufferBytes)
+		if c.end == len(c.buf) && len(c.buf) < largeBufferBytes && !c.body.complete() {
+			c.buf = make([]byte, largeBufferBytes)
 		}
 		c.start, c.end = 0, 0
-		if len(c.buf) != size {
-			c.buf = make([]byte, size)
-		}
 	}
 	if c.end < len(c.buf) {
 		return
@@ -196,6 +192,7 @@
 	case n > 0 || err != nil:
 		return n, err
 	case c.body.complete():
+		c.releaseBuffer()
 		return 0, io.EOF
 	case len(p) == 0:
 		return 0, nil
@@ -206,6 +203,14 @@
 	return 0, c.incomplete()
 }
 
+// releaseBuffer replaces the buffer of a large response, because a connection may be idle for long.
+func (c *Conn) releaseBuffer() {
+	if c.start == c.end && len(c.buf) > c.bufferSize {
+		c.buf = make([]byte, c.bufferSize)
+		c.start, c.end = 0, 0
+	}
+}
+
 // incomplete returns ErrIncomplete, or the error at the end of the connection.
 func (c *Conn) incomplete() error {
 	switch c.endErr {
