forward: no late copy of a response is taken for the answer to another request

A faulty server sends a second copy of a refusal, without the name of its request, when the next order waits on that connection.

Cause: bytes on a kept connection were taken for the answer to whichever request waits, if they named none. The class: a promise ("not run") is believed without proof that it is about this request.

Rule: on a connection that has carried another request, a response without the name proves nothing and is discarded like one that names another request; failures of any status as well, not only refusals. Orders always go out on a connection that has carried nothing, where the first response can only be theirs, named or not. The balancer prefers servers with idle connections only for requests that can use them.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -120,7 +120,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, max(time.Millisecond, c.deadline-now))
 	defer cancel()
-	conn, err := b.connect(dialCtx, s.Address, now)
+	conn, err := b.connect(dialCtx, s.Address, now, c.needsUnusedConn())
 	if err != nil {
 		a.finish()
 		if c.isCanceled() {
@@ -163,6 +163,10 @@
 	return a, answered
 }
 
+// needsUnusedConn reports whether the request is sent on a new connection only. No copy of an earlier
+// response can arrive there, so that a response without the name of its request answers this one.
+func (c *call) needsUnusedConn() bool { return c.route.Kind == route.NonIdempotent }
+
 // Times without new requests for a backend server after a failure.
 const (
 	dialFailurePause = 400 * time.Millisecond
@@ -191,7 +195,7 @@
 			return a.recordConnFailure("head", err)
 		}
 		a.recordLeaving(resp.Header)
-		if id := resp.Header.Get(a.req.handler.opts.Headers.RequestID); id != "" && id != a.req.id {
+		if !a.answersRequest(resp) {
 			// A late response to an earlier request on this connection.
 			if a.unmatchedResponses++; a.unmatchedResponses > maxUnmatchedResponses {
 				return a.recordConnFailure("stray", errUnmatchedResponses)
@@ -209,6 +213,14 @@
 	}
 }
 
+// answersRequest reports whether a response is to the request of the attempt. One that names no
+// request can be a late copy of an earlier response, unless the connection has carried no other
+// request.
+func (a *attempt) answersRequest(resp *http.Response) bool {
+	id := resp.Header.Get(a.req.handler.opts.Headers.RequestID)
+	return id == a.req.id || (id == "" && !a.conn.reused && a.unmatchedResponses == 0)
+}
+
 // discardUnmatched reads the body of a response to another request.
 func (a *attempt) discardUnmatched() sendResult {
 	var scratch [1 << 10]byte
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -177,9 +177,10 @@
 	b.coldSendTimes = append(b.coldSendTimes, now)
 }
 
-// connect returns an idle connection that is still open, or a new one.
-func (b *Backend) connect(ctx context.Context, address string, now time.Duration) (*conn, error) {
-	for {
+// connect returns an idle connection that is still open unless unused is set, and otherwise a new
+// one.
+func (b *Backend) connect(ctx context.Context, address string, now time.Duration, unused bool) (*conn, error) {
+	for !unused {
 		c := b.popIdleConn()
 		if c == nil {
 			break
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -122,7 +122,7 @@
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
 		}
-		if b.hasIdleConn() {
+		if !c.needsUnusedConn() && b.hasIdleConn() {
 			o.weight *= idleConnWeight
 		}
 		out = append(out, o)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -83,6 +83,7 @@
 		if err != nil {
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		b.mu.Lock()
 		b.received, b.bodies = append(b.received, r), append(b.bodies, string(body))
 		b.mu.Unlock()
