Groups are not re-formed for the silence of a sound server while requests depend on them

Seen: streams that no other group can take over ended without their answer ("disbanded", or broken at the head) when the head or a member of their group was silent for 1.0 to 1.5 s and then went on.

Cause: a stall report has the planner probe the group; one probe that got no reply within 150 ms marked a member as dead if half of the others answered, and the group was repaired under a new epoch, which ends its running requests.

Fix: a probe that only timed out is a suspicion: the group still gets no new requests and movable ones look for another group at once, but the member counts as dead only after MaxSilence (2 s) and a further probe, while the service has routes whose requests can run only once. A probe that is refused, reset or answered by another server, a changed incarnation and a broken head act at once as before, and so does a silence where all requests are repeatable. A head that is silent is not replaced as failing either.

Ruled out: the silence handling of the request handler itself, which waits (TestSilentServerIsWaitedFor).

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -239,6 +240,8 @@
 	mu          sync.Mutex
 	byID        map[ident.InstanceID]fleet.Server
 	unreachable map[ident.InstanceID]bool
+	// silent are the servers that answer nothing at present.
+	silent map[ident.InstanceID]bool
 }
 
 func (f *fakeServers) write(s fleet.Server) {
@@ -251,6 +254,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.byID[o.Server]
+	if f.silent[o.Server] {
+		return formation.OrderOutcome{Err: os.ErrDeadlineExceeded}
+	}
 	if !ok || f.unreachable[o.Server] {
 		return formation.OrderOutcome{Err: io.EOF}
 	}
@@ -275,6 +281,9 @@
 func (f *fakeServers) Alive(_ context.Context, _ string, id ident.InstanceID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.silent[id] {
+		return os.ErrDeadlineExceeded
+	}
 	if f.unreachable[id] {
 		return io.EOF
 	}
@@ -316,7 +325,7 @@
 func newTestCluster(t *testing.T, network, entries int) *testCluster {
 	t.Helper()
 	tc := &testCluster{t: t, store: newMemStore()}
-	tc.servers = &fakeServers{store: tc.store, byID: make(map[ident.InstanceID]fleet.Server), unreachable: make(map[ident.InstanceID]bool)}
+	tc.servers = &fakeServers{store: tc.store, byID: make(map[ident.InstanceID]fleet.Server), unreachable: make(map[ident.InstanceID]bool), silent: make(map[ident.InstanceID]bool)}
 	for i := range entries {
 		tc.nodes = append(tc.nodes, tc.startNode(network, i))
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -350,7 +350,11 @@
 		n.log.WithField("config_version", n.routes.Version).Info("ready")
 		n.requestBeacon()
 	}
-	n.stepPlanner(formation.ConfigChanged{Service: n.modelService(), Evacuated: n.evacuated})
+	service, unrepeatable := n.modelService(), time.Duration(0)
+	if service != nil {
+		unrepeatable = n.routes.UnrepeatableTime(service.Name)
+	}
+	n.stepPlanner(formation.ConfigChanged{Service: service, Evacuated: n.evacuated, UnrepeatableTime: unrepeatable})
 	n.stepPlanner(formation.ServersChanged{Servers: n.serverSnapshot})
 }
 
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/sirupsen/logrus"
 
@@ -126,5 +127,12 @@
 		fields["error"] = err.Error()
 	}
 	n.log.WithFields(fields).Info("probe")
-	n.post(plannerEvent{formation.Probed{Member: p.Member, Alive: err == nil}})
+	n.post(plannerEvent{formation.Probed{Member: p.Member, Alive: err == nil, Silent: isSilence(err)}})
+}
+
+// isSilence reports whether a probe failed because nothing came in time. Any other error,
+// such as a refused or reset connection, shows that the server has ended.
+func isSilence(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -32,12 +32,15 @@
 	// epoch. The planner does nothing more until the lease is renewed.
 	fenced bool
 
-	service     *route.Service
-	evacuated   []ident.DataCentre
-	servers     *fleet.Snapshot
-	groups      map[ident.GroupID]*group
-	dead        map[ident.InstanceID]deadMark
-	probeSentAt map[ident.InstanceID]time.Duration
+	service   *route.Service
+	evacuated []ident.DataCentre
+	// unrepeatableTime is that of the configuration, and unrepeatableUntil when the last
+	// requests of earlier configurations end.
+	unrepeatableTime, unrepeatableUntil time.Duration
+	servers                             *fleet.Snapshot
+	groups                              map[ident.GroupID]*group
+	dead                                map[ident.InstanceID]deadMark
+	probeSentAt                         map[ident.InstanceID]time.Duration
 	// probeAnsweredAt is when a server last answered a probe, failedProbes holds the
 	// servers that did not answer.
 	probeAnsweredAt map[ident.InstanceID]time.Duration
@@ -133,6 +136,7 @@
 		}
 	case ConfigChanged:
 		p.service, p.evacuated = e.Service, e.Evacuated
+		p.recordUnrepeatable(now, e.UnrepeatableTime)
 	case LeaseChanged:
 		p.handleLeaseChanged(now, e)
 	case RowsRead:
@@ -174,6 +178,14 @@
 	p.leaseHeld, p.grant, p.fenced = e.Held, e.Grant, false
 }
 
+// recordUnrepeatable records how long requests may run that no other group can take over.
+func (p *Planner) recordUnrepeatable(now, longest time.Duration) {
+	if p.unrepeatableTime > 0 {
+		p.unrepeatableUntil = now + p.unrepeatableTime
+	}
+	p.unrepeatableTime = longest
+}
+
 func (p *Planner) handleRowsRead(now time.Duration, e RowsRead) {
 	p.readingRows, p.rowsLoaded, p.storeRetryDelay = false, true, 0
 	clear(p.groups)
--- a/formation/probe.go
+++ b/formation/probe.go
@@ -13,6 +13,9 @@
 	incarnation ident.Incarnation
 	failedAt    time.Duration
 	count       int
+	// silentSince is when the first of them was sent, if the last one got no reply at all.
+	silentSince time.Duration
+	silent      bool
 }
 
 // handleProbed records the result of a probe.
@@ -26,19 +29,29 @@
 		}
 		return
 	}
-	failed := p.failedProbes[id]
-	p.failedProbes[id] = failedProbe{incarnation: e.Member.Incarnation, failedAt: now, count: failed.count + 1}
+	failed, ok := p.failedProbes[id]
+	if !ok || failed.incarnation != e.Member.Incarnation {
+		failed = failedProbe{incarnation: e.Member.Incarnation, silentSince: now}
+		if sentAt, ok := p.probeSentAt[id]; ok {
+			failed.silentSince = sentAt
+		}
+	}
+	failed.failedAt, failed.silent = now, e.Silent
+	failed.count++
+	p.failedProbes[id] = failed
 }
 
 // markDeadServers decides which of the servers that did not answer a probe are dead. If
 // fewer than half of a group answer, the cause may be this entry instance, which may be
 // slow or cut off from the network. In that case a server counts as dead only after a
-// second probe has failed.
+// second probe has failed. One that is only silent counts as dead after MaxSilence if
+// requests would end with its group.
 func (p *Planner) markDeadServers(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(p.failedProbes)) {
 		failed, g := p.failedProbes[id], p.groupOf(id)
+		sound := g != nil && p.mayBeSound(now, failed, g)
 		switch {
-		case g == nil || failed.count > 1 || 2*p.answeredInRound(failed, g) >= len(g.Members):
+		case !sound && (g == nil || failed.count > 1 || 2*p.answeredInRound(failed, g) >= len(g.Members)):
 			if _, ok := p.dead[id]; !ok {
 				p.emit(LogEntry{Text: "backend server gives no sign of life", Detail: string(id)})
 			}
@@ -52,6 +65,33 @@
 	}
 }
 
+// mayBeSound reports whether a server that did not answer a probe may only be silent for a
+// while, and its group may run requests that would end if it counted as dead.
+func (p *Planner) mayBeSound(now time.Duration, failed failedProbe, g *group) bool {
+	return failed.silent && failed.failedAt-failed.silentSince < p.cfg.MaxSilence && p.holdsRequests(now, g)
+}
+
+// holdsRequests reports whether a group may run requests that no other group can take over.
+// They end when the group is re-formed.
+func (p *Planner) holdsRequests(now time.Duration, g *group) bool {
+	if p.unrepeatableTime == 0 && now >= p.unrepeatableUntil {
+		return false
+	}
+	switch c, _ := p.condition(g, g.Members[0]); c {
+	case memberOpen, memberClosing, memberDraining, memberUnlisted:
+		return true
+	default:
+		return false
+	}
+}
+
+// isSilent reports whether a server did not reply to its last probe and does not count as
+// dead yet.
+func (p *Planner) isSilent(id ident.InstanceID) bool {
+	failed, ok := p.failedProbes[id]
+	return ok && failed.silent
+}
+
 // failedProbeTTL is how long a failed probe is remembered, so that it counts together
 // with the next one.
 const failedProbeTTL = 2 * time.Second
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -101,6 +101,8 @@
 		p.reformBroken(now, g)
 	case head == memberReady:
 		p.orderOpen(now, g)
+	case serving && g.headFailingSince != 0 && p.isSilent(g.Members[0].ID):
+		g.headFailingSince = 0 // It may be sound; the next report tells.
 	case serving && g.headFailingSince != 0:
 		if now-g.headFailingSince >= p.cfg.HeadProbeWait && now >= p.storeRetryAt {
 			p.replaceHead(g)
--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -37,6 +37,8 @@
 	lostAnswerFraction, lateOrderFraction float64
 	// lostWriteFraction is the fraction of writes whose results are lost.
 	lostWriteFraction float64
+	// unrepeatableTime is the longest time of requests that no other group can take over.
+	unrepeatableTime time.Duration
 	// failProbes makes all probes fail.
 	failProbes bool
 	// refuseWrites makes the table refuse all writes; writeCalls counts the calls.
@@ -63,6 +65,8 @@
 	fleet.Server
 	dead   bool
 	listed bool
+	// silentUntil is when a live server that answers nothing goes on.
+	silentUntil time.Duration
 	// members is the member list of its last join.
 	members []ident.InstanceID
 	// maxEpoch and maxFence are the highest epoch and fencing token it has seen.
@@ -77,6 +81,9 @@
 
 const tickInterval = 50 * time.Millisecond
 
+// silentProbeTime is how long a probe of a silent server takes to fail.
+const silentProbeTime = 150 * time.Millisecond
+
 func testService() route.Service {
 	return route.Service{
 		Name: "llm", Slots: 26, LoadRate: 4.5, LoadsAtOnce: 6,
@@ -115,7 +122,7 @@
 	sim.leaseEpoch++
 	sim.version++
 	sim.planner = New(DefaultConfig())
-	sim.step(ConfigChanged{Service: &sim.service})
+	sim.step(ConfigChanged{Service: &sim.service, UnrepeatableTime: sim.unrepeatableTime})
 	sim.step(ServersChanged{Servers: sim.snapshot()})
 	sim.step(LeaseChanged{Held: true, Grant: lease.Grant{Epoch: sim.leaseEpoch, EpochVersion: sim.version, Expires: time.Hour}})
 }
@@ -173,6 +180,10 @@
 		sim.sendOrder(p, a.Order)
 	case Probe:
 		s := sim.servers[a.Member.ID]
+		if s != nil && sim.now < s.silentUntil {
+			sim.reply(p, silentProbeTime, Probed{Member: a.Member, Silent: true})
+			return
+		}
 		sim.reply(p, callTime, Probed{Member: a.Member, Alive: s != nil && !s.dead && !sim.failProbes})
 	}
 }
@@ -214,6 +225,11 @@
 		sim.reply(p, 800*time.Millisecond, Ordered{Order: o, Outcome: OrderOutcome{Err: fmt.Errorf("no answer")}})
 		return
 	}
+	if sim.now < s.silentUntil {
+		sim.after(s.silentUntil-sim.now, func() { sim.executeOrder(s, o) })
+		sim.reply(p, 800*time.Millisecond, Ordered{Order: o, Outcome: OrderOutcome{Err: fmt.Errorf("no answer")}})
+		return
+	}
 	if r := sim.rng.Float64(); r < sim.lateOrderFraction {
 		restarts := s.restarts
 		sim.after(time.Duration(2+sim.rng.Intn(8))*time.Second, func() {
@@ -355,6 +371,18 @@
 	s.readyIn = make(map[string]bool)
 }
 
+// silence makes servers answer nothing for a time, after which they go on. The stall of
+// their group is reported after stallTime and then each second, as entry instances do.
+func (sim *simulation) silence(d time.Duration, g ident.GroupID, e ident.Epoch, servers ...*simServer) {
+	const stallTime = 400 * time.Millisecond
+	for _, s := range servers {
+		s.silentUntil = sim.now + d
+	}
+	for at := stallTime; at < d; at += time.Second {
+		sim.after(at, func() { sim.step(GroupStalled{Group: g, Epoch: e}) })
+	}
+}
+
 func (sim *simulation) run(d time.Duration) {
 	for end := sim.now + d; sim.now < end; sim.now += tickInterval {
 		due := sim.pendingEvents
--- a/formation/types.go
+++ b/formation/types.go
@@ -128,6 +128,9 @@
 type ConfigChanged struct {
 	Service   *route.Service
 	Evacuated []ident.DataCentre
+	// UnrepeatableTime is the longest time that a request to the service may run which no
+	// other group can take over, or 0 if there are none.
+	UnrepeatableTime time.Duration
 }
 
 // LeaseChanged reports that the planner's lease was acquired, renewed or lost.
@@ -172,10 +175,11 @@
 	Epoch ident.Epoch
 }
 
-// Probed is the result of Probe.
+// Probed is the result of Probe. Silent is set if the probe failed because nothing came in
+// time, which a sound server's silence explains too.
 type Probed struct {
-	Member Member
-	Alive  bool
+	Member        Member
+	Alive, Silent bool
 }
 
 // TrafficStarted reports that callers have begun to send requests. From then on the rate of
@@ -245,6 +249,10 @@
 	// HeadProbeWait is how long the planner waits for the probe of a failing head
 	// before it makes another member the head. It exceeds a probe's timeout.
 	HeadProbeWait time.Duration
+	// MaxSilence is how long a server may answer nothing before it counts as dead, while its
+	// group may run requests that no other group can take over. A sound server may be
+	// silent for a second or so.
+	MaxSilence time.Duration
 	// DeadTTL is how long a server that failed its probes counts as dead.
 	DeadTTL time.Duration
 	// DeadUnlistedTTL is added to DeadTTL while the server is not in the list either.
@@ -283,6 +291,7 @@
 		DrainTimeout:          1200 * time.Millisecond,
 		ProbeInterval:         600 * time.Millisecond,
 		HeadProbeWait:         200 * time.Millisecond,
+		MaxSilence:            2 * time.Second,
 		DeadTTL:               6 * time.Second,
 		DeadUnlistedTTL:       time.Minute,
 		UnlistedHeadTimeout:   1500 * time.Millisecond,
--- a/route/table.go
+++ b/route/table.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -73,6 +74,19 @@
 // accounts are configured.
 func (t *Table) NeedsKey(r *Route) bool { return len(t.Accounts) > 0 && !r.Public }
 
+// UnrepeatableTime returns the longest time that a request to a service may take which may be
+// executed only once, or 0 if there are none.
+func (t *Table) UnrepeatableTime(service ident.ServiceName) time.Duration {
+	longest := time.Duration(0)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if !r.Repeatable() && slices.ContainsFunc(r.Targets, func(to Target) bool { return to.Service == service }) {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Service returns the description of a service.
 func (t *Table) Service(name ident.ServiceName) (*Service, bool) {
 	s, ok := t.servicesByName[name]
