--- a/edge/stall.go
+++ b/edge/stall.go
@@ -25,6 +25,8 @@
 	// stalledGroupPause is how long a group gets no requests after its stall has been
 	// confirmed. A repair ends the pause earlier.
 	stalledGroupPause = 1200 * time.Millisecond
+	// stallReportTime is how long a report is announced.
+	stallReportTime = time.Second
 	// stallReportLifetime is how long a report counts. A single report is not enough,
 	// because its sender may be slow itself: a second instance has to report the
 	// group too, or the same one again after stallRepeatInterval.
@@ -45,16 +47,22 @@
 }
 
 // reportStall records that a request found a group without progress, and announces
-// it to the other entry instances. The request handler calls it from any goroutine.
-func (n *Node) reportStall(group ident.GroupID, epoch ident.Epoch) {
+// it to the other entry instances. pinned means that the request cannot be sent to another
+// group. The request handler calls it from any goroutine.
+func (n *Node) reportStall(group ident.GroupID, epoch ident.Epoch, pinned bool) {
+	now := n.now()
 	key := beacon.GroupEpoch{Group: group, Epoch: epoch}
 	n.stalledGroups.Lock()
-	_, known := n.stalledGroups.reportUntil[key]
-	n.stalledGroups.reportUntil[key] = n.now() + time.Second
+	times, known := n.stalledGroups.reports[key]
+	times.reportUntil = now + stallReportTime
+	if pinned && now >= times.pinnedUntil {
+		times.pinnedUntil, known = now+stallReportTime, false
+	}
+	n.stalledGroups.reports[key] = times
 	n.stalledGroups.Unlock()
 	if !known {
 		n.requestBeacon()
-		n.post(stallReportEvent{key, n.settings.Instance})
+		n.post(stallReportEvent{beacon.StalledGroup{GroupEpoch: key, Pinned: pinned}, n.settings.Instance})
 	}
 }
 
@@ -62,6 +70,9 @@
 // the group is paused and the planner checks it.
 func (n *Node) handleStallReport(e stallReportEvent) {
 	now := n.now()
+	if e.Pinned {
+		n.stepPlanner(formation.GroupPinned{Group: e.Group, Epoch: e.Epoch})
+	}
 	if head := n.groupHead(e.GroupEpoch); head == nil || n.handler.GroupProgresses(head, now) {
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -60,9 +60,9 @@
 }
 
 // reportStalledGroup calls Options.OnStalledGroup with a group that stopped sending data.
-func (h *Handler) reportStalledGroup(group ident.GroupID, epoch ident.Epoch) {
+func (h *Handler) reportStalledGroup(group ident.GroupID, epoch ident.Epoch, pinned bool) {
 	if h.opts.OnStalledGroup != nil && group != "" {
-		h.opts.OnStalledGroup(group, epoch)
+		h.opts.OnStalledGroup(group, epoch, pinned)
 	}
 }
 
