--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -65,13 +65,6 @@
 	Epoch ident.Epoch   `msgpack:"e"`
 }
 
-// StalledGroup is a group that makes no progress. Pinned is true if a request there cannot be
-// sent to another group.
-type StalledGroup struct {
-	GroupEpoch
-	Pinned bool `msgpack:"p"`
-}
-
 // Message is the content of a beacon.
 type Message struct {
 	From        ident.InstanceID  `msgpack:"f"`
@@ -101,7 +94,7 @@
 	RequestsReceived bool   `msgpack:"v"`
 	Loads            []Load `msgpack:"o"`
 	// StalledGroups are groups at which requests of the sender made no progress.
-	StalledGroups []StalledGroup `msgpack:"u"`
+	StalledGroups []GroupEpoch `msgpack:"u"`
 	// FailingServers are the hashes of backend servers whose last answer to the sender
 	// was a failure.
 	FailingServers []uint32 `msgpack:"z"`
--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -97,7 +97,7 @@
 
 // StalledReport is an entry instance's report that a group makes no progress.
 type StalledReport struct {
-	StalledGroup
+	GroupEpoch
 	Reporter ident.InstanceID `msgpack:"f"`
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -35,7 +35,7 @@
 	// stallReportEvent carries an entry instance's report that requests at a group
 	// make no progress.
 	stallReportEvent struct {
-		beacon.StalledGroup
+		beacon.GroupEpoch
 		reporter ident.InstanceID
 	}
 	// leaveEvent is posted when the process starts its shutdown.
--- a/edge/node.go
+++ b/edge/node.go
@@ -139,12 +139,9 @@
 // progress, and the time until which beacons report them.
 type stalledGroupSet struct {
 	sync.Mutex
-	reports map[beacon.GroupEpoch]stallTimes
+	reportUntil map[beacon.GroupEpoch]time.Duration
 }
 
-// stallTimes are until when a group is reported as stalled, and as pinned.
-type stallTimes struct{ reportUntil, pinnedUntil time.Duration }
-
 // New returns an entry instance. Run starts it.
 func New(settings Settings, platform Platform, log *logrus.Logger, metrics *telemetry.Metrics) *Node {
 	n := &Node{
@@ -161,7 +158,7 @@
 		{node: n, table: platform.OperatorTable, pollTimeout: operatorPollTimeout, wake: make(chan struct{}, 1)},
 		{node: n, table: platform.ServerTable, pollTimeout: serverPollTimeout, batchDelay: serverBatchDelay, wake: make(chan struct{}, 1)},
 	}
-	n.stalledGroups.reports = make(map[beacon.GroupEpoch]stallTimes)
+	n.stalledGroups.reportUntil = make(map[beacon.GroupEpoch]time.Duration)
 	n.serverSnapshot = n.serverList.Snapshot()
 	n.leaseMachine = lease.New(plannerLeaseConfig(), n.self, formation.LeaseName)
 	planConfig := formation.DefaultConfig()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -78,12 +78,12 @@
 	failing, healthy := n.handler.HealthReports(now)
 	m.FailingServers, m.HealthyServers = beacon.HashIDs(failing), beacon.HashIDs(healthy)
 	n.stalledGroups.Lock()
-	for s, times := range n.stalledGroups.reports {
-		if now >= times.reportUntil {
-			delete(n.stalledGroups.reports, s)
+	for s, until := range n.stalledGroups.reportUntil {
+		if now >= until {
+			delete(n.stalledGroups.reportUntil, s)
 			continue
 		}
-		m.StalledGroups = append(m.StalledGroups, beacon.StalledGroup{GroupEpoch: s, Pinned: now < times.pinnedUntil})
+		m.StalledGroups = append(m.StalledGroups, s)
 	}
 	n.stalledGroups.Unlock()
 	n.peers.SetSelf(m)
@@ -189,7 +189,7 @@
 		n.post(peerEvent{run: run})
 	}
 	for _, r := range result.Stalled {
-		n.post(stallReportEvent{r.StalledGroup, r.Reporter})
+		n.post(stallReportEvent{r.GroupEpoch, r.Reporter})
 	}
 	if len(result.Stalled) > 0 && n.isRelay.Load() {
 		n.requestBeacon()
--- a/edge/stall.go
+++ b/edge/stall.go
@@ -25,8 +25,6 @@
 	// stalledGroupPause is how long a group gets no requests after its stall has been
 	// confirmed. A repair ends the pause earlier.
 	stalledGroupPause = 1200 * time.Millisecond
-	// stallReportTime is how long a report is announced.
-	stallReportTime = time.Second
 	// stallReportLifetime is how long a report counts. A single report is not enough,
 	// because its sender may be slow itself: a second instance has to report the
 	// group too, or the same one again after stallRepeatInterval.
@@ -47,22 +45,16 @@
 }
 
 // reportStall records that a request found a group without progress, and announces
-// it to the other entry instances. pinned means that the request cannot be sent to another
-// group. The request handler calls it from any goroutine.
-func (n *Node) reportStall(group ident.GroupID, epoch ident.Epoch, pinned bool) {
-	now := n.now()
+// it to the other entry instances. The request handler calls it from any goroutine.
+func (n *Node) reportStall(group ident.GroupID, epoch ident.Epoch) {
 	key := beacon.GroupEpoch{Group: group, Epoch: epoch}
 	n.stalledGroups.Lock()
-	times, known := n.stalledGroups.reports[key]
-	times.reportUntil = now + stallReportTime
-	if pinned && now >= times.pinnedUntil {
-		times.pinnedUntil, known = now+stallReportTime, false
-	}
-	n.stalledGroups.reports[key] = times
+	_, known := n.stalledGroups.reportUntil[key]
+	n.stalledGroups.reportUntil[key] = n.now() + time.Second
 	n.stalledGroups.Unlock()
 	if !known {
 		n.requestBeacon()
-		n.post(stallReportEvent{beacon.StalledGroup{GroupEpoch: key, Pinned: pinned}, n.settings.Instance})
+		n.post(stallReportEvent{key, n.settings.Instance})
 	}
 }
 
@@ -70,9 +62,6 @@
 // the group is paused and the planner checks it.
 func (n *Node) handleStallReport(e stallReportEvent) {
 	now := n.now()
-	if e.Pinned {
-		n.stepPlanner(formation.GroupPinned{Group: e.Group, Epoch: e.Epoch})
-	}
 	if head := n.groupHead(e.GroupEpoch); head == nil || n.handler.GroupProgresses(head, now) {
 		return
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -92,8 +92,6 @@
 	// drainingSince is when a member was first seen draining.
 	drainingSince  time.Duration
 	probeRequested bool
-	// pinnedUntil is until when requests of the group cannot be sent to another one.
-	pinnedUntil time.Duration
 	// headFailingSince is when all requests to the head were first reported to fail.
 	headFailingSince time.Duration
 	servingLogged    bool
@@ -152,10 +150,6 @@
 		p.handleOrdered(e)
 	case GroupStalled:
 		p.handleGroupStalled(e)
-	case GroupPinned:
-		if g, ok := p.groups[e.Group]; ok && g.Epoch == e.Epoch {
-			g.pinnedUntil = now + p.cfg.PinnedReportTTL
-		}
 	case HeadFailing:
 		p.handleHeadFailing(now, e)
 	case Probed:
--- a/formation/probe.go
+++ b/formation/probe.go
@@ -74,7 +74,7 @@
 // holdsRequests reports whether a group may run requests that no other group can take over.
 // They end when the group is re-formed.
 func (p *Planner) holdsRequests(now time.Duration, g *group) bool {
-	if p.unrepeatableTime == 0 && now >= max(p.unrepeatableUntil, g.pinnedUntil) {
+	if p.unrepeatableTime == 0 && now >= p.unrepeatableUntil {
 		return false
 	}
 	switch c, _ := p.condition(g, g.Members[0]); c {
--- a/formation/types.go
+++ b/formation/types.go
@@ -169,12 +169,6 @@
 	Epoch ident.Epoch
 }
 
-// GroupPinned reports that a stalled group runs a request that cannot be sent to another group.
-type GroupPinned struct {
-	Group ident.GroupID
-	Epoch ident.Epoch
-}
-
 // HeadFailing reports that all requests to a group's head fail.
 type HeadFailing struct {
 	Group ident.GroupID
@@ -201,7 +195,6 @@
 func (Written) formationEvent()        {}
 func (Ordered) formationEvent()        {}
 func (GroupStalled) formationEvent()   {}
-func (GroupPinned) formationEvent()    {}
 func (HeadFailing) formationEvent()    {}
 func (Probed) formationEvent()         {}
 func (TrafficStarted) formationEvent() {}
@@ -260,9 +253,6 @@
 	// group may run requests that no other group can take over. A sound server may be
 	// silent for a second or so.
 	MaxSilence time.Duration
-	// PinnedReportTTL is how long a report counts that a group is pinned. It exceeds the time
-	// after which the report is repeated.
-	PinnedReportTTL time.Duration
 	// DeadTTL is how long a server that failed its probes counts as dead.
 	DeadTTL time.Duration
 	// DeadUnlistedTTL is added to DeadTTL while the server is not in the list either.
@@ -306,7 +296,6 @@
 		ProbeInterval:         600 * time.Millisecond,
 		HeadProbeWait:         200 * time.Millisecond,
 		MaxSilence:            2 * time.Second,
-		PinnedReportTTL:       1500 * time.Millisecond,
 		DeadTTL:               6 * time.Second,
 		DeadUnlistedTTL:       time.Minute,
 		UnlistedHeadTimeout:   1500 * time.Millisecond,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -74,8 +74,6 @@
 	// then looks for another backend server, at moveAt at the earliest.
 	silent             bool
 	moveAt, nextReport time.Duration
-	// pinned is true if the last report said that the request cannot be sent elsewhere.
-	pinned bool
 	// sentAt is when the request was written to the connection.
 	sentAt, firstEventAt time.Duration
 	// run is the attempt as the attribution of crashes sees it, with its result. survived is
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -137,37 +137,27 @@
 // are followed in turn.
 func (c *call) moveElsewhere(x exchange, a *attempt) *attempt {
 	now := c.now()
-	moves := c.movesElsewhere(now)
-	c.recordSilence(a, now, !moves)
+	c.recordSilence(a, now)
 	c.silent = append(c.silent, a)
-	if moves {
-		return c.sendNext(x)
+	if c.mayRetry(stalled) && c.deadline-now >= minSendTime {
+		if candidates, _ := c.eligibleServers(now); len(candidates) > 0 && c.takeRetry(now) {
+			return c.sendNext(x)
+		}
 	}
 	return c.takeSilent()
 }
 
-// movesElsewhere reports whether a request whose backend server is silent can be sent to another
-// one now, and if so takes the retry from the retry budget.
-func (c *call) movesElsewhere(now time.Duration) bool {
-	if !c.mayRetry(stalled) || c.deadline-now < minSendTime {
-		return false
-	}
-	candidates, _ := c.eligibleServers(now)
-	return len(candidates) > 0 && c.takeRetry(now)
-}
-
 // recordSilence records that the backend server of an attempt is silent, and reports its
-// group unless other requests receive data from it. pinned means that the request cannot be
-// sent to another one, and would end with the group.
-func (c *call) recordSilence(a *attempt, now time.Duration, pinned bool) {
+// group unless other requests receive data from it.
+func (c *call) recordSilence(a *attempt, now time.Duration) {
 	if !a.silent {
 		a.silent = true
 		c.addStep("stalled:" + string(a.server.ID))
 	}
-	if (now >= a.nextReport || (pinned && !a.pinned)) && !c.handler.GroupProgresses(a.server, now) {
-		a.nextReport, a.pinned = now+silenceReportInterval, pinned
+	if now >= a.nextReport && !c.handler.GroupProgresses(a.server, now) {
+		a.nextReport = now + silenceReportInterval
 		a.backend.pauseStalled(a.server.Epoch, now+stallPause)
-		c.handler.reportStalledGroup(a.server.Group, a.server.Epoch, pinned)
+		c.handler.reportStalledGroup(a.server.Group, a.server.Epoch)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -104,7 +104,7 @@
 	OnFindings func()
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
-	OnStalledGroup func(group ident.GroupID, epoch ident.Epoch, pinned bool)
+	OnStalledGroup func(group ident.GroupID, epoch ident.Epoch)
 }
 
 // Handler is the HTTP handler that forwards requests to backend servers.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -60,9 +60,9 @@
 }
 
 // reportStalledGroup calls Options.OnStalledGroup with a group that stopped sending data.
-func (h *Handler) reportStalledGroup(group ident.GroupID, epoch ident.Epoch, pinned bool) {
+func (h *Handler) reportStalledGroup(group ident.GroupID, epoch ident.Epoch) {
 	if h.opts.OnStalledGroup != nil && group != "" {
-		h.opts.OnStalledGroup(group, epoch, pinned)
+		h.opts.OnStalledGroup(group, epoch)
 	}
 }
 
