Resumable streams wait for their group to be re-formed instead of ending

In a test, 16 of 16 resumable streams of the only group ended when it was re-formed for the silence of a member or the head.

Cause: a request whose attempt failed ended at once if no group could take it, and never went back to a head that it was sent to before, although a repair takes about two seconds and the head often stays.

Fix: a request that may be repeated, has been sent to a group and has attempts left waits up to reformTime (2.5 s) for a group if the entries show that its own was re-formed, and up to 0.3 s for such an entry. A head in a new epoch may be tried again. Attempts and the retry budget count as before.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -47,9 +48,17 @@
 		name string
 		// rank is that of the group's server that answers no probes either, or -1.
 		rank int
-	}{{"streams", -1}, {"member", 1}, {"head", 0}} {
+		// resumable streams have no other group than their own once it is re-formed.
+		resumable bool
+	}{
+		{"streams", -1, false},
+		{"member", 1, false},
+		{"head", 0, false},
+		{"member, resumable", 1, true},
+		{"head, resumable", 0, true},
+	} {
 		t.Run(c.name, func(t *testing.T) {
-			tc := newTestCluster(t, 30+i, 3)
+			tc := newTestCluster(t, 40+i, 3)
 			// started counts the streams that have reached the silence, resume ends it.
 			var started sync.WaitGroup
 			started.Add(streams)
@@ -59,7 +68,8 @@
 					w.Header().Set("X-Request", req.Header.Get("X-Request"))
 					w.Header().Set("X-Proof", "p")
 					w.Header().Set("Content-Type", "text/event-stream")
-					for n := 1; n <= events; n++ {
+					last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+					for n := last + 1; n <= events; n++ {
 						_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 						_ = http.NewResponseController(w).Flush()
 						if n == before {
@@ -78,7 +88,7 @@
 			}
 			cfg := config(1, "k1")
 			cfg.Routes = append(cfg.Routes, route.Route{
-				Name: "c", Host: "a.example", Prefix: "/c/", Kind: route.Streaming, UsesGroups: true, AttemptLimit: 2,
+				Name: "c", Host: "a.example", Prefix: "/c/", Kind: route.Streaming, Resumable: c.resumable, UsesGroups: true, AttemptLimit: 2,
 				Timeout: 8 * time.Second, LatencyGoal: 200 * time.Millisecond, Targets: []route.Target{{Service: "llm", Weight: 1}},
 			})
 			cfg.Services[1].Models[0].Size = size
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -137,7 +137,7 @@
 	}
 	a.stopContextWatch = context.AfterFunc(ctx, conn.close)
 	now = c.now()
-	c.triedServers = append(c.triedServers, s.ID)
+	c.triedServers = append(c.triedServers, triedServer{s.ID, s.Epoch})
 	c.sendCount++
 	c.possibleRuns++
 	a.sentAt = now
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -89,7 +89,7 @@
 	var out []candidate
 	anyWorking := false
 	for _, s := range c.handler.view.Load().candidates(c) {
-		if slices.Contains(c.triedServers, s.ID) {
+		if slices.Contains(c.triedServers, triedServer{s.ID, s.Epoch}) {
 			continue
 		}
 		if c.handler.pauses.pausedNow(now, s) {
--- a/forward/call.go
+++ b/forward/call.go
@@ -56,7 +56,7 @@
 
 	// triedServers are the backend servers that the request was sent to. sendCount is
 	// the number of times it was sent.
-	triedServers []ident.InstanceID
+	triedServers []triedServer
 	sendCount    int
 	// possibleRuns is the number of sends after which a backend server may have run the
 	// request.
@@ -293,3 +293,9 @@
 	}
 	f(c.handler.opts.Metrics.Request(account, c.service, service.Class(c.route.Kind.String())))
 }
+
+// triedServer is a backend server, in an epoch of its group, that a request was sent to.
+type triedServer struct {
+	id    ident.InstanceID
+	epoch ident.Epoch
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
@@ -15,6 +16,12 @@
 	// silenceReportInterval is the least time between two reports of a request that its
 	// group is silent.
 	silenceReportInterval = time.Second
+	// reformTime is how long a request whose group was re-formed waits for that group or
+	// another one, and reformCheckInterval how often it looks for one. reformNoticeTime is
+	// how long it waits for its server's entry to show that the group was re-formed.
+	reformTime          = 2500 * time.Millisecond
+	reformNoticeTime    = 300 * time.Millisecond
+	reformCheckInterval = 50 * time.Millisecond
 )
 
 // metricSilentResumed counts the attempts whose backend server went on after a silence.
@@ -48,26 +55,59 @@
 }
 
 // sendNext sends the request to a backend server and returns the attempt. If there is none
-// it returns a silent attempt. It returns nil if it has ended the request.
+// it returns a silent attempt, or waits for a group to be re-formed if that can complete the
+// request. It returns nil if it has ended the request.
 func (c *call) sendNext(x exchange) *attempt {
-	now := c.now()
-	if c.deadline-now < minSendTime {
-		x.giveUp("no time left")
-		return nil
-	}
-	if remaining, convicted := c.isConvicted(); convicted {
-		x.refuseConvicted(remaining)
-		return nil
-	}
-	s, b, outcome := c.pick(now)
-	if s != nil {
-		return c.sendTo(x, s, b)
+	for start := c.now(); ; {
+		now := c.now()
+		if c.deadline-now < minSendTime {
+			x.giveUp("no time left")
+			return nil
+		}
+		if remaining, convicted := c.isConvicted(); convicted {
+			x.refuseConvicted(remaining)
+			return nil
+		}
+		s, b, outcome := c.pick(now)
+		if s != nil {
+			return c.sendTo(x, s, b)
+		}
+		if a := c.takeSilent(); a != nil {
+			return a
+		}
+		if now-start >= c.reformWait() {
+			x.noServer(outcome)
+			return nil
+		}
+		select {
+		case <-time.After(reformCheckInterval):
+		case <-c.request.Context().Done():
+			c.logOutcome("left", nil)
+			return nil
+		}
 	}
-	if a := c.takeSilent(); a != nil {
-		return a
+}
+
+// reformWait returns how long the request waits if there is no group for it.
+func (c *call) reformWait() time.Duration {
+	switch {
+	case c.possibleRuns == 0 || !c.route.UsesGroups || !c.route.Repeatable():
+		return 0
+	case c.groupReformed():
+		return reformTime
+	default:
+		return reformNoticeTime
 	}
-	x.noServer(outcome)
-	return nil
+}
+
+// groupReformed reports whether a group that the request was sent to has been re-formed or
+// dissolved.
+func (c *call) groupReformed() bool {
+	servers := c.handler.view.Load().servers
+	return slices.ContainsFunc(c.triedServers, func(t triedServer) bool {
+		s, ok := servers.Get(t.id)
+		return !ok || s.Epoch != t.epoch
+	})
 }
 
 // sendTo sends the request to a backend server and returns the attempt to follow, or nil if
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -125,6 +125,40 @@
 	assert.Assert(t, time.Since(begin) < defaultStallTimeout, "resumed after %v", time.Since(begin))
 }
 
+// Guards against a stream that ends without its answer because its group, the only one, is
+// re-formed: it waits and goes on there.
+func TestOnlyGroupIsReformed(t *testing.T) {
+	const reform = 600 * time.Millisecond
+	only := startScriptedServer(t, func(w io.Writer, req *http.Request) bool {
+		streamHead(w, req.Header.Get("X-Request"))
+		if req.Header.Get("Last-Event-Id") == "" {
+			chunk(w, event(1))
+			chunk(w, event(2))
+			time.Sleep(time.Second)
+			return false
+		}
+		chunk(w, event(3))
+		chunk(w, event(4))
+		streamEnd(w)
+		return true
+	})
+	r := newTestSetup(t, only.groupHead("s1"))
+	go func() {
+		for len(only.requests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		reformed := only.groupHead("s1")
+		reformed.Epoch, reformed.Version, reformed.State = 2, 2, fleet.Joining
+		r.setServers(reformed)
+		time.Sleep(reform)
+		reformed.Version, reformed.State = 3, fleet.Open
+		r.setServers(reformed)
+	}()
+	_, body, err := r.do(r.request("POST", "/s/", "prompt"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, events(1, 4))
+}
+
 // A request ends when its caller closes the connection.
 func TestCallerDisconnects(t *testing.T) {
 	bad := startScriptedServer(t, func(w io.Writer, r *http.Request) bool {
