httpconn: a pool of idle connections, taken from engine

The pool of connections to engines becomes httpconn.Pool, for any key and connection, so that the calls to plain services can use it too. Get also checks that a connection is alive, which the callers of the pool did before. Nothing changes for engines.

--- a/engine/conn.go
+++ b/engine/conn.go
@@ -29,9 +29,8 @@
 // connection, and switching to them delayed the first token.
 type dataConn struct {
 	responseConn
-	key       poolKey
-	writer    *bufio.Writer
-	idleSince time.Time
+	key    poolKey
+	writer *bufio.Writer
 }
 
 func newDataConn(c net.Conn, key poolKey) *dataConn {
--- a/engine/data.go
+++ b/engine/data.go
@@ -12,6 +12,7 @@
 
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/internal/dial"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 )
 
 // Timings and limits of the data path.
@@ -83,12 +84,12 @@
 // their streams.
 type Data struct {
 	dial dial.Func
-	pool connPool
+	pool *connPool
 }
 
 // NewData returns a client for completion requests.
 func NewData() *Data {
-	return &Data{dial: dial.From(netip.Addr{}, dialTimeout), pool: connPool{idle: make(map[poolKey][]*dataConn)}}
+	return &Data{dial: dial.From(netip.Addr{}, dialTimeout), pool: httpconn.NewPool[poolKey, *dataConn](maxIdlePerLeader, poolIdleTimeout)}
 }
 
 // DialFrom sets the local address of connections. Call it before Open.
@@ -96,19 +97,18 @@
 
 // CloseIdle closes the idle connections to an address. Call it when the address stops
 // responding, so that no request uses a dead connection.
-func (d *Data) CloseIdle(address string) { d.pool.closeAddress(address) }
+func (d *Data) CloseIdle(address string) {
+	d.pool.CloseIdle(func(k poolKey) bool { return k.address == address })
+}
 
 // Close drops all idle connections.
-func (d *Data) Close() { d.pool.close() }
+func (d *Data) Close() { d.pool.Close() }
 
 // conn returns an idle connection to the target, or a new one.
 func (d *Data) getConn(ctx context.Context, t Target) (*dataConn, error) {
 	key := poolKey{address: t.Address, incarnation: t.Incarnation}
-	for c := d.pool.get(key); c != nil; c = d.pool.get(key) {
-		if c.Alive() {
-			return c, nil
-		}
-		_ = c.Close()
+	if c, ok := d.pool.Get(key); ok {
+		return c, nil
 	}
 	return d.dialChecked(ctx, t, key)
 }
@@ -124,7 +124,7 @@
 		_ = c.Close()
 		return nil, errors.Wrap(ErrNotSent, "engine asks for a pause")
 	}
-	s := &Stream{ctx: ctx, pool: &d.pool, conn: c, lastOffset: -1}
+	s := &Stream{ctx: ctx, pool: d.pool, conn: c, lastOffset: -1}
 	s.watch.observer = r.Observer
 	s.watch.start(func() { _ = c.Close() })
 	s.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -186,7 +186,7 @@
 	watchLeftOpen, contextLeftOpen := s.watch.stop(), s.stopContextWatch()
 	reusable := watchLeftOpen && contextLeftOpen && s.responseComplete && s.conn.drain(s.response)
 	if reusable {
-		s.pool.put(s.conn)
+		s.pool.Put(s.conn.key, s.conn)
 	} else {
 		_ = s.conn.Close()
 	}
