gateway: calls to plain services read their responses with httpconn

Calls to plain services were the last reader on the request paths that used net/http's transport. No fault was seen there: all cases of TestResponseInSegments pass before and after.

As before: non-idempotent calls have a connection of their own, with Connection: close, and are sent once; idempotent ones use up to 32 idle connections for 30 s; a GET, HEAD, OPTIONS or TRACE request without a body is sent again if its reused connection ends before any byte of a response; a response that comes before the whole request is sent counts; only a failed dial counts as not sent; answers are limited to 4 MiB.

Changed: connections belong to one run of a backend server, as those to engines do. Requests no longer carry Accept-Encoding: gzip, which net/http added by itself.

Evidence: on the code before, the new tests pass but TestPlainConnections, which wants a connection for each run.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,8 +15,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/engine"
+	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/internal/dial"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/view"
 )
 
@@ -26,6 +28,12 @@
 	// maxPlainAnswerBytes limits the size of an answer, which is read into memory
 	// as a whole.
 	maxPlainAnswerBytes = 4 << 20
+	// maxIdlePerServer bounds the idle connections kept to one backend server, and
+	// plainIdleTimeout the time for which they are kept.
+	maxIdlePerServer = 32
+	plainIdleTimeout = 30 * time.Second
+	// plainReadBytes is the size of the read buffer of a connection.
+	plainReadBytes = 4 << 10
 )
 
 // Errors of a call to a backend server of a plain service.
@@ -43,20 +51,24 @@
 
 // plainClient calls backend servers of plain services.
 type plainClient struct {
-	pooled *http.Transport
-	// singleUse opens a new connection for each request: an established connection
-	// may be dead without notice, and the transport may resend a request on a
-	// reused one.
-	singleUse *http.Transport
-	pauses    *ServerPauses
+	dial dial.Func
+	// idle holds connections for idempotent requests. Others open a new one each: an
+	// established connection may be dead without notice.
+	idle   *httpconn.Pool[plainKey, *httpconn.Conn]
+	pauses *ServerPauses
+}
+
+// plainKey binds connections to one run of a backend server.
+type plainKey struct {
+	address string
+	run     fleet.Run
 }
 
 func newPlainClient(local netip.Addr, pauses *ServerPauses) *plainClient {
-	from := dialUnpaused(dial.From(local, plainDialTimeout), pauses)
 	return &plainClient{
-		pauses:    pauses,
-		pooled:    &http.Transport{DialContext: from, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
-		singleUse: &http.Transport{DialContext: from, DisableKeepAlives: true},
+		dial:   dialUnpaused(dial.From(local, plainDialTimeout), pauses),
+		idle:   httpconn.NewPool[plainKey, *httpconn.Conn](maxIdlePerServer, plainIdleTimeout),
+		pauses: pauses,
 	}
 }
 
@@ -75,22 +87,120 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(ErrBackendNotSent, err.Error())
 	}
-	req.GetBody = nil
+	req.Close = !r.Idempotent
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
 	}
 	req.Header.Set(engine.HeaderAttempt, string(attempt))
-	transport := c.singleUse
-	if r.Idempotent {
-		transport = c.pooled
+	return c.roundTrip(req, plainKey{b.Address, run})
+}
+
+// roundTrip sends a request on an idle connection or, if there is none or the request may not be
+// sent on one, on a new one.
+func (c *plainClient) roundTrip(req *http.Request, key plainKey) (*Answer, http.Header, error) {
+	if !req.Close {
+		if conn, ok := c.idle.Get(key); ok {
+			x := plainExchange{client: c, conn: conn, key: key, request: req}
+			a, err := x.run()
+			if err == nil || x.answered || !replayable(req) || req.Context().Err() != nil {
+				return a, x.header, err
+			}
+		}
 	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
+	conn, err := c.dial(req.Context(), "tcp", key.address)
+	switch ctx := req.Context(); {
+	case err != nil && ctx.Err() != nil:
+		return nil, nil, errors.Wrap(ErrBackendOutcomeUnknown, context.Cause(ctx).Error())
+	case err != nil:
 		return nil, nil, transportError(err)
 	}
-	c.pauses.observe(run, resp.StatusCode, resp.Header)
-	a, err := readAnswer(resp)
-	return a, resp.Header, err
+	x := plainExchange{client: c, conn: httpconn.New(conn, plainReadBytes), key: key, request: req}
+	a, err := x.run()
+	return a, x.header, err
+}
+
+// replayable reports whether a request is sent again if its connection was reused and ended before
+// a response.
+func replayable(req *http.Request) bool {
+	safe := []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+	return req.ContentLength == 0 && slices.Contains(safe, req.Method)
+}
+
+// plainExchange is one request on a connection, and its response.
+type plainExchange struct {
+	client  *plainClient
+	conn    *httpconn.Conn
+	key     plainKey
+	request *http.Request
+
+	// header is that of the response, if there was one.
+	header http.Header
+	// answered is set if a part of a response has arrived.
+	answered bool
+}
+
+// run sends the request and reads the whole response. It stores the connection in the pool or closes
+// it.
+func (x *plainExchange) run() (*Answer, error) {
+	ctx := x.request.Context()
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	written := make(chan error, 1)
+	// The backend server may answer before it has read the whole request.
+	go func() {
+		err := x.request.Write(x.conn)
+		if err != nil {
+			// The response may have arrived before.
+			_ = x.conn.SetReadDeadline(time.Now().Add(httpconn.DrainTimeout))
+		}
+		written <- err
+	}()
+	resp, body, err := x.read()
+	if err != nil {
+		_ = stop()
+		select {
+		case writeErr := <-written:
+			if writeErr != nil && resp == nil {
+				err = writeErr
+			}
+		default:
+		}
+		_ = x.conn.Close()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
+	}
+	reusable := !x.request.Close && !resp.Close && len(body) <= maxPlainAnswerBytes && x.conn.Drain() && x.awaitWritten(written)
+	if stop() && reusable {
+		x.client.idle.Put(x.key, x.conn)
+	} else {
+		_ = x.conn.Close()
+	}
+	return newAnswer(resp, body)
+}
+
+// read reads the response and up to maxPlainAnswerBytes and one more byte of its body.
+func (x *plainExchange) read() (*http.Response, []byte, error) {
+	resp, err := x.conn.ReadResponse(x.request)
+	if err != nil {
+		x.answered = x.conn.Buffered() > 0
+		return nil, nil, err
+	}
+	x.answered, x.header = true, resp.Header
+	x.client.pauses.observe(x.key.run, resp.StatusCode, resp.Header)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswerBytes+1))
+	return resp, body, err
+}
+
+// awaitWritten reports whether the request is written. After the whole response, a longer wait
+// costs more than a new connection.
+func (x *plainExchange) awaitWritten(written <-chan error) bool {
+	select {
+	case err := <-written:
+		return err == nil
+	case <-time.After(httpconn.DrainTimeout):
+		return false
+	}
 }
 
 func transportError(err error) error {
@@ -101,12 +211,9 @@
 	return errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
 }
 
-func readAnswer(resp *http.Response) (*Answer, error) {
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswerBytes+1))
+// newAnswer returns the answer of a response whose body was read.
+func newAnswer(resp *http.Response, body []byte) (*Answer, error) {
 	switch {
-	case err != nil:
-		return nil, errors.Wrap(ErrBackendOutcomeUnknown, err.Error())
 	case len(body) > maxPlainAnswerBytes:
 		return nil, errors.Wrapf(errAnswerTooLarge, "limit is %d bytes", maxPlainAnswerBytes)
 	case resp.Header.Get(engine.HeaderNotRun) != "":
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -46,8 +46,8 @@
 	ErrMalformed = errors.New("malformed HTTP response")
 )
 
-// Conn is a connection on which one goroutine at a time writes requests and reads
-// the responses.
+// Conn is a connection on which one goroutine at a time reads responses. Another one may write
+// the request meanwhile.
 type Conn struct {
 	net.Conn
 	// buf[start:end] holds the bytes that are received and not decoded yet.
