gateway: a silent group that a search has found is waited for

Cause: the search for another group closed its candidate at the candidate's first silence, before another group was certain: a suspicion was acted on as a failure, as it once was for the first group.

Fix: a candidate that falls silent stays open, and the search goes on beside it. It is given up once the router grants a group that has not failed before. The first of the silent attempt and the candidate that sends a token goes on with the answer. As before, at most two attempts are open, and the silence limit, the deadline and the number of attempts bound the search. A router that grants an excluded group because there is no other gets the grant back unused, and the retry is refunded. The group of a silent candidate is paused for other requests meanwhile.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -138,9 +138,11 @@
 	// candidate is set until the answer continues with an attempt that a search has
 	// found.
 	candidate bool
-	foundBy   *search
-	ended     bool
-	search    *search // for another group, while the engine is silent
+	// silent is set, and fellSilent closed, when a candidate has been silent.
+	silent     bool
+	fellSilent chan struct{}
+	ended      bool
+	search     *search // for another group, while the engine is silent
 }
 
 func (d *dispatch) newAttempt(ctx context.Context, r *Request, grant Grant) *attempt {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/credit"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -372,6 +374,9 @@
 	if r.Err != nil {
 		hold = 0
 		s.recordFailure(now, p.target.backend, r.Err)
+		if errors.Is(r.Err, errGroupNotNeeded) && !answerStarted(p.pending.request) {
+			s.retries.Refund() // see chargeRetryBudget
+		}
 	}
 	s.traceRelease(now, p, r.FirstToken, hold, r.Err != nil)
 	s.table.RecordEnd(now, ident.GroupID(p.target.backend), p.uncachedTokens, r.FirstToken, hold)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -21,6 +21,8 @@
 	errAttemptsUsedUp = errors.New("all attempts of the request were made")
 	// errAttemptReplaced ends an attempt that another one has made needless.
 	errAttemptReplaced = errors.Wrap(context.Canceled, "another attempt goes on with the answer")
+	// errGroupNotNeeded is the result of a grant that is released unused.
+	errGroupNotNeeded = errors.New("a silent attempt at the request is waited for instead")
 )
 
 // dispatch is the state of a request's attempts.
@@ -88,36 +90,40 @@
 	defer a.mu.Unlock()
 	switch {
 	case a.ended:
-	case a.candidate && a.foundBy.silentEnded():
-		// No other attempt is left. The search's limit bounds the wait.
 	case a.candidate:
-		a.ended = true
-		closeStream()
-	default:
-		d := a.dispatch
-		d.gateway.counters.silences.Inc(1)
-		d.gateway.opts.Data.CloseIdle(a.grant.Group.Leader.Address)
-		if a.grant.Silence != nil {
-			a.grant.Silence(true)
+		a.reportSilence()
+		if !a.silent {
+			a.silent = true
+			close(a.fellSilent)
 		}
+	default:
+		a.dispatch.gateway.counters.silences.Inc(1)
+		a.reportSilence()
 		a.search = newSearch(a, closeStream)
 		go a.search.run()
 	}
 }
 
+// reportSilence tells the other users of the group that it is silent.
+func (a *attempt) reportSilence() {
+	a.dispatch.gateway.opts.Data.CloseIdle(a.grant.Group.Leader.Address)
+	if a.grant.Silence != nil {
+		a.grant.Silence(true)
+	}
+}
+
 // Resumed implements engine.SilenceObserver. It ends the search unless another group has
 // taken the request over.
 func (a *attempt) Resumed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.search == nil {
-		return !a.ended
-	}
-	if !a.search.abandon() {
+	switch {
+	case a.ended || a.search != nil && !a.search.abandon():
 		return false
+	case a.search != nil:
+		a.search = nil
+		a.dispatch.gateway.counters.silencesEnded.Inc(1)
 	}
-	a.search = nil
-	a.dispatch.gateway.counters.silencesEnded.Inc(1)
 	if a.grant.Silence != nil {
 		a.grant.Silence(false)
 	}
@@ -208,46 +214,69 @@
 	searchLater
 )
 
+// candidate is an attempt that a search has found. While it is silent, it stays open until another
+// group can take the request over.
+type candidate struct {
+	*attempt
+	giveUp context.CancelCauseFunc
+	// done is closed when err is set. It is nil if the answer goes on with the attempt.
+	done chan struct{}
+	err  error
+}
+
 // run searches until a group has sent the next token or the search is over.
 func (s *search) run() {
 	defer close(s.done)
+	var waiting *candidate // silent
+	step, err := searchNow, error(nil)
 	for {
-		step, err := s.tryNext()
 		if step == searchNow {
+			step, err = s.tryNext(&waiting)
 			continue
 		}
-		if err == nil || s.ctx.Err() != nil {
+		if err == nil {
 			return
 		}
-		var retry <-chan time.Time
-		select {
-		case <-s.attemptEnded:
+		var candidateDone <-chan struct{}
+		attemptEnded := s.attemptEnded
+		if waiting != nil {
+			candidateDone, attemptEnded = waiting.done, nil
+		} else if s.ctx.Err() == nil && s.silentEnded() {
 			// Nothing is left that could go on while the search waits.
 			s.err = err
 			return
-		default:
-			if step == searchLater {
-				retry = time.After(searchRetryInterval)
-			}
+		}
+		var retry <-chan time.Time
+		if step == searchLater {
+			retry = time.After(searchRetryInterval)
 		}
 		select {
 		case <-retry:
-		case <-s.attemptEnded:
+			step = searchNow
+		case <-candidateDone:
+			step, err = s.end(waiting)
+			waiting = nil
+		case <-attemptEnded:
 			return
 		case <-s.ctx.Done():
+			if waiting != nil {
+				_, _ = s.dismiss(waiting)
+			}
 			return
 		}
 	}
 }
 
-// tryNext opens an attempt at another group and hands the answer over to it. The error
-// is nil if the answer goes on with that attempt.
-func (s *search) tryNext() (searchStep, error) {
+// tryNext opens an attempt at another group and waits until the answer goes on with it, or it fails
+// or falls silent. A candidate that waits is given up once there is another group. The error is nil
+// if the answer goes on with an attempt.
+func (s *search) tryNext(waiting **candidate) (searchStep, error) {
 	d := s.silent.dispatch
 	if !d.takeAttempt() {
 		return searchEnds, errAttemptsUsedUp
 	}
-	grant, err := d.gateway.opts.Router.Acquire(s.ctx, s.request, d.excludedGroups(s.silent.grant.Group.ID))
+	r := *s.request // Routers change it.
+	grant, err := s.acquire(&r, *waiting)
 	switch {
 	case err == nil:
 	case errors.Is(err, errConvicted):
@@ -257,27 +286,98 @@
 		d.returnAttempt()
 		return searchLater, err
 	}
-	next := d.newAttempt(s.ctx, s.request, grant)
-	next.candidate, next.foundBy = true, s
-	if err = next.open(); err == nil {
-		err = next.stream.AwaitFirst()
+	if former := *waiting; former != nil {
+		*waiting = nil
+		if step, err := s.dismiss(former); step == searchEnds {
+			d.returnAttempt()
+			grant.Release(Result{Err: errGroupNotNeeded})
+			return step, err
+		}
+	}
+	c := s.open(&r, grant)
+	select {
+	case <-c.done:
+		return s.end(c)
+	case <-c.fellSilent:
+		*waiting = c
+		return searchNow, nil
+	}
+}
+
+// acquire asks the router for another group, until a candidate that waits goes on or fails. A
+// router may choose an excluded group if there is no other; the candidate is not given up for one.
+func (s *search) acquire(r *Request, waiting *candidate) (Grant, error) {
+	d := s.silent.dispatch
+	excluded := d.excludedGroups(s.silent.grant.Group.ID)
+	if waiting == nil {
+		return d.gateway.opts.Router.Acquire(s.ctx, r, excluded)
 	}
-	if err == nil {
-		if s.handOver(next) {
-			return searchEnds, nil
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-waiting.done:
+			cancel()
+		case <-ctx.Done():
 		}
-		err = engine.ErrNoProgress
-		if s.ctx.Err() != nil {
-			err = context.Cause(s.ctx)
+	}()
+	excluded = append(excluded, waiting.grant.Group.ID)
+	grant, err := d.gateway.opts.Router.Acquire(ctx, r, excluded)
+	if err == nil && slices.Contains(excluded, grant.Group.ID) {
+		grant.Release(Result{Err: errGroupNotNeeded})
+		return Grant{}, errGroupNotNeeded
+	}
+	return grant, err
+}
+
+// open starts an attempt at a group. The answer goes on with it if it sends a token before the search
+// is decided.
+func (s *search) open(r *Request, grant Grant) *candidate {
+	ctx, giveUp := context.WithCancelCause(s.ctx)
+	c := &candidate{attempt: s.silent.dispatch.newAttempt(ctx, r, grant), giveUp: giveUp, done: make(chan struct{})}
+	c.candidate, c.fellSilent = true, make(chan struct{})
+	go func() {
+		defer close(c.done)
+		c.err = c.attempt.open()
+		if c.err == nil {
+			c.err = c.stream.AwaitFirst()
 		}
+		if c.err == nil && !s.handOver(c.attempt) {
+			c.err = engine.ErrNoProgress
+			if ctx.Err() != nil {
+				c.err = context.Cause(ctx)
+			}
+		}
+	}()
+	return c
+}
+
+// dismiss ends a candidate unless the answer goes on with it.
+func (s *search) dismiss(c *candidate) (searchStep, error) {
+	c.mu.Lock()
+	if c.candidate {
+		c.ended = true
+		c.giveUp(engine.ErrNoProgress)
 	}
-	next.finish(Result{Err: err})
-	if s.ctx.Err() != nil || !retryable(err) {
-		return searchEnds, err
+	c.mu.Unlock()
+	<-c.done
+	return s.end(c)
+}
+
+// end ends a candidate that is done, unless the answer goes on with it.
+func (s *search) end(c *candidate) (searchStep, error) {
+	if c.err == nil {
+		return searchEnds, nil
 	}
+	c.finish(Result{Err: c.err})
+	c.giveUp(nil)
+	if s.ctx.Err() != nil || !retryable(c.err) {
+		return searchEnds, c.err
+	}
+	d := s.silent.dispatch
 	d.gateway.counters.retries.Inc(1)
-	d.exclude(grant.Group.ID)
-	return searchNow, err
+	d.exclude(c.grant.Group.ID)
+	return searchNow, c.err
 }
 
 // handOver makes the answer go on with the next attempt and closes the silent one. It
