gateway: tests of segments have servers with incarnations of their own

TestConnectionEndsBeforeLastByte failed once beside five other test processes: a server counted two attempts at a stream. The router of the test never grants an excluded group, so that the second request should have come from elsewhere: suspected, not shown, is a gateway of another test that retries at the address of an engine that has ended. Such a one no longer gets past the check of the incarnation, and a failure prints the requests.

--- a/gateway/segments_test.go
+++ b/gateway/segments_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/engine"
@@ -37,18 +38,22 @@
 // the connection itself.
 type rawServer struct {
 	address string
+	// incarnation is unique, so that no leftover gateway of another test takes the server for
+	// an engine that had its address before.
+	incarnation ident.Incarnation
 	// respond writes the response to a request other than status polls. The connection ends
 	// if it returns false.
 	respond func(c *net.TCPConn, r *http.Request) bool
 
-	mu                    sync.Mutex
-	requests, connections int
+	mu          sync.Mutex
+	requests    []string
+	connections int
 }
 
 func startRawServer(t testing.TB, respond func(c *net.TCPConn, r *http.Request) bool) *rawServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &rawServer{address: l.Addr().String(), respond: respond}
+	s := &rawServer{address: l.Addr().String(), incarnation: ident.Incarnation(uuid.NewString()), respond: respond}
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithCancel(t.Context())
 	wg.Go(func() {
@@ -60,10 +65,10 @@
 			wg.Go(func() {
 				stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 				defer stop()
-				s.count(0, 1)
+				s.countConnection(1)
 				s.serve(c.(*net.TCPConn))
 				_ = c.Close()
-				s.count(0, -1)
+				s.countConnection(-1)
 			})
 		}
 	})
@@ -82,32 +87,41 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
 		if r.URL.Path == "/status" {
-			status := `{"instance":"raw","incarnation":"first","state":"ready","group":"raw","epoch":1,"limit":1000}`
+			status := fmt.Sprintf(`{"instance":"raw","incarnation":%q,"state":"ready","group":"raw","epoch":1,"limit":1000}`, s.incarnation)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(status), status)
 			continue
 		}
-		s.count(1, 0)
+		s.mu.Lock()
+		s.requests = append(s.requests, fmt.Sprintf("%s %s from %s, %v: %.200s", r.Method, r.URL, c.RemoteAddr(), r.Header, body))
+		s.mu.Unlock()
 		if !s.respond(c, r) {
 			return
 		}
 	}
 }
 
-func (s *rawServer) count(requests, connections int) {
+func (s *rawServer) countConnection(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests += requests
-	s.connections += connections
+	s.connections += n
 }
 
 func (s *rawServer) requestCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requests
+	return len(s.requests)
+}
+
+// received returns a description of the requests.
+func (s *rawServer) received() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.requests, "\n")
 }
 
 // awaitNoConnection waits until the server has closed all connections.
@@ -130,12 +144,12 @@
 	return newHarness(t, 0, standin.Config{}, func(o *Options) {
 		doc := o.Snapshot().Services[0].Document
 		doc.Kind = kind
-		b := view.Backend{Instance: "raw", Address: s.address, Incarnation: "first"}
+		b := view.Backend{Instance: "raw", Address: s.address, Incarnation: s.incarnation}
 		svc := &view.Service{Document: doc}
 		if kind == service.KindPlain {
 			svc.Backends = []*view.Backend{&b}
 		} else {
-			svc.Groups = []*view.Group{{ID: "raw", Epoch: 1, Confirmed: time.Hour, Limit: 1000, Incarnation: "first", Leader: b}}
+			svc.Groups = []*view.Group{{ID: "raw", Epoch: 1, Confirmed: time.Hour, Limit: 1000, Incarnation: string(s.incarnation), Leader: b}}
 		}
 		snapshot := view.New(view.Snapshot{Ready: true, Entries: []view.Entry{o.Self}, Services: []*view.Service{svc}})
 		o.Snapshot = func() *view.Snapshot { return snapshot }
@@ -279,7 +293,7 @@
 						t.Errorf("%s, %s, silent after %q: %v", call.name, framing, sample.before(cut), err)
 					}
 					if n := s.requestCount(); n != 1 {
-						t.Errorf("%s, %s, silent after %q: %d attempts", call.name, framing, sample.before(cut), n)
+						t.Errorf("%s, %s, silent after %q: %d attempts\n%s", call.name, framing, sample.before(cut), n, s.received())
 					}
 				})
 			}
@@ -307,7 +321,7 @@
 							t.Errorf("%s, %s, end after %s: %v", call.name, framing, delay, err)
 						}
 						if n := s.requestCount(); n != i+1 {
-							t.Errorf("%s, %s, end after %s: %d attempts at %d requests", call.name, framing, delay, n, i+1)
+							t.Errorf("%s, %s, end after %s: %d attempts at %d requests\n%s", call.name, framing, delay, n, i+1, s.received())
 						}
 						if !s.awaitNoConnection() {
 							t.Errorf("%s, %s, end after %s: the connection did not end", call.name, framing, delay)
@@ -351,7 +365,7 @@
 							t.Errorf("%s, %s, reset %t after %q: status %d and a whole answer", call.name, framing, reset, sample.before(cut), status)
 						}
 						if n := s.requestCount(); n != 1 {
-							t.Errorf("%s, %s, reset %t after %q: %d attempts", call.name, framing, reset, sample.before(cut), n)
+							t.Errorf("%s, %s, reset %t after %q: %d attempts\n%s", call.name, framing, reset, sample.before(cut), n, s.received())
 						}
 					})
 				}
