--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/route"
 )
 
 // stalePeers implements Peers with outdated loads of other entry instances.
@@ -67,7 +68,7 @@
 	}
 	h.SetView(NewView(testRoutes(), l.Snapshot(), nil))
 	r := httptest.NewRequest(http.MethodPost, "/s/", nil)
-	return &call{handler: h, request: r, view: h.View(), service: "llm", model: "m"}
+	return &call{handler: h, request: r, view: h.View(), route: &route.Route{Kind: route.Streaming}, service: "llm", model: "m"}
 }
 
 // Requests beyond the capacity of all groups are refused at once, instead of missing
