forward: an early answer to a request that is still being written is read

Callers of a backend server that answers without reading a large body got 502 when the deadline had passed, even for a true "not run": the write of the rest blocked, and the response was read only after it.

What the connection does not accept at once is now written by a goroutine while the request's own goroutine reads the response with the usual checks. Accepted bytes are progress. A write that fails after a part was accepted leaves the result to the read, which finds the answer or the end of the connection. A connection that still owes bytes of a request carries no other one. Requests that are accepted at once need no goroutine.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -78,6 +78,10 @@
 	expiredAt time.Duration
 	// sentAt is when the request was written to the connection.
 	sentAt, firstEventAt time.Duration
+	// writer writes the rest of a request that the connection did not accept at once. writeFailed
+	// is true if the connection failed before.
+	writer      *requestWriter
+	writeFailed bool
 	// run is the attempt as the attribution of crashes sees it, with its result. survived is
 	// true once the backend server has begun to answer without a crash.
 	run       *quarantine.TraitRun
@@ -86,7 +90,7 @@
 	// stopContextWatch ends the closing of conn on cancellation; see context.AfterFunc.
 	stopContextWatch func() bool
 	// reusable reports that the response was read whole, so that conn can carry another
-	// request.
+	// request if this one was written whole.
 	reusable bool
 	finished bool
 }
@@ -108,8 +112,8 @@
 	return max(progressCheckInterval, a.progressTimeout/4)
 }
 
-// send sends the request to a backend server. It returns answered if the request was
-// written, and otherwise has finished the attempt.
+// send sends the request to a backend server. It returns answered if the response can be awaited,
+// and otherwise has finished the attempt.
 func (c *call) send(s *fleet.Server, b *Backend, progressTimeout, firstEventTimeout time.Duration) (*attempt, sendResult) {
 	now := c.now()
 	a := &attempt{req: c, server: s, backend: b, progressTimeout: progressTimeout, firstEventTimeout: firstEventTimeout, lastProgress: now}
@@ -145,20 +149,23 @@
 	a.sentAt = now
 	a.begin(now)
 	_ = conn.SetWriteDeadline(time.Now().Add(max(time.Millisecond, c.deadline-now)))
-	if n, err := conn.Write(c.encodeRequest(s.ID, now)); err != nil {
-		a.finish()
+	head, body := c.encodeRequest(s.ID, now)
+	if n, err := a.write(head, body); err != nil {
 		switch {
 		case c.isCanceled():
+			a.finish()
 			return a, canceled
 		case n == 0 && conn.reused:
 			// The backend server had already closed the idle connection.
+			a.finish()
 			c.sendCount--
 			c.possibleRuns--
 			c.triedServers = c.triedServers[:len(c.triedServers)-1]
 			return a, notSent
 		}
+		// The backend server may have answered before it closed the connection.
+		a.writeFailed = true
 		c.addStep("write:" + string(s.ID) + ":" + err.Error())
-		return a, mayHaveRun
 	}
 	return a, answered
 }
@@ -272,6 +279,7 @@
 func (a *attempt) waitForData() sendResult {
 	for {
 		now := a.req.now()
+		a.recordWritten()
 		remaining := a.req.deadline - now
 		isExpired := remaining <= 0
 		if isExpired && !a.mayReadReady(now) {
@@ -407,7 +415,7 @@
 	if a.stopContextWatch != nil && !a.stopContextWatch() {
 		a.reusable = false
 	}
-	if !a.reusable || (a.resp != nil && a.resp.Close) {
+	if !a.reusable || !a.requestWritten() || (a.resp != nil && a.resp.Close) {
 		a.conn.close()
 		return
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -163,11 +163,13 @@
 	return true
 }
 
-// encodeRequest returns the encoded HTTP request for a backend server.
-func (c *call) encodeRequest(server ident.InstanceID, now time.Duration) []byte {
+// encodeRequest returns the encoded HTTP request for a backend server: its head with a body of up
+// to inlineBodyBytes, and the rest of the body, which is not copied.
+func (c *call) encodeRequest(server ident.InstanceID, now time.Duration) (head, rest []byte) {
 	names := &c.handler.opts.Headers
+	inline := min(len(c.body), inlineBodyBytes)
 	var b bytes.Buffer
-	b.Grow(1024 + len(c.body))
+	b.Grow(1024 + inline)
 	b.WriteString(c.request.Method)
 	b.WriteByte(' ')
 	b.WriteString(c.requestURI)
@@ -199,8 +201,8 @@
 		writeHeader(&b, "Content-Length", strconv.Itoa(len(c.body)))
 	}
 	b.WriteString("\r\n")
-	b.Write(c.body)
-	return b.Bytes()
+	b.Write(c.body[:inline])
+	return b.Bytes(), c.body[inline:]
 }
 
 func writeHeader(b *bytes.Buffer, name, value string) {
