forward: an account limits the bodies that an entry instance holds

admission.Memory counts request bodies and response buffers. Its limit is 0.4 of the machine's memory from the settings; the Go runtime aims at 0.6. A service can use half and a client account three quarters of what others leave free, and holds of up to 64 KiB have a fifth for themselves. Memory is reserved before a body is read, for bodies without a length as they grow. A request that does not fit is refused at once with 503 and Retry-After; its body is discarded, so that a caller that writes it whole before it reads gets the response. A response that does not fit is relayed as it arrives; a stream is given up at a server only if its buffer is full and can't grow. Bodies are read into a buffer of their size and no longer copied for the fingerprint.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -4,7 +4,8 @@
 // cannot start before their deadline. A Limiter enforces the rate and concurrency limits
 // of each account. A RetryBudget limits the retries of one entry instance, a
 // SharedRetryBudget those of all entry instances together. A NamedLimit and RequestedPauses
-// keep what backend servers ask for in their responses. The types read no clock and
+// keep what backend servers ask for in their responses. A Memory accounts for the bytes that an
+// entry instance holds. The types read no clock and
 // are not safe for concurrent use without a lock.
 package admission
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -168,8 +168,8 @@
 		Headers: platform.Headers, Now: n.now, Peers: n.peers, Log: log, Metrics: metrics,
 		DataCentre: settings.DataCentre, ColdFactor: settings.ColdFactor, ColdSlack: settings.ColdSlack,
 		RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		DrainTime: settings.DrainTime,
-		Prompt:    platform.Prompt, OnFindings: n.requestBeacon,
+		DrainTime: settings.DrainTime, HeldBytes: heldBytes(settings.Memory),
+		Prompt: platform.Prompt, OnFindings: n.requestBeacon,
 		OnStalledGroup: n.reportStall,
 	})
 	return n
@@ -211,6 +211,7 @@
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.ctx = workCtx
+	limitHeap(n.settings.Memory)
 	callerListener, err := n.listen(n.settings.CallerAddress)
 	if err != nil {
 		return err
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -34,6 +34,8 @@
 	IP         netip.Addr
 	// CPULimit is the share of a CPU core that this instance may use.
 	CPULimit float64
+	// Memory is the memory that this instance may use, in bytes. 0 means that it is not known.
+	Memory int64
 	// CallerAddress, ReadyAddress and LookupAddress are the listen addresses for callers' requests,
 	// readiness checks and address lookups.
 	CallerAddress, ReadyAddress, LookupAddress string
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -68,8 +68,9 @@
 	checkedAt time.Duration
 	// eventReceived is true once a stream has received an event, at firstEventAt.
 	eventReceived bool
-	// buf holds the received data that is not sent to the caller yet.
-	buf []byte
+	// buf holds the received data that is not sent to the caller yet. bufHold counts it.
+	buf     []byte
+	bufHold hold
 	// silent is true once the backend server was silent for a progress timeout. The attempt
 	// then looks for another backend server, at moveAt at the earliest.
 	silent             bool
@@ -408,6 +409,7 @@
 	}
 	a.finished = true
 	a.backend.inFlight.Add(-1)
+	defer a.req.release(&a.bufHold)
 	a.end(a.req.now())
 	if a.conn == nil {
 		return
--- a/forward/call.go
+++ b/forward/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,7 +51,9 @@
 	prompt     Prompt
 	// traits is what the request may have in common with others.
 	traits []quarantine.Trait
-	body   []byte
+	// body is the request body, which bodyHold counts.
+	body     []byte
+	bodyHold hold
 
 	// triedServers are the backend servers that the request was sent to. sendCount is
 	// the number of times it was sent.
@@ -73,7 +74,7 @@
 }
 
 // newCall reads and validates a request. It returns an HTTP status other than 0 if the
-// request must be rejected.
+// request must be rejected: 503 if its body does not fit into the memory.
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request, view *View) (*call, int) {
 	c := &call{handler: h, writer: w, request: r, view: view, start: h.opts.Now(), id: r.Header.Get(h.opts.Headers.RequestID)}
 	c.requestURI = r.RequestURI
@@ -115,11 +116,9 @@
 		if max <= 0 {
 			max = maxBodyBytes
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(max)))
-		if err != nil {
+		if err := c.readBody(max); err != nil {
 			return c, bodyStatus(err)
 		}
-		c.body = body
 	}
 	c.traits = c.traitsOf(c.prompt)
 	h.countRequest(c)
@@ -130,6 +129,9 @@
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return http.StatusRequestEntityTooLarge
 	}
+	if err == errMemory {
+		return http.StatusServiceUnavailable
+	}
 	return http.StatusBadRequest
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -67,7 +67,7 @@
 		account = c.account.Name
 	}
 	content := fmt.Appendf(nil, "%s\n%s\n%s\n%s\n%s\n%s\n", c.request.Method, c.request.Host, c.requestURI, account, c.model, p.Content)
-	traits := []quarantine.Trait{quarantine.ContentTrait(ident.NewFingerprint(c.service, append(content, c.body...)))}
+	traits := []quarantine.Trait{quarantine.ContentTrait(ident.NewFingerprint(c.service, content, c.body))}
 	for _, part := range p.SharedParts {
 		traits = append(traits, quarantine.PartTrait(c.service, part))
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -97,6 +97,9 @@
 	// DrainTime is the time from a response of a leaving backend server after which no new
 	// request may be sent to it.
 	DrainTime time.Duration
+	// HeldBytes limits the memory of the request and response bodies that are held. 0 means no
+	// limit.
+	HeldBytes int64
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
@@ -120,6 +123,7 @@
 	// departures are the backend servers that get no new requests because they leave.
 	departures *departures
 	pauses     *requestedPauses
+	memory     *memory
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -136,6 +140,7 @@
 		limits:      newLimits(),
 		departures:  newDepartures(opts.DrainTime),
 		pauses:      newRequestedPauses(),
+		memory:      newMemory(opts.HeldBytes, opts.Metrics),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
@@ -212,7 +217,13 @@
 		return
 	}
 	c, status := h.newCall(w, r, view)
-	if status != 0 {
+	defer c.release(&c.bodyHold)
+	switch status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		c.refuseMemory()
+		return
+	default:
 		c.reject(status)
 		return
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -100,12 +100,14 @@
 	return answered
 }
 
-// bufferBody reads a response body into a.buf, up to maxBufferedBody, and reports whether
-// that is all of it. After the result stalled it can be called again.
+// bufferBody reads a response body into a.buf, up to maxBufferedBody or as far as memory allows, and
+// reports whether that is all of it. After the result stalled it can be called again.
 func (a *attempt) bufferBody() (complete bool, res sendResult) {
 	for len(a.buf) < maxBufferedBody {
 		if len(a.buf) == cap(a.buf) {
-			a.buf = append(make([]byte, 0, min(maxBufferedBody, max(bodyBufferSize, 2*cap(a.buf)))), a.buf...)
+			if !a.growBuffer(min(maxBufferedBody, max(bodyBufferSize, 2*cap(a.buf)))) {
+				return false, answered // The caller gets the rest as it arrives.
+			}
 		}
 		n, err := a.conn.ReadBody(a.buf[len(a.buf):cap(a.buf)])
 		a.buf = a.buf[:len(a.buf)+n]
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -113,8 +113,9 @@
 // if the stream is complete.
 func (r *relay) relayEvents(a *attempt) sendResult {
 	for {
-		if cap(a.buf)-len(a.buf) < eventBufferSize/2 {
-			a.buf = append(make([]byte, 0, 2*cap(a.buf)+eventBufferSize), a.buf...)
+		if cap(a.buf)-len(a.buf) < eventBufferSize/2 && !a.growBuffer(2*cap(a.buf)+eventBufferSize) && len(a.buf) == cap(a.buf) {
+			r.req.addStep("memory:" + string(a.server.ID))
+			return mayHaveRun
 		}
 		n, err := a.conn.ReadBody(a.buf[len(a.buf):cap(a.buf)])
 		a.buf = a.buf[:len(a.buf)+n]
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -45,13 +45,15 @@
 // Fingerprint identifies a request by its service and content.
 type Fingerprint uint64
 
-// NewFingerprint hashes the service name and the canonical request body.
-func NewFingerprint(service ServiceName, body []byte) Fingerprint {
+// NewFingerprint hashes the service name and the parts of the canonical request body.
+func NewFingerprint(service ServiceName, body ...[]byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(service))
 	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+	for _, part := range body {
+		_, _ = d.Write(part)
+	}
 	return Fingerprint(d.Sum64())
 }
 
