--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,8 @@
 	lostAnswerFraction, lateOrderFraction float64
 	// lostWriteFraction is the fraction of writes whose results are lost.
 	lostWriteFraction float64
+	// fateOfWrite decides what becomes of a write, if it is set.
+	fateOfWrite func(a WriteRow) writeFate
 	// failProbes makes all probes fail.
 	failProbes bool
 	// refuseWrites makes the table refuse all writes; writeCalls counts the calls.
@@ -52,6 +55,18 @@
 	orderCounts  map[OrderKind]int
 }
 
+// writeFate is what becomes of a write.
+type writeFate struct {
+	// unanswered is set if the caller gets no answer within writeTimeout.
+	unanswered bool
+	// lost is set if the write is never done. Otherwise it is done after delay.
+	lost  bool
+	delay time.Duration
+}
+
+// writeTimeout is how long the caller of a write waits for the answer.
+const writeTimeout = 1200 * time.Millisecond
+
 // simEvent is an action due at a time.
 type simEvent struct {
 	at     time.Duration
@@ -178,36 +193,49 @@
 }
 
 func (sim *simulation) writeRow(p *Planner, a WriteRow) {
-	outcome := infra.OutcomeApplied
 	sim.writeCalls++
 	if sim.refuseWrites {
 		sim.reply(p, 6*time.Millisecond, Written{Group: a.Group, Outcome: infra.OutcomeNotApplied})
 		return
 	}
-	for _, c := range a.Txn.Conditions[1:] {
-		if sim.rows[ident.GroupID(c.Key)].Version != c.Version {
-			outcome = infra.OutcomeConflict
-		}
-	}
-	if p.grant.Epoch != sim.leaseEpoch {
-		outcome = infra.OutcomeConflict
+	var fate writeFate
+	if sim.fateOfWrite != nil {
+		fate = sim.fateOfWrite(a)
 	}
-	if outcome == infra.OutcomeApplied {
-		sim.version++
-		row := a.Txn.Writes[0]
-		if row.Delete {
-			delete(sim.rows, a.Group)
-		} else {
-			sim.rows[a.Group] = infra.Row{RowKey: row.RowKey, Version: sim.version, Value: row.Value}
+	if fate.unanswered {
+		sim.reply(p, writeTimeout, Written{Group: a.Group, Outcome: infra.OutcomeUnknown})
+		if !fate.lost {
+			sim.after(fate.delay, func() { sim.applyTxn(p, a) })
 		}
+		return
 	}
-	version := sim.version
+	outcome, version := sim.applyTxn(p, a)
 	if sim.rng.Float64() < sim.lostWriteFraction {
 		outcome, version = infra.OutcomeUnknown, 0
 	}
 	sim.reply(p, 8*time.Millisecond, Written{Group: a.Group, Outcome: outcome, Version: version})
 }
 
+// applyTxn performs a transaction if its conditions hold.
+func (sim *simulation) applyTxn(p *Planner, a WriteRow) (infra.Outcome, uint64) {
+	for _, c := range a.Txn.Conditions[1:] {
+		if sim.rows[ident.GroupID(c.Key)].Version != c.Version {
+			return infra.OutcomeConflict, 0
+		}
+	}
+	if p.grant.Epoch != sim.leaseEpoch {
+		return infra.OutcomeConflict, 0
+	}
+	sim.version++
+	row := a.Txn.Writes[0]
+	if row.Delete {
+		delete(sim.rows, ident.GroupID(row.Key))
+	} else {
+		sim.rows[ident.GroupID(row.Key)] = infra.Row{RowKey: row.RowKey, Version: sim.version, Value: row.Value}
+	}
+	return infra.OutcomeApplied, sim.version
+}
+
 func (sim *simulation) sendOrder(p *Planner, o Order) {
 	s := sim.servers[o.Server]
 	if s == nil || s.dead {
@@ -379,8 +407,8 @@
 func (sim *simulation) checkOneGroupPerServer() {
 	groupOf := make(map[ident.InstanceID]ident.GroupID)
 	for _, r := range sim.rows {
-		if r.Key == eraKey {
-			continue
+		if strings.HasPrefix(r.Key, "@") {
+			continue // It is no group's row.
 		}
 		row, err := decodeRow(r)
 		assert.NilError(sim.t, err)
