formation: a write without an answer is made impossible before its servers are used elsewhere

Cause: after an unknown outcome the planner only read the rows again. A row that it did not find counted as never written. The new group got a new key, so that the condition of the first write, that its key is absent, held for ever; the store did it seconds later. The same could happen to a write still under way while the rows were read because of another one.

Each write of a group's row now has the version of the barrier row as one more condition. After an unknown outcome the group and the servers that it names stay reserved and no row is written until the barrier row has a newer version; then the rows are read. That row is never deleted, so no earlier write can be done afterwards. A new holder's acquisition does the same by the lease's epoch row, before it reads. Results of reads and writes name their attempt, so that one from before a hand-over is not taken for a later one. It costs one call for each unknown outcome, none otherwise.

A condition on the group's own key was ruled out: once the row is deleted its first condition holds again.

The two changed tests pass the attempt with the results that they send.

--- a/edge/planner.go
+++ b/edge/planner.go
@@ -54,7 +54,7 @@
 	for _, a := range n.planner.Step(bootNow(), ev) {
 		switch a := a.(type) {
 		case formation.ReadRows:
-			go n.readGroups()
+			go n.readGroups(a.Attempt)
 		case formation.WriteRow:
 			go n.writeGroup(a)
 		case formation.SendOrder:
@@ -73,7 +73,7 @@
 const scanPageSize = 500
 
 // readGroups reads all rows of the group table, page by page, and posts the result.
-func (n *Node) readGroups() {
+func (n *Node) readGroups(attempt uint64) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	era := infra.EraOf(n.platform.Table)
@@ -82,16 +82,16 @@
 	for {
 		rows, err := n.platform.Table.Scan(ctx, formation.Table, after, scanPageSize)
 		if err != nil {
-			n.post(plannerEvent{formation.ReadFailed{}})
+			n.post(plannerEvent{formation.ReadFailed{Attempt: attempt}})
 			return
 		}
 		all = append(all, rows...)
 		if len(rows) < scanPageSize {
 			if infra.EraOf(n.platform.Table) != era {
-				n.post(plannerEvent{formation.ReadFailed{}}) // The rows may be of two eras.
+				n.post(plannerEvent{formation.ReadFailed{Attempt: attempt}}) // The rows may be of two eras.
 				return
 			}
-			n.post(plannerEvent{formation.RowsRead{Rows: all, Era: era}})
+			n.post(plannerEvent{formation.RowsRead{Attempt: attempt, Rows: all, Era: era}})
 			return
 		}
 		after = rows[len(rows)-1].Key
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	version, err := n.platform.Table.Txn(ctx, w.Txn)
-	n.post(plannerEvent{formation.Written{Group: w.Group, Outcome: infra.OutcomeOf(err), Version: version}})
+	n.post(plannerEvent{formation.Written{Attempt: w.Attempt, Group: w.Group, Outcome: infra.OutcomeOf(err), Version: version}})
 }
 
 // sendOrder sends an order to a backend server, and logs and posts its outcome.
--- a/formation/form.go
+++ b/formation/form.go
@@ -244,7 +244,7 @@
 // formGroups forms new groups. It reports whether a group has to wait until its loads may
 // start. The caller then starts no loads on spares, because groups load before spares.
 func (p *Planner) formGroups(now time.Duration) (waiting bool) {
-	if now < p.storeRetryAt {
+	if !p.mayWrite(now) {
 		return false
 	}
 	for range len(p.servers.Servers) {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,7 +23,9 @@
 	grant           lease.Grant
 	leaseAcquiredAt time.Duration
 	rowsLoaded      bool
-	readingRows     bool
+	// readAttempt is the read under way, or 0, and attemptCount the number of reads and writes.
+	readAttempt, attemptCount uint64
+	barrier                   barrier
 	// storeRetryAt is the earliest time of the next read or write of the table after a
 	// failed one, and storeRetryDelay the delay from which it was set.
 	storeRetryAt, storeRetryDelay time.Duration
@@ -74,7 +77,10 @@
 	Row
 	// version is the version of the stored row, or 0 if there is none yet.
 	version uint64
+	// writing is set while a row is being written, and afterwards until its outcome is known.
+	// attempt identifies the write.
 	writing bool
+	attempt uint64
 	// pending is the row that is being written, or nil for a deletion.
 	pending *Row
 	// rowWrittenAt is when the row was written or read. The next fields are when each
@@ -138,8 +144,10 @@
 	case RowsRead:
 		p.handleRowsRead(now, e)
 	case ReadFailed:
-		p.readingRows = false
-		p.delayStoreRetry(now)
+		if e.Attempt == p.readAttempt {
+			p.readAttempt = 0
+			p.delayStoreRetry(now)
+		}
 	case Written:
 		p.handleWritten(now, e)
 	case Ordered:
@@ -165,7 +173,9 @@
 
 func (p *Planner) handleLeaseChanged(now time.Duration, e LeaseChanged) {
 	if e.Held && !p.leaseHeld {
-		p.leaseAcquiredAt, p.rowsLoaded, p.readingRows = now, false, false
+		// The acquisition makes earlier writes impossible: each has the former version of the
+		// lease's epoch row as a condition.
+		p.leaseAcquiredAt, p.rowsLoaded, p.readAttempt, p.barrier = now, false, 0, barrier{}
 		clear(p.groups)
 		clear(p.stagingLoads)
 		clear(p.leaveResendAt)
@@ -175,41 +185,57 @@
 }
 
 func (p *Planner) handleRowsRead(now time.Duration, e RowsRead) {
-	p.readingRows, p.rowsLoaded, p.storeRetryDelay = false, true, 0
+	if e.Attempt != p.readAttempt {
+		return // It was requested before the lease was acquired again.
+	}
+	p.readAttempt, p.rowsLoaded, p.storeRetryDelay = 0, true, 0
+	p.barrier = barrier{}
+	known := maps.Clone(p.groups)
 	clear(p.groups)
 	adoptedEra := uint64(0)
 	for _, r := range e.Rows {
-		if r.Key == eraKey {
+		switch r.Key {
+		case eraKey:
 			var err error
 			if adoptedEra, err = decodeEraRow(r); err != nil {
 				p.emit(LogEntry{Text: "era row skipped", Detail: err.Error()})
 			}
 			continue
+		case barrierKey:
+			p.barrier.version = r.Version
+			continue
 		}
 		row, err := decodeRow(r)
 		if err != nil {
 			p.emit(LogEntry{Text: "group row skipped", Group: ident.GroupID(r.Key), Detail: err.Error()})
 			continue
 		}
-		p.groups[row.Group] = &group{Row: row, version: r.Version, rowWrittenAt: now, joinSentAt: make(map[ident.InstanceID]time.Duration)}
+		g, ok := known[row.Group]
+		if !ok || g.version != r.Version {
+			g = &group{Row: row, version: r.Version, rowWrittenAt: now, joinSentAt: make(map[ident.InstanceID]time.Duration)}
+		}
+		g.writing, g.pending = false, nil
+		p.groups[row.Group] = g
 	}
 	p.beginAdoption(now, e, adoptedEra)
 }
 
 func (p *Planner) handleWritten(now time.Duration, e Written) {
-	if e.Group == eraKey {
+	switch e.Group {
+	case eraKey:
 		p.handleAdoptionRecorded(now, e)
 		return
+	case barrierKey:
+		p.handleBarrierWritten(now, e)
+		return
 	}
 	g, ok := p.groups[e.Group]
-	if !ok || !g.writing {
+	if !ok || !g.writing || g.attempt != e.Attempt {
 		return
 	}
-	g.writing = false
-	defer func() { g.pending = nil }()
 	switch e.Outcome {
 	case infra.OutcomeApplied:
-		g.headFailingSince, p.storeRetryDelay = 0, 0
+		g.writing, g.headFailingSince, p.storeRetryDelay = false, 0, 0
 		if g.pending == nil {
 			p.releaseMembers(now, g)
 			delete(p.groups, e.Group)
@@ -218,16 +244,21 @@
 		p.releaseFormerMembers(now, g)
 		g.Row, g.version, g.rowWrittenAt = *g.pending, e.Version, now
 		g.openSentAt, g.closeSentAt, g.incompleteSince, g.drainingSince, g.probeRequested, g.servingLogged = 0, 0, 0, 0, false, false
+		g.pending = nil
 		clear(g.joinSentAt)
 	case infra.OutcomeNotApplied:
 		p.delayStoreRetry(now)
+		g.writing, g.pending = false, nil
 		if g.version == 0 {
 			delete(p.groups, e.Group)
 		}
 	default:
-		// The row may have been written, by this transaction or by another holder.
-		p.delayStoreRetry(now)
-		p.rowsLoaded = false
+		// The row has changed or may be written yet. The group stays as it is until the rows
+		// are read behind a barrier.
+		if !p.barrier.due {
+			p.delayStoreRetry(now)
+		}
+		p.barrier.due = true
 	}
 }
 
@@ -317,9 +348,9 @@
 		return
 	}
 	if !p.rowsLoaded {
-		if !p.readingRows && now >= p.storeRetryAt {
-			p.readingRows = true
-			p.emit(ReadRows{})
+		if p.readAttempt == 0 && now >= p.storeRetryAt {
+			p.readAttempt = p.nextAttempt()
+			p.emit(ReadRows{Attempt: p.readAttempt})
 		}
 		return
 	}
@@ -329,6 +360,7 @@
 	if p.waitsForList(now) {
 		return
 	}
+	p.writeBarrier(now)
 	p.removeExpired(now)
 	p.markDeadServers(now)
 	if p.adoptGroups(now) {
@@ -459,19 +491,21 @@
 }
 
 // writeRow starts to write a group's next row, or to delete the row if next is nil. The
-// transaction fails if the lease has a newer holder or the row has changed.
+// transaction fails if the lease has a newer holder, the row has changed or a barrier was
+// written since.
 func (p *Planner) writeRow(g *group, next *Row) {
-	g.writing, g.pending, p.assigned = true, next, nil
+	g.writing, g.attempt, g.pending, p.assigned = true, p.nextAttempt(), next, nil
 	t := infra.Txn{Conditions: []infra.Condition{
 		{RowKey: lease.EpochKey(LeaseName), Version: p.grant.EpochVersion},
 		{RowKey: Key(g.Group), Version: g.version},
+		{RowKey: Key(barrierKey), Version: p.barrier.version},
 	}}
 	if next == nil {
 		t.Writes = []infra.Write{{RowKey: Key(g.Group), Delete: true}}
 	} else {
 		t.Writes = []infra.Write{{RowKey: Key(g.Group), Value: encodeRow(next)}}
 	}
-	p.emit(WriteRow{Group: g.Group, Txn: t})
+	p.emit(WriteRow{Attempt: g.attempt, Group: g.Group, Txn: t})
 }
 
 // LeaseName is the name of the planner's lease.
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -143,7 +143,7 @@
 	sim.rows["x"] = infra.Row{RowKey: Key("x"), Version: 1, Value: []byte("{")}
 	sim.rows["y"] = infra.Row{RowKey: Key("y"), Version: 2, Value: []byte(`{"group":"z","members":[]}`)}
 	p := sim.planner
-	actions := p.Step(sim.now, RowsRead{Rows: []infra.Row{sim.rows["x"], sim.rows["y"]}})
+	actions := p.Step(sim.now, RowsRead{Attempt: p.readAttempt, Rows: []infra.Row{sim.rows["x"], sim.rows["y"]}})
 	for _, g := range p.groups {
 		assert.Assert(t, g.Group != "x" && g.Group != "y" && g.Group != "z")
 	}
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -102,7 +102,7 @@
 	case head == memberReady:
 		p.orderOpen(now, g)
 	case serving && g.headFailingSince != 0:
-		if now-g.headFailingSince >= p.cfg.HeadProbeWait && now >= p.storeRetryAt {
+		if now-g.headFailingSince >= p.cfg.HeadProbeWait && p.mayWrite(now) {
 			p.replaceHead(g)
 		}
 	case serving:
@@ -261,7 +261,7 @@
 // groups, or form a new group once enough servers are loaded.
 func (p *Planner) repair(now time.Duration, g *group, reason string) {
 	m, ok := p.findModel(g.Model)
-	if !ok || now < p.storeRetryAt {
+	if !ok || !p.mayWrite(now) {
 		return
 	}
 	remaining := p.remainingMembers(g)
--- a/formation/restore.go
+++ b/formation/restore.go
@@ -66,7 +66,7 @@
 	case p.adoption.done:
 		p.recordAdoption(now)
 		return false
-	case now < p.storeRetryAt:
+	case !p.mayWrite(now):
 		return true
 	}
 	for _, row := range p.listedGroups() {
@@ -100,7 +100,7 @@
 	if err != nil {
 		panic(err) // It holds only an integer.
 	}
-	p.emit(WriteRow{Group: eraKey, Txn: infra.Txn{
+	p.emit(WriteRow{Attempt: p.nextAttempt(), Group: eraKey, Txn: infra.Txn{
 		Conditions: []infra.Condition{{RowKey: lease.EpochKey(LeaseName), Version: p.grant.EpochVersion}},
 		Writes:     []infra.Write{{RowKey: Key(eraKey), Value: b}},
 	}})
--- a/formation/restore_test.go
+++ b/formation/restore_test.go
@@ -115,7 +115,7 @@
 	// A conflict or a lost answer makes the planner read its rows again.
 	for id := range sim.planner.groups {
 		sim.planner.groups[id].writing = true
-		sim.step(Written{Group: id, Outcome: infra.OutcomeUnknown})
+		sim.step(Written{Attempt: sim.planner.groups[id].attempt, Group: id, Outcome: infra.OutcomeUnknown})
 		break
 	}
 	sim.run(2 * time.Second)
--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -180,7 +180,7 @@
 			rows = append(rows, r)
 		}
 		slices.SortFunc(rows, func(a, b infra.Row) int { return cmp.Compare(a.Key, b.Key) })
-		sim.reply(p, callTime, RowsRead{Rows: rows, Era: sim.era})
+		sim.reply(p, callTime, RowsRead{Attempt: a.Attempt, Rows: rows, Era: sim.era})
 	case WriteRow:
 		sim.writeRow(p, a)
 	case SendOrder:
@@ -195,7 +195,7 @@
 func (sim *simulation) writeRow(p *Planner, a WriteRow) {
 	sim.writeCalls++
 	if sim.refuseWrites {
-		sim.reply(p, 6*time.Millisecond, Written{Group: a.Group, Outcome: infra.OutcomeNotApplied})
+		sim.reply(p, 6*time.Millisecond, Written{Attempt: a.Attempt, Group: a.Group, Outcome: infra.OutcomeNotApplied})
 		return
 	}
 	var fate writeFate
@@ -203,7 +203,7 @@
 		fate = sim.fateOfWrite(a)
 	}
 	if fate.unanswered {
-		sim.reply(p, writeTimeout, Written{Group: a.Group, Outcome: infra.OutcomeUnknown})
+		sim.reply(p, writeTimeout, Written{Attempt: a.Attempt, Group: a.Group, Outcome: infra.OutcomeUnknown})
 		if !fate.lost {
 			sim.after(fate.delay, func() { sim.applyTxn(p, a) })
 		}
@@ -213,7 +213,7 @@
 	if sim.rng.Float64() < sim.lostWriteFraction {
 		outcome, version = infra.OutcomeUnknown, 0
 	}
-	sim.reply(p, 8*time.Millisecond, Written{Group: a.Group, Outcome: outcome, Version: version})
+	sim.reply(p, 8*time.Millisecond, Written{Attempt: a.Attempt, Group: a.Group, Outcome: outcome, Version: version})
 }
 
 // applyTxn performs a transaction if its conditions hold.
--- a/formation/types.go
+++ b/formation/types.go
@@ -9,6 +9,9 @@
 // lease knows the member list under which they joined. The planner opens a group's
 // head only after it has seen each member ready under the row's group, epoch and
 // member list.
+//
+// A write without an answer may be done later. Its group and the servers that it names stay
+// reserved until a newer version of the barrier row makes it impossible; see barrier.go.
 package formation
 
 import (
@@ -140,15 +143,17 @@
 // RowsRead is the result of ReadRows, with the store's era at the read; see
 // infra.EraReporter.
 type RowsRead struct {
-	Rows []infra.Row
-	Era  uint64
+	Attempt uint64
+	Rows    []infra.Row
+	Era     uint64
 }
 
 // ReadFailed is the result of ReadRows when the table could not be read.
-type ReadFailed struct{}
+type ReadFailed struct{ Attempt uint64 }
 
 // Written is the result of WriteRow.
 type Written struct {
+	Attempt uint64
 	Group   ident.GroupID
 	Outcome infra.Outcome
 	Version uint64
@@ -198,13 +203,15 @@
 // Action is an output of the planner.
 type Action interface{ formationAction() }
 
-// ReadRows requests all rows of the table.
-type ReadRows struct{}
+// ReadRows requests all rows of the table. Attempt identifies it in the result.
+type ReadRows struct{ Attempt uint64 }
 
-// WriteRow requests a transaction on a group's row.
+// WriteRow requests a transaction on a group's row, or on one of the rows that are no group's.
+// Attempt identifies it in the result.
 type WriteRow struct {
-	Group ident.GroupID
-	Txn   infra.Txn
+	Attempt uint64
+	Group   ident.GroupID
+	Txn     infra.Txn
 }
 
 // SendOrder requests that an order is sent.
@@ -258,6 +265,9 @@
 	// StoreRetryMin is the delay after a failed call to the table. It doubles with
 	// each further failure, up to StoreRetryMax.
 	StoreRetryMin, StoreRetryMax time.Duration
+	// BarrierResendMin is the time after which the write of the barrier row is sent again
+	// if it has no answer. It doubles with each further one, up to BarrierResendMax.
+	BarrierResendMin, BarrierResendMax time.Duration
 	// SettleDelay is how long a new holder of the lease waits before it changes
 	// groups, because its first list of servers may be out of date.
 	SettleDelay time.Duration
@@ -289,6 +299,8 @@
 		UnlistedMemberTimeout: 8 * time.Second,
 		StoreRetryMin:         100 * time.Millisecond,
 		StoreRetryMax:         800 * time.Millisecond,
+		BarrierResendMin:      300 * time.Millisecond,
+		BarrierResendMax:      1200 * time.Millisecond,
 		SettleDelay:           300 * time.Millisecond,
 		AdoptionTime:          3 * time.Second,
 		ListStableTime:        500 * time.Millisecond,
