formation: of rows that name one server exactly one wins

Rows without barriers, or of a restored store, can still be in that state.

Now the row with the highest version wins. The heads of the others' groups are closed first, then the rows are deleted; until then the winner gives their servers no orders. If the winner's epoch is not above theirs, its members would refuse to join, so it is first written under a new one.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -26,6 +26,8 @@
 	// readAttempt is the read under way, or 0, and attemptCount the number of reads and writes.
 	readAttempt, attemptCount uint64
 	barrier                   barrier
+	// conflictsDue is set when the rows were read and not yet searched for servers in two groups.
+	conflictsDue bool
 	// storeRetryAt is the earliest time of the next read or write of the table after a
 	// failed one, and storeRetryDelay the delay from which it was set.
 	storeRetryAt, storeRetryDelay time.Duration
@@ -81,6 +83,10 @@
 	// attempt identifies the write.
 	writing bool
 	attempt uint64
+	// superseded is set if a row with a higher version names one of the row's servers.
+	superseded bool
+	// epochSeen is the highest epoch of the groups whose rows lost a conflict against this one.
+	epochSeen ident.Epoch
 	// pending is the row that is being written, or nil for a deletion.
 	pending *Row
 	// rowWrittenAt is when the row was written or read. The next fields are when each
@@ -189,7 +195,7 @@
 		return // It was requested before the lease was acquired again.
 	}
 	p.readAttempt, p.rowsLoaded, p.storeRetryDelay = 0, true, 0
-	p.barrier = barrier{}
+	p.barrier, p.conflictsDue = barrier{}, true
 	known := maps.Clone(p.groups)
 	clear(p.groups)
 	adoptedEra := uint64(0)
@@ -366,6 +372,9 @@
 	if p.adoptGroups(now) {
 		return
 	}
+	if p.conflictsDue {
+		p.findConflicts()
+	}
 	for _, g := range p.sortedGroups() {
 		p.reconcileGroup(now, g)
 	}
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -64,7 +64,11 @@
 // reconcileGroup emits the next action that brings a group to serve with all its
 // members.
 func (p *Planner) reconcileGroup(now time.Duration, g *group) {
-	if g.writing {
+	switch {
+	case g.writing:
+		return
+	case g.superseded:
+		p.dissolveSuperseded(now, g)
 		return
 	}
 	head, _ := p.condition(g, g.Members[0])
@@ -90,6 +94,7 @@
 		p.probeMembers(now, g)
 	}
 	switch {
+	case g.writing:
 	case len(lost) > 0:
 		p.repair(now, g, "member lost")
 	case len(unlisted) > 0:
@@ -122,6 +127,9 @@
 	if at, ok := g.joinSentAt[s.ID]; ok && now-at < p.cfg.ResendAfter {
 		return
 	}
+	if g.writing || p.renewEpoch(now, g) || p.isContested(s.ID) {
+		return
+	}
 	if s.Group != g.Group && s.State != fleet.NoGroup {
 		// The server is still a member of another group and has to leave that first.
 		p.orderLeave(now, s.ID)
--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -46,6 +46,8 @@
 	refuseWrites  bool
 	writeCalls    int
 	pendingEvents []simEvent
+	// conflictsUntil is the time until which rows may name one server twice.
+	conflictsUntil time.Duration
 	// staleEntries are the entries that the list shows instead of the servers' own, of
 	// those that it has.
 	staleEntries map[ident.InstanceID]fleet.Server
@@ -412,6 +414,9 @@
 		}
 		row, err := decodeRow(r)
 		assert.NilError(sim.t, err)
+		if sim.now < sim.conflictsUntil {
+			continue
+		}
 		for _, m := range row.Members {
 			other, ok := groupOf[m.ID]
 			assert.Assert(sim.t, !ok, "%s is in the rows of %s and %s", m.ID, other, row.Group)
