--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -64,7 +64,11 @@
 // reconcileGroup emits the next action that brings a group to serve with all its
 // members.
 func (p *Planner) reconcileGroup(now time.Duration, g *group) {
-	if g.writing {
+	switch {
+	case g.writing:
+		return
+	case g.superseded:
+		p.dissolveSuperseded(now, g)
 		return
 	}
 	head, _ := p.condition(g, g.Members[0])
@@ -90,6 +94,7 @@
 		p.probeMembers(now, g)
 	}
 	switch {
+	case g.writing:
 	case len(lost) > 0:
 		p.repair(now, g, "member lost")
 	case len(unlisted) > 0:
@@ -104,7 +109,7 @@
 	case serving && g.headFailingSince != 0 && p.isSilent(g.Members[0].ID):
 		g.headFailingSince = 0 // It may be sound; the next report tells.
 	case serving && g.headFailingSince != 0:
-		if now-g.headFailingSince >= p.cfg.HeadProbeWait && now >= p.storeRetryAt {
+		if now-g.headFailingSince >= p.cfg.HeadProbeWait && p.mayWrite(now) {
 			p.replaceHead(g)
 		}
 	case serving:
@@ -124,6 +129,9 @@
 	if at, ok := g.joinSentAt[s.ID]; ok && now-at < p.cfg.ResendAfter {
 		return
 	}
+	if g.writing || p.renewEpoch(now, g) || p.isContested(s.ID) {
+		return
+	}
 	if s.Group != g.Group && s.State != fleet.NoGroup {
 		// The server is still a member of another group and has to leave that first.
 		p.orderLeave(now, s.ID)
@@ -266,7 +274,7 @@
 // groups, or form a new group once enough servers are loaded.
 func (p *Planner) repair(now time.Duration, g *group, reason string) {
 	m, ok := p.findModel(g.Model)
-	if !ok || now < p.storeRetryAt {
+	if !ok || !p.mayWrite(now) {
 		return
 	}
 	remaining := p.remainingMembers(g)
