--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,27 +160,29 @@
 // A second response to an earlier request, before or after the response to the current
 // one, is not sent to any caller.
 func TestUnmatchedResponses(t *testing.T) {
-	n := 0
-	b := startScriptedServer(t, func(w io.Writer, r *http.Request) bool {
-		n++
-		id := r.Header.Get("X-Request")
-		if n > 1 {
-			reply(w, "id-of-another", "200 OK", "stray")
-		}
-		reply(w, id, "200 OK", "right "+id)
-		if n == 2 {
-			reply(w, id, "200 OK", "late extra")
+	for _, path := range []string{"/o/", "/l/"} {
+		var count atomic.Int32 // The requests come on several connections.
+		b := startScriptedServer(t, func(w io.Writer, r *http.Request) bool {
+			n := count.Add(1)
+			id := r.Header.Get("X-Request")
+			if n > 1 {
+				reply(w, "id-of-another", "200 OK", "stray")
+			}
+			reply(w, id, "200 OK", "right "+id)
+			if n == 2 {
+				reply(w, id, "200 OK", "late extra")
+			}
+			return true
+		})
+		r := newTestSetup(t, b.server("s1"))
+		for i := range 5 {
+			id := fmt.Sprintf("id-%d", i)
+			resp, body, err := r.do(r.request("POST", path, "order", "X-Request", id))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, body, "right "+id)
+			time.Sleep(20 * time.Millisecond) // Lets the extra bytes arrive.
 		}
-		return true
-	})
-	r := newTestSetup(t, b.server("s1"))
-	for i := range 5 {
-		id := fmt.Sprintf("id-%d", i)
-		resp, body, err := r.do(r.request("POST", "/o/", "order", "X-Request", id))
-		assert.NilError(t, err)
-		assert.Equal(t, resp.StatusCode, http.StatusOK)
-		assert.Equal(t, body, "right "+id)
-		time.Sleep(20 * time.Millisecond) // Lets the extra bytes arrive.
 	}
 }
 
