--- a/formation/review_test.go
+++ b/formation/review_test.go
@@ -29,6 +29,9 @@
 			assert.Equal(t, head.Group, group)
 			assert.Equal(t, head.Epoch, epoch)
 			assert.Equal(t, head.State, fleet.Open)
+			row, err := decodeRow(sim.rows[group])
+			assert.NilError(t, err)
+			assert.Equal(t, row.Epoch, epoch)
 		})
 	}
 }
