--- a/formation/simulation_test.go
+++ b/formation/simulation_test.go
@@ -82,7 +82,7 @@
 	fleet.Server
 	dead   bool
 	listed bool
-	// silentUntil is when a live server that answers nothing goes on.
+	// silentUntil is when a live server that does not answer sends again.
 	silentUntil time.Duration
 	// members is the member list of its last join.
 	members []ident.InstanceID
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -219,7 +219,7 @@
 type candidate struct {
 	*attempt
 	giveUp context.CancelCauseFunc
-	// done is closed when err is set. It is nil if the answer goes on with the attempt.
+	// done is closed when err is set. A nil err means that the attempt has taken the answer over.
 	done chan struct{}
 	err  error
 }
