--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -162,6 +162,9 @@
 	return d, errors.Wrap(err, "decode digest: drop the datagram")
 }
 
+// MaxDatagramBytes is the size of the largest datagram that entry instances receive.
+const MaxDatagramBytes = 16 << 10
+
 // Timeouts of the peer table.
 const (
 	// PeerTimeout is how long an instance counts as alive after its last message. It
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -199,7 +199,7 @@
 			sleep(ctx, followRetryDelay+rand.N(followRetryDelay))
 			continue
 		}
-		if !n.mergeUpdates(resp.Updates) {
+		if !n.mergeUpdates(resp.Updates, source.instance) {
 			sleep(ctx, followRetryDelay+rand.N(followRetryDelay))
 		}
 	}
@@ -242,9 +242,12 @@
 
 // mergeUpdates merges the updates of a reader and posts the changes to the control
 // goroutine. It reports whether all could be decoded.
-func (n *Node) mergeUpdates(updates []mirror.Update) bool {
+func (n *Node) mergeUpdates(updates []mirror.Update, from ident.InstanceID) bool {
 	ok := true
 	for _, u := range updates {
+		if u.Snapshot {
+			n.log.WithFields(logrus.Fields{"table": u.Table, "version": u.NewestVersion, "from": from, "packed_bytes": len(u.Packed)}).Info("whole table copied")
+		}
 		changes, err := n.mirror.Merge(u)
 		if err != nil {
 			n.postWarning("merge", "rows from a store reader cannot be decoded", err)
--- a/edge/node.go
+++ b/edge/node.go
@@ -107,8 +107,10 @@
 	leaseMachine *lease.Machine
 	planner      *formation.Planner
 	leaseRank    int
-	roster       rosterView
-	addressList  addressList
+	// lastTickAt is when the control loop last ticked.
+	lastTickAt  time.Duration
+	roster      rosterView
+	addressList addressList
 	// peersAppeared and peersEnded are runs of other entry instances to be logged.
 	peersAppeared, peersEnded []beacon.Run
 	// requestsReceived is true once any entry instance has accepted a request.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/beacon"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -22,8 +24,6 @@
 	// beaconsPerSeed is the number of beacons after which the seeds are added again to the
 	// known addresses, from which addresses without a live instance expire.
 	beaconsPerSeed = 50
-	// maxBeaconSize bounds the size of a received beacon.
-	maxBeaconSize = 16 << 10
 )
 
 // requestBeacon has sendBeacons send a beacon without delay.
@@ -119,7 +119,7 @@
 // receiveBeacons processes the beacons of other entry instances until the node's
 // context ends.
 func (n *Node) receiveBeacons(udp *net.UDPConn) {
-	buffer := make([]byte, maxBeaconSize)
+	buffer := make([]byte, beacon.MaxDatagramBytes)
 	for {
 		size, from, err := udp.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -130,23 +130,35 @@
 			continue
 		}
 		if beacon.IsDigest(buffer[:size]) {
-			n.guard(func() { n.receiveDigest(buffer[:size]) })
+			n.guard(func() { n.logDropped(n.receiveDigest(buffer[:size]), size, from) })
 			continue
 		}
-		n.guard(func() { n.receiveBeacon(buffer[:size], from.Addr().Unmap()) })
+		n.guard(func() { n.logDropped(n.receiveBeacon(buffer[:size], from.Addr().Unmap()), size, from) })
 	}
 }
 
+// metricDroppedDatagrams counts the datagrams that could not be decoded.
+const metricDroppedDatagrams = "beacons_dropped_total"
+
+// logDropped counts and logs a datagram that was dropped because of an error.
+func (n *Node) logDropped(err error, size int, from netip.AddrPort) {
+	if err == nil {
+		return
+	}
+	n.metrics.Scope.Counter(metricDroppedDatagrams).Inc(1)
+	n.postWarning("dropped", "datagram dropped", errors.Wrapf(err, "%d bytes from %s, of which at most %d are read", size, from.Addr().Unmap(), beacon.MaxDatagramBytes))
+}
+
 // receiveBeacon processes a beacon of another entry instance.
-func (n *Node) receiveBeacon(b []byte, from netip.Addr) {
+func (n *Node) receiveBeacon(b []byte, from netip.Addr) error {
 	m, err := beacon.Decode(b)
 	if err != nil {
-		return // Drop datagrams that are not beacons.
+		return err
 	}
 	m.Address = from
 	result := n.peers.Receive(n.now(), m)
 	if result.Stale {
-		return
+		return nil
 	}
 	if result.Appeared {
 		n.post(peerEvent{run: beacon.Run{Instance: m.From, Incarnation: m.Incarnation}, alive: true})
@@ -162,6 +174,7 @@
 	if len(m.StalledGroups) > 0 && n.isRelay.Load() {
 		n.requestBeacon()
 	}
+	return nil
 }
 
 // mergeFindings applies what another entry instance has found out about backend servers:
@@ -175,10 +188,10 @@
 }
 
 // receiveDigest processes a digest of another entry instance.
-func (n *Node) receiveDigest(b []byte) {
+func (n *Node) receiveDigest(b []byte) error {
 	d, err := beacon.DecodeDigest(b)
 	if err != nil {
-		return // Drop datagrams that are not digests.
+		return err
 	}
 	result := n.peers.ReceiveDigest(n.now(), d)
 	n.mergeFindings(d.From, d.Crashes, d.Limits)
@@ -194,4 +207,5 @@
 	if len(result.Stalled) > 0 && n.isRelay.Load() {
 		n.requestBeacon()
 	}
+	return nil
 }
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -96,6 +96,9 @@
 		return
 	}
 	r.knownVersion = max(r.knownVersion, changes.Version)
+	if isSnapshot {
+		log.WithField("rows", len(changes.Rows)).Info("whole table read")
+	}
 	if newChanges := r.node.mirror.Apply(r.table, changes, isSnapshot); len(newChanges) > 0 || isSnapshot {
 		r.node.post(tableEvent{table: r.table, rows: newChanges})
 		sleep(ctx, r.batchDelay)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -304,6 +304,9 @@
 			wait = unreadProbeTime
 		}
 		err := a.conn.Await(time.Now().Add(wait))
+		if isTimeout(err) {
+			a.req.recordLateness(a.req.now() - now - wait)
+		}
 		switch {
 		case isStalled && err == nil && a.checkedAt != a.lastProgress:
 			a.checkedAt = a.lastProgress
--- a/forward/call.go
+++ b/forward/call.go
@@ -71,6 +71,8 @@
 	lastEventID string
 	// steps describe the failed attempts, for the log.
 	steps []string
+	// longestDelay is the longest time by which a wait of the request ended late.
+	longestDelay time.Duration
 }
 
 // newCall reads and validates a request. It returns an HTTP status other than 0 if the
@@ -260,6 +262,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// minLoggedDelay is the delay of a wait from which it is logged.
+const minLoggedDelay = 50 * time.Millisecond
+
+// recordLateness records by how much a wait ended late, as it does where the process lacks
+// processor time.
+func (c *call) recordLateness(d time.Duration) { c.longestDelay = max(c.longestDelay, d) }
+
 // addStep adds a step to the trail field of the log line of the request.
 func (c *call) addStep(step string) { c.steps = append(c.steps, step) }
 
@@ -276,6 +285,9 @@
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
+	if c.longestDelay >= minLoggedDelay {
+		f["late_ms"] = c.longestDelay.Milliseconds()
+	}
 	if len(c.steps) > 0 {
 		f["trail"] = strings.Join(c.steps, " ")
 	}
