--- a/beacon/simulation_test.go
+++ b/beacon/simulation_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/mirror"
 )
 
 // simulation runs the tables of many entry instances over a simulated network in
@@ -31,6 +32,8 @@
 	// sent counts datagrams, sentBytes their bytes, and crossBytes the bytes between
 	// data centres.
 	sent, sentBytes, crossBytes int
+	// oversized counts the datagrams that were larger than receivers read.
+	oversized int
 }
 
 type simNode struct {
@@ -187,6 +190,10 @@
 	if to == nil || sim.rng.Float64() < sim.loss || sim.cut(from, to) {
 		return
 	}
+	if len(b) > MaxDatagramBytes {
+		sim.oversized++
+		return
+	}
 	sim.after(time.Millisecond+time.Duration(sim.rng.Int63n(int64(3*time.Millisecond))), func() {
 		if to.dead || to.table == nil {
 			return
@@ -462,3 +469,44 @@
 		}
 	}
 }
+
+// Guards against live instances that are taken for dead because many of them read the store: the
+// digests that name all of the readers are larger than receivers read.
+func TestManyReadersOfTheStore(t *testing.T) {
+	sim := newBeaconSimulation(t, 8, 200, 4)
+	sim.loss = 0.01
+	sim.run(3 * time.Second)
+	assert.Equal(t, sim.unaware(), 0)
+	for i, n := range sim.nodes {
+		clear(n.ended)
+		if i%2 == 0 {
+			n.message.ReadsStore = true
+			n.message.TableVersions = []mirror.TableVersion{{Table: "configuration", Version: 1<<50 + 7}, {Table: "servers", Version: 1<<50 + 70000}}
+		}
+	}
+	sim.run(5 * time.Second)
+	assert.Equal(t, sim.oversized, 0)
+	assert.Equal(t, sim.unaware(), 0)
+	for _, n := range sim.nodes {
+		assert.Equal(t, len(n.ended), 0, "%s took live instances for dead", n.message.From)
+		assert.Assert(t, len(n.table.Readers()) >= 2, "%s knows too few readers", n.message.From)
+	}
+}
+
+// Guards against digests that are larger than receivers read, whatever they have to tell.
+func TestDigestsFitTheirDatagrams(t *testing.T) {
+	sim := newBeaconSimulation(t, 9, 200, 3)
+	sim.run(2 * time.Second)
+	for i, n := range sim.nodes {
+		n.message.ReadsStore = i%3 == 0
+		n.message.TableVersions = []mirror.TableVersion{{Table: "configuration", Version: 1<<50 + 7}, {Table: "servers", Version: 1<<50 + 70000}}
+		for s := range 200 {
+			n.message.Loads = append(n.message.Loads, NewLoad(ident.InstanceID(fmt.Sprint("server-", s)), 3))
+			n.message.FailingServers = append(n.message.FailingServers, hashID(ident.InstanceID(fmt.Sprint("server-", s))))
+		}
+		n.message.StalledGroups = []GroupEpoch{{Group: ident.GroupID(fmt.Sprint("group-with-a-name-", i)), Epoch: 7}}
+	}
+	sim.run(3 * time.Second)
+	assert.Equal(t, sim.oversized, 0)
+	assert.Equal(t, sim.unaware(), 0)
+}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -241,3 +241,39 @@
 		_, _, _ = readPieces(New(&piecewise{pieces: pieces, end: io.EOF}, 4<<10))
 	}
 }
+
+// Guards against bytes that have arrived and are taken for missing, because the process was late
+// and the deadline of the wait had passed when it looked for them.
+func TestAwaitAfterItsDeadline(t *testing.T) {
+	client, server := tcpPair(t)
+	c := New(client, 1<<10)
+	assert.ErrorIs(t, c.Await(time.Now().Add(-time.Second)), os.ErrDeadlineExceeded)
+	_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, c.Await(time.Now().Add(-time.Second)))
+	resp, err := c.ReadHead(nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.NilError(t, server.Close())
+	time.Sleep(50 * time.Millisecond)
+	b := make([]byte, 8)
+	n, err := c.ReadBody(b)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b[:n]), "ok")
+	assert.NilError(t, c.Await(time.Now().Add(-time.Second)), "the end of the connection has arrived")
+}
+
+// tcpPair returns the two ends of a TCP connection.
+func tcpPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	client, err = net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	server, err = l.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	return client, server
+}
