Digests fit into the datagrams that receivers read

Callers on a large fleet got requests sent on after they had left, and decisions by replaced configurations. Cause: a digest's lists of readers, stalls and loads grew with the disorder; with over 40 readers and a full page of records it passed the 16 KB that receivers read, and was dropped without a word. The lists are bounded now (8 readers, 250 counts, 32 stalls), and records fill what is left; the others follow in the next digests.

--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -34,8 +34,12 @@
 	// dataCentreTimeout is how long the records of another data centre count at a relay
 	// without a digest from there. It covers the change to other relays.
 	dataCentreTimeout = 2500 * time.Millisecond
-	// maxDigestRecords bounds the records in a digest, and thereby its size.
+	// maxDigestRecords bounds the records in a digest, and maxDigestReaders, maxDigestCounts and
+	// maxDigestStalls its other lists. What is left of a datagram limits the records further.
 	maxDigestRecords = 160
+	maxDigestReaders = 8
+	maxDigestCounts  = 250
+	maxDigestStalls  = 32
 	// endedRetention is how long the records of ended runs are kept, so that they reach
 	// all subscribers.
 	endedRetention = 2 * time.Minute
@@ -455,19 +459,6 @@
 		}
 		slices.SortFunc(changed, func(a, b *peer) int { return cmp.Compare(a.change, b.change) })
 	}
-	if len(changed) > maxDigestRecords {
-		changed = changed[:maxDigestRecords]
-		out.Change = changed[maxDigestRecords-1].change
-	}
-	for _, p := range changed {
-		r := p.Record
-		if !p.ended() && t.knowsAlive(now, p, "") {
-			r.Flags |= FlagHeard
-		}
-		out.Records = append(out.Records, r)
-	}
-	// The sender's own record is always the newest.
-	out.Records = append(out.Records, t.self.record())
 	if d != "" {
 		out.Acks = t.acks(now)
 	}
@@ -486,12 +477,49 @@
 			out.Readers = append(out.Readers, s)
 		}
 	}
+	out.Readers = t.preferredReaders(out.Readers)
 	if t.self.ReadsStore {
 		out.Readers = append(out.Readers, ReaderState{t.self.From, t.self.StoreAge, t.self.TableVersions})
 	}
+	out.Stalled = out.Stalled[:min(len(out.Stalled), maxDigestStalls)]
+	t.addRecords(now, &out, changed)
 	return out
 }
 
+// addRecords adds the changed records that fit into the datagram, in the order of their changes, and
+// the sender's own one, which is always the newest.
+func (t *Table) addRecords(now time.Duration, d *Digest, changed []*peer) {
+	own := t.self.record()
+	left := MaxDatagramBytes - d.encodedBytes() - own.encodedBytes()
+	for i, p := range changed {
+		if left -= p.encodedBytes(); left < 0 || i == maxDigestRecords {
+			d.Change = d.Base
+			if i > 0 {
+				d.Change = changed[i-1].change
+			}
+			break
+		}
+		r := p.Record
+		if !p.ended() && t.knowsAlive(now, p, "") {
+			r.Flags |= FlagHeard
+		}
+		d.Records = append(d.Records, r)
+	}
+	d.Records = append(d.Records, own)
+}
+
+// preferredReaders returns up to maxDigestReaders store readers, those with the largest CPU share
+// and the newest data first. More are of no use to anybody.
+func (t *Table) preferredReaders(readers []ReaderState) []ReaderState {
+	slices.SortFunc(readers, func(a, b ReaderState) int {
+		return cmp.Or(
+			cmp.Compare(t.peers[b.Instance].CPUShare, t.peers[a.Instance].CPUShare),
+			cmp.Compare(a.Age, b.Age), cmp.Compare(a.Instance, b.Instance),
+		)
+	})
+	return readers[:min(len(readers), maxDigestReaders)]
+}
+
 func (t *Table) isLocal(id ident.InstanceID) bool {
 	p, ok := t.peers[id]
 	return id == t.self.From || (ok && p.DataCentre == t.self.DataCentre)
@@ -537,6 +565,7 @@
 	}
 }
 
+// toCounts returns the counts by server, the maxDigestCounts largest if there are more.
 func toCounts(m map[uint32]int) []Count {
 	out := make([]Count, 0, len(m))
 	for k, n := range m {
@@ -544,6 +573,10 @@
 			out = append(out, Count{k, n})
 		}
 	}
+	if len(out) > maxDigestCounts {
+		slices.SortFunc(out, func(a, b Count) int { return cmp.Or(cmp.Compare(b.N, a.N), cmp.Compare(a.Server, b.Server)) })
+		out = out[:maxDigestCounts]
+	}
 	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
