Bytes that have arrived are read also after the deadline of a late wait

Callers got no answer although their backend server's whole response had arrived, and the request was sent to a second server. Cause: a read whose deadline passed before it began, because the process was late, does not look at the connection; the silence of this process counted as that of the server. Await now reads once without waiting before it reports a timeout. Both request paths read responses by it.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -65,6 +65,8 @@
 	rawConn     syscall.RawConn
 	probe       func(fd uintptr) bool
 	idleAndOpen bool
+	// readErr is the error of the last read that did not wait.
+	readErr error
 }
 
 // New returns a connection with a read buffer of the given size.
@@ -114,6 +116,9 @@
 	}
 	c.makeRoom()
 	n, err := c.Conn.Read(c.buf[c.end:])
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readArrived(err)
+	}
 	c.end += n
 	if n > 0 {
 		c.needsMore = false
@@ -130,6 +135,34 @@
 	return nil
 }
 
+// readArrived reads bytes that had arrived when the read deadline passed. A read that begins after its
+// deadline, because the process was late, does not look for them. It returns the given error if there
+// are none.
+func (c *Conn) readArrived(timeout error) (n int, err error) {
+	if c.rawConn == nil {
+		return 0, timeout
+	}
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	err = c.rawConn.Read(func(fd uintptr) bool {
+		n, c.readErr = syscall.Read(int(fd), c.buf[c.end:])
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case n > 0:
+		return n, nil
+	case n == 0:
+		return 0, io.EOF
+	case c.readErr == syscall.EAGAIN || c.readErr == syscall.EINTR:
+		return 0, timeout
+	default:
+		return 0, c.readErr
+	}
+}
+
 // makeRoom makes room for further bytes in the buffer. The buffer grows for a response header,
 // which is decoded as a whole, and for a body whose bytes arrive faster than they are decoded.
 func (c *Conn) makeRoom() {
