Callers are looked for immediately before each send

Requests were sent on, or sent again, after their callers had left. Cause: the deadline and the end of the caller's connection were looked at when a server was chosen; a process that was late between the choice and the write sent the request all the same, and knew of the end only once net/http had read it. admission.DecideSend decides now between the connection and the write, on both paths (forward; gateway for completions and plain calls), from the clock and from the caller's socket itself (internal/callerconn). Calls with an idempotency key go on without their callers, as before. TestNoSendAfterDeadline and TestNoSendForCallerThatLeft failed before.

--- a/edge/node.go
+++ b/edge/node.go
@@ -23,6 +23,7 @@
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/mirror"
 	"github.com/bulrushfall/bulrushfall/route"
@@ -276,7 +277,7 @@
 
 func (n *Node) newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ConnContext: callerconn.Context, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// Errors on callers' connections are not logged: they are no fault of this
 		// process.
 		ErrorLog: log.New(io.Discard, "", 0),
--- a/engine/data.go
+++ b/engine/data.go
@@ -122,7 +122,7 @@
 	}
 	if r.MaySend != nil && !r.MaySend() {
 		_ = c.Close()
-		return nil, errors.Wrap(ErrNotSent, "engine asks for a pause")
+		return nil, errors.Wrap(ErrNotSent, "engine asks for a pause, or the caller no longer waits")
 	}
 	s := &Stream{ctx: ctx, pool: d.pool, conn: c, lastOffset: -1}
 	s.watch.observer = r.Observer
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,7 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/route"
@@ -142,8 +144,19 @@
 		a.finish()
 		return a, notSent
 	}
-	a.stopContextWatch = context.AfterFunc(ctx, conn.close)
 	now = c.now()
+	// The process may have been late since the server was picked.
+	switch d := admission.DecideSend(now, c.deadline, minSendTime, callerconn.Left(ctx)); d {
+	case admission.MaySend:
+	case admission.CallerLeft:
+		a.finish()
+		return a, canceled
+	default:
+		a.finish()
+		c.addStep(d.String() + ":" + string(s.ID))
+		return a, notSent
+	}
+	a.stopContextWatch = context.AfterFunc(ctx, conn.close)
 	c.triedServers = append(c.triedServers, triedServer{s.ID, s.Epoch})
 	c.sendCount++
 	c.possibleRuns++
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
@@ -172,7 +173,9 @@
 	// 5 s ago, so that the budget has been refilled when a test sends requests.
 	r.handler.retryBudget.TakeRetry(0, 1)
 	r.start = r.start.Add(-5 * time.Second)
-	r.frontend = httptest.NewServer(r.handler)
+	r.frontend = httptest.NewUnstartedServer(r.handler)
+	r.frontend.Config.ConnContext = callerconn.Context
+	r.frontend.Start()
 	t.Cleanup(r.frontend.Close)
 	return r
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -9,8 +9,10 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 	"github.com/bulrushfall/bulrushfall/stream"
 	"github.com/bulrushfall/bulrushfall/view"
 )
@@ -170,7 +172,7 @@
 		Priority:     r.Priority,
 		ResumeOffset: r.Assembler.BeginAttempt(a.id),
 		Observer:     a,
-		MaySend:      func() bool { return !g.opts.Pauses.paused(g.now(), run) },
+		MaySend:      func() bool { return !g.opts.Pauses.paused(g.now(), run) && g.callerWaits(a.ctx, r) },
 	})
 	if err != nil {
 		var refused *engine.RefusedError
@@ -185,6 +187,16 @@
 	return nil
 }
 
+// callerWaits reports whether the caller of a completion still waits for it. The deadline is that of
+// the start of the answer.
+func (g *Gateway) callerWaits(ctx context.Context, r *Request) bool {
+	deadline := r.Deadline
+	if answerStarted(r) {
+		deadline = 0
+	}
+	return admission.DecideSend(g.now(), deadline, 0, callerconn.Left(ctx)) == admission.MaySend
+}
+
 // relay passes the frames of the attempt to the sink of the request. It opens the
 // attempt unless a search has done so.
 func (a *attempt) relay() Result {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -14,9 +14,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 	"github.com/bulrushfall/bulrushfall/internal/dial"
 	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	"github.com/bulrushfall/bulrushfall/view"
@@ -92,14 +94,22 @@
 		req.Header.Set("Content-Type", r.ContentType)
 	}
 	req.Header.Set(engine.HeaderAttempt, string(attempt))
-	return c.roundTrip(req, plainKey{b.Address, run})
+	return c.roundTrip(req, plainKey{b.Address, run}, func() admission.SendDecision {
+		// Calls with a key go on without their callers, who can fetch the answer.
+		left := ctx.Err() != nil || (r.IdempotencyKey == "" && callerconn.Left(ctx))
+		return admission.DecideSend(c.pauses.now(), max(r.Deadline, r.AnswerDeadline), 0, left)
+	})
 }
 
 // roundTrip sends a request on an idle connection or, if there is none or the request may not be
-// sent on one, on a new one.
-func (c *plainClient) roundTrip(req *http.Request, key plainKey) (*Answer, http.Header, error) {
+// sent on one, on a new one. decide decides immediately before each send.
+func (c *plainClient) roundTrip(req *http.Request, key plainKey, decide func() admission.SendDecision) (*Answer, http.Header, error) {
 	if !req.Close {
 		if conn, ok := c.idle.Get(key); ok {
+			if d := decide(); d != admission.MaySend {
+				c.idle.Put(key, conn)
+				return nil, nil, errors.Wrap(ErrBackendNotSent, d.String())
+			}
 			x := plainExchange{client: c, conn: conn, key: key, request: req}
 			a, err := x.run()
 			if err == nil || x.answered || !replayable(req) || req.Context().Err() != nil {
@@ -114,6 +124,10 @@
 	case err != nil:
 		return nil, nil, transportError(err)
 	}
+	if d := decide(); d != admission.MaySend {
+		_ = conn.Close()
+		return nil, nil, errors.Wrap(ErrBackendNotSent, d.String())
+	}
 	x := plainExchange{client: c, conn: httpconn.New(conn, plainReadBytes), key: key, request: req}
 	a, err := x.run()
 	return a, x.header, err
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bulrushfall/bulrushfall/internal/callerconn"
 )
 
 // Timeouts of the callers' listener.
@@ -21,8 +23,10 @@
 // connections, which parking requires.
 func (g *Gateway) Server(h http.Handler, maxHeaderBytes int) *http.Server {
 	return &http.Server{
-		Handler:           h,
-		ConnContext:       withLimitConn,
+		Handler: h,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return callerconn.Context(withLimitConn(ctx, c), c)
+		},
 		ConnState:         connState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
--- a/gateway/stallconn.go
+++ b/gateway/stallconn.go
@@ -52,6 +52,9 @@
 	return &stallConn{Conn: c, parkAfter: l.parkAfter}, nil
 }
 
+// Unwrap implements callerconn.Unwrapper.
+func (c *stallConn) Unwrap() net.Conn { return c.Conn }
+
 type stallConnKey struct{}
 
 // withStallConn adds the request's stallConn to the context.
