--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -131,6 +131,20 @@
 	once       sync.Once
 	mu         sync.Mutex
 	watchCalls int
+	// snapshots and gets count the calls of Snapshot and Get.
+	snapshots, gets int
+}
+
+func (v *storeView) snapshotCalls() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.snapshots
+}
+
+func (v *storeView) getCalls() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.gets
 }
 
 // hang makes all further calls hang until they time out.
@@ -157,6 +171,9 @@
 }
 
 func (v *storeView) Get(ctx context.Context, key infra.RowKey) (infra.Row, error) {
+	v.mu.Lock()
+	v.gets++
+	v.mu.Unlock()
 	if err := v.checkReachable(ctx); err != nil {
 		return infra.Row{}, err
 	}
@@ -182,6 +199,9 @@
 }
 
 func (v *storeView) Snapshot(ctx context.Context, table string) (infra.Changes, error) {
+	v.mu.Lock()
+	v.snapshots++
+	v.mu.Unlock()
 	if err := v.checkReachable(ctx); err != nil {
 		return infra.Changes{}, err
 	}
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -42,6 +42,8 @@
 	retryDelay       time.Duration
 	knownVersion     uint64
 	storeUnavailable bool
+	// answered is true once the store has answered since this instance became a reader.
+	answered bool
 	// lastAnswerAt is when the store last answered, as returned by Node.now, or 0. The
 	// control goroutine and the beacon sender read it.
 	lastAnswerAt atomic.Int64
@@ -49,16 +51,17 @@
 	wake chan struct{}
 }
 
-// run reads the table until ctx ends. It begins with a snapshot each time this
-// instance becomes a store reader.
+// run reads the table until ctx ends. When this instance becomes a store reader it reads the
+// changes that its replica lacks, and the whole table only if the replica is not complete.
 func (r *tableReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.node.readsStore.Load() {
-			r.knownVersion = 0
 			select {
 			case <-ctx.Done():
 			case <-r.wake:
 			}
+			r.knownVersion, _ = r.node.mirror.Complete(r.table)
+			r.answered = false
 			continue
 		}
 		r.readOnce(ctx)
@@ -88,6 +91,7 @@
 		r.storeUnavailable = false
 		log.Info("store regained")
 	}
+	r.answered = true
 	r.lastAnswerAt.Store(int64(r.node.now()))
 	if !isSnapshot && infra.VersionEra(changes.Version) != infra.VersionEra(r.knownVersion) {
 		// The changes since the known version belong to another history.
@@ -107,9 +111,9 @@
 
 // nextPollTimeout returns the timeout of the next long poll. It is short while the
 // store is unavailable, because a call that began before the store came back hangs
-// until its timeout.
+// until its timeout, and for the first poll of a reader, because others wait for its state.
 func (r *tableReader) nextPollTimeout() time.Duration {
-	if r.storeUnavailable {
+	if r.storeUnavailable || !r.answered {
 		return min(r.pollTimeout, outagePollTimeout)
 	}
 	return r.pollTimeout
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -69,9 +69,11 @@
 // table is the replica of one table.
 type table struct {
 	rows map[string]Row
-	// version is the newest version. snapshotVersion is the version of the last snapshot
-	// of the whole table: the replica may lack deletions that are older than it.
-	version, snapshotVersion uint64
+	// version is the newest version. The replica has all deletions after snapshotVersion, the
+	// version of the last snapshot of the whole table, and those after completeFrom up to
+	// completeTo, the version before it. It may lack others.
+	version, snapshotVersion  uint64
+	completeFrom, completeTo uint64
 	// restored is the state after a restore of the store, or nil once it is over.
 	restored *restored
 }
@@ -124,7 +126,7 @@
 		}
 	}
 	if snapshot {
-		newChanges = append(newChanges, t.applySnapshot(name, c.Version, present)...)
+		newChanges = append(newChanges, t.applySnapshot(name, c.Version, before, present)...)
 		t.version = max(t.version, c.Version)
 	}
 	m.notifyWaiters(len(newChanges) > 0 || t.restored != nil && t.version > before)
@@ -132,10 +134,16 @@
 }
 
 // applySnapshot records that the rows of a snapshot have been applied, and returns the
-// deletions of the rows that it lacks. After a restore these are only rows that were seen
+// deletions of the rows that it lacks. before is the version of the table before it. After a restore these are only rows that were seen
 // since; Settle deletes the others.
-func (t *table) applySnapshot(name string, version uint64, present map[string]bool) []infra.Change {
-	t.snapshotVersion = max(t.snapshotVersion, version)
+func (t *table) applySnapshot(name string, version, before uint64, present map[string]bool) []infra.Change {
+	if version > t.snapshotVersion {
+		t.completeFrom, t.completeTo = t.snapshotVersion, before
+		if t.snapshotVersion == 0 {
+			t.completeTo = 0
+		}
+		t.snapshotVersion = version
+	}
 	if t.restored != nil {
 		for key, r := range t.restored.withheld {
 			if !present[key] && r.Version <= version {
@@ -216,7 +224,7 @@
 		}
 	}
 	if u.Snapshot {
-		newChanges = append(newChanges, t.applySnapshot(u.Table, u.NewestVersion, present)...)
+		newChanges = append(newChanges, t.applySnapshot(u.Table, u.NewestVersion, before, present)...)
 	}
 	// The update is complete up to its version, which may be that of a snapshot and
 	// above all rows.
@@ -287,8 +295,8 @@
 }
 
 // updatesAfter returns the rows that are newer than the known versions, without waiting.
-// A follower whose version is older than the last snapshot gets all rows, because the
-// replica may lack deletions that are older than the snapshot. The mutex must be held.
+// A follower gets all rows if the replica may lack deletions after its version. The mutex must
+// be held.
 func (m *Mirror) updatesAfter(known []TableVersion) []Update {
 	var out []Update
 	for name, t := range m.tables {
@@ -296,7 +304,7 @@
 		if t.version <= after {
 			continue
 		}
-		u := Update{Table: name, NewestVersion: t.version, Snapshot: after < t.snapshotVersion}
+		u := Update{Table: name, NewestVersion: t.version, Snapshot: t.lacksDeletionsAfter(after)}
 		for _, r := range t.rows {
 			if r.Version > after || u.Snapshot {
 				u.Rows = append(u.Rows, r)
@@ -316,6 +324,31 @@
 	return out
 }
 
+// lacksDeletionsAfter reports whether a row that a follower had at a version may have been deleted
+// since without a trace in the replica: the replica was not complete at that version. At a version
+// up to which it was complete, it had each row of the follower, and the snapshot showed which are gone.
+func (t *table) lacksDeletionsAfter(version uint64) bool {
+	if version >= t.snapshotVersion {
+		return false
+	}
+	if t.restored != nil || infra.VersionEra(version) != infra.VersionEra(t.snapshotVersion) {
+		return true
+	}
+	return version == 0 || version < t.completeFrom || version > t.completeTo
+}
+
+// Complete returns the newest version of a table, and whether the replica has all rows and
+// deletions up to it, so that only later changes have to be read.
+func (m *Mirror) Complete(name string) (version uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, known := m.tables[name]
+	if !known || t.snapshotVersion == 0 || t.restored != nil {
+		return 0, false
+	}
+	return t.version, true
+}
+
 // pack compresses the rows of an update to a follower that knows a table up to a version.
 // Entries of one table resemble each other, so together they take a fraction of their
 // size. The mutex must be held.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -240,3 +240,27 @@
 		assert.Equal(t, time.Since(begin), 3*time.Second)
 	})
 }
+
+// Guards against copies of whole tables that spread through the fleet: each follower of an instance
+// that had read a table as a whole got it as a whole, although it lacked a few rows.
+func TestSnapshotIsNotPassedOn(t *testing.T) {
+	reader, follower, between := New(), New(), New()
+	reader.Apply("t", infra.Changes{Rows: []infra.Change{put("a", 1, "x"), put("b", 2, "y"), put("c", 3, "z")}, Version: 3}, true)
+	transfer(t, reader, follower)
+	transfer(t, reader, between)
+	reader.Apply("t", infra.Changes{Rows: []infra.Change{put("a", 4, "w")}, Version: 4}, false)
+	// Another reader has passed on version 6, in which d existed.
+	between.Apply("t", infra.Changes{Rows: []infra.Change{put("d", 6, "v")}, Version: 6}, false)
+	reader.Apply("t", infra.Changes{Rows: []infra.Change{put("a", 4, "w"), put("c", 8, "new")}, Version: 9}, true)
+
+	updates := reader.updatesAfter(follower.Versions())
+	assert.Equal(t, len(updates), 1)
+	assert.Assert(t, !updates[0].Snapshot)
+	assert.Equal(t, len(updates[0].Rows), 3, "a and c have changed, b is gone")
+	transfer(t, reader, follower)
+	assert.DeepEqual(t, liveVersions(follower), map[string]uint64{"a": 4, "c": 8})
+
+	assert.Assert(t, reader.updatesAfter(between.Versions())[0].Snapshot, "the reader may lack deletions after version 4")
+	transfer(t, reader, between)
+	assert.DeepEqual(t, liveVersions(between), map[string]uint64{"a": 4, "c": 8})
+}
