--- a/edge/follower.go
+++ b/edge/follower.go
@@ -152,6 +152,8 @@
 		maxLag *= followerLagFactor
 	}
 	needed := (rank < storeReaders && now >= discoveryTime) || lag > maxLag
+	// One that only catches up reads for itself: its own link is the last that others should use.
+	n.announcesReading.Store(n.roster.localRank < storeReaders)
 	switch {
 	case needed:
 		n.lastNeededAt = now
--- a/edge/node.go
+++ b/edge/node.go
@@ -78,6 +78,8 @@
 	// readsStore is true while this instance reads the store itself, holdsLease while
 	// it holds the planner's lease.
 	readsStore, holdsLease atomic.Bool
+	// announcesReading is true if others may follow this instance while it reads the store.
+	announcesReading atomic.Bool
 	// isRelay is true while this instance relays beacons and table changes.
 	isRelay atomic.Bool
 	// lagging is true while this instance lacks changes that a reader announced some
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -65,7 +65,7 @@
 		From: n.settings.Instance, Incarnation: n.self.Incarnation, Sequence: sequence, CallerAddress: n.settings.CallerAddress,
 		DataCentre: n.settings.DataCentre, CPUShare: n.settings.CPULimit, Ready: n.ready.Load(), Leaving: n.leaving.Load(),
 		RequestsReceived: n.handler.Accepted() > 0, HoldsLease: n.holdsLease.Load(),
-		ReadsStore: n.readsStore.Load(), WantDigest: plan.WantDigest, Acks: plan.Acks,
+		ReadsStore: n.readsStore.Load() && n.announcesReading.Load(), WantDigest: plan.WantDigest, Acks: plan.Acks,
 		PeerAddresses: plan.PeerAddresses, Crashes: n.handler.CrashFindings(n.now()), Limits: n.handler.LimitReports(n.now()),
 	}
 	if m.ReadsStore {
