Requests are decided only by a configuration that is known to be current

Requests ran by routes and keys that had been dropped, and new ones got 404, more than 4 s after the store had confirmed the change. Cause: an instance decided by its copy of the configuration however old it was, and an instance that is late, or hears nobody, does not notice that it is. The copy has an age now (mirror.Currency): it is confirmed by an own answer of the store, or by a store reader's beacon whose table versions it covers, less the time for which this process was late. Beyond the installation's bound (Settings.ConfigTime) requests are refused as not run; while nobody reaches the store the last copy stays in use. TestReplacedConfigurationDecidesNothing failed before (200 for a dropped key); TestConfigurationStaysInUseInOutage holds the other side.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -322,9 +323,11 @@
 // has returned.
 type testNode struct {
 	*Node
-	view    *storeView
-	stop    context.CancelFunc
-	stopped chan struct{}
+	view *storeView
+	// beforeDecode, if set, is called before a configuration is decoded.
+	beforeDecode atomic.Pointer[func()]
+	stop         context.CancelFunc
+	stopped      chan struct{}
 }
 
 // testSettings returns settings with an address of the loopback network 127.77.network.0.
@@ -336,7 +339,7 @@
 		CallerAddress: at(8001), ReadyAddress: at(8002), LookupAddress: at(8003), PeerPort: 8004, MetricsPort: 8005,
 		FirstStart: true, StoreAddress: "memory", GracePeriod: 4 * time.Second, LookupTTL: 5 * time.Second,
 		ColdFactor: 1.5, ColdSlack: 5, LoadWindow: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
-		DrainTime: 2 * time.Second,
+		DrainTime: 2 * time.Second, ConfigTime: changeDeadline,
 	}
 }
 
@@ -374,6 +377,9 @@
 		Prompt:        testPrompt,
 		OperatorTable: "op", ServerTable: "servers", ConfigKey: "config", EvacuatePrefix: "out/",
 		DecodeConfig: func(b []byte) (route.Config, []error, error) {
+			if f := n.beforeDecode.Load(); f != nil {
+				(*f)()
+			}
 			var c route.Config
 			err := json.Unmarshal(b, &c)
 			return c, nil, err
--- a/edge/control.go
+++ b/edge/control.go
@@ -147,19 +147,24 @@
 // lateTickThreshold is the delay of a tick from which it is logged.
 const lateTickThreshold = 300 * time.Millisecond
 
-// logLateTick logs that a tick came late, as it does where the process lacks processor time.
-func (n *Node) logLateTick(now time.Duration) {
-	late := now - n.lastTickAt - idleTickFactor*tickInterval
-	if n.lastTickAt != 0 && late >= lateTickThreshold {
+// lateness returns by how much the tick came late, as it does where the process lacks processor
+// time, and logs it.
+func (n *Node) lateness(now time.Duration) time.Duration {
+	late := time.Duration(0)
+	if n.lastTickAt != 0 {
+		late = max(0, now-n.lastTickAt-idleTickFactor*tickInterval)
+	}
+	if late >= lateTickThreshold {
 		n.log.WithFields(logrus.Fields{"late_ms": late.Milliseconds(), "in_flight": n.handler.InFlight(), "relay": n.isRelay.Load(), "reads_store": n.readsStore.Load(), "holds_lease": n.holdsLease.Load()}).Warn("control loop was late")
 	}
 	n.lastTickAt = now
+	return late
 }
 
 // tick does the periodic work of the control goroutine.
 func (n *Node) tick() {
 	now := n.now()
-	n.logLateTick(now)
+	late := n.lateness(now)
 	for _, run := range n.peers.Expire(now) {
 		n.peerChanged(run, false)
 	}
@@ -167,6 +172,7 @@
 	n.checkRestore()
 	n.updateRoster()
 	n.updateReaderRole(now)
+	n.updateCurrency(now, late)
 	n.updateLeaseHolder(n.roster.holder)
 	holder := n.roster.holder
 	n.detectOwnFormerRun()
--- a/edge/node.go
+++ b/edge/node.go
@@ -78,6 +78,8 @@
 	// readsStore is true while this instance reads the store itself, holdsLease while
 	// it holds the planner's lease.
 	readsStore, holdsLease atomic.Bool
+	// currency is the age of the operator table's replica.
+	currency mirror.Currency
 	// announcesReading is true if others may follow this instance while it reads the store.
 	announcesReading atomic.Bool
 	// isRelay is true while this instance relays beacons and table changes.
@@ -113,7 +115,9 @@
 	// contending is true while this instance follows the lease in the store.
 	contending bool
 	// lastTickAt is when the control loop last ticked.
-	lastTickAt  time.Duration
+	lastTickAt time.Duration
+	// wasCurrent is the last logged state of currency.
+	wasCurrent  bool
 	roster      rosterView
 	addressList addressList
 	// peersAppeared and peersEnded are runs of other entry instances to be logged.
@@ -177,7 +181,7 @@
 		DataCentre: settings.DataCentre, ColdFactor: settings.ColdFactor, ColdSlack: settings.ColdSlack,
 		RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		DrainTime: settings.DrainTime, HeldBytes: heldBytes(settings.Memory),
-		Prompt: platform.Prompt, OnFindings: n.requestBeacon,
+		Prompt: platform.Prompt, ConfigCurrent: n.configCurrent, OnFindings: n.requestBeacon,
 		OnStalledGroup: n.reportStall,
 	})
 	return n
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -66,6 +66,9 @@
 	// DrainTime is the time from the first response of a leaving backend server after which
 	// no request may be sent to it. 0 means that none may be sent at all.
 	DrainTime time.Duration
+	// ConfigTime is the time from the confirmation of a configuration after which no request may
+	// be decided by an earlier one. 0 means that there is no bound.
+	ConfigTime time.Duration
 }
 
 // Validate returns an error that names a required setting that is missing.
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -42,6 +42,8 @@
 	retryDelay       time.Duration
 	knownVersion     uint64
 	storeUnavailable bool
+	// failing is storeUnavailable for other goroutines.
+	failing atomic.Bool
 	// answered is true once the store has answered since this instance became a reader.
 	answered bool
 	// lastAnswerAt is when the store last answered, as returned by Node.now, or 0. The
@@ -78,6 +80,7 @@
 		r.knownVersion = 0
 		return
 	case err != nil:
+		r.failing.Store(true)
 		if !r.storeUnavailable {
 			r.storeUnavailable = true
 			log.WithError(err).Warn("store lost")
@@ -87,6 +90,7 @@
 		return
 	}
 	r.retryDelay = 0
+	r.failing.Store(false)
 	if r.storeUnavailable {
 		r.storeUnavailable = false
 		log.Info("store regained")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,6 +102,9 @@
 	HeldBytes int64
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
+	// ConfigCurrent, if not nil, reports whether requests may be decided by the view's
+	// configuration: it may have been replaced without this entry instance knowing.
+	ConfigCurrent func() bool
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
 	// of a backend server, of requests that are refused since, or of a request limit.
 	OnFindings func()
@@ -177,6 +180,10 @@
 	}
 }
 
+// metricConfigOutdated counts the requests that were refused because the configuration may have been
+// replaced.
+const metricConfigOutdated = "configuration_not_current_total"
+
 // View returns the current view, or nil before the first SetView.
 func (h *Handler) View() *View { return h.view.Load() }
 
@@ -216,6 +223,12 @@
 		c.refuse(refusal{reason: "no-configuration", retryAfter: noConfigRetryAfter})
 		return
 	}
+	if h.opts.ConfigCurrent != nil && !h.opts.ConfigCurrent() {
+		h.count(metricConfigOutdated)
+		c := &call{handler: h, writer: w, request: r, start: h.opts.Now()}
+		c.refuse(refusal{reason: "configuration-not-current", retryAfter: noConfigRetryAfter})
+		return
+	}
 	c, status := h.newCall(w, r, view)
 	defer c.release(&c.bodyHold)
 	switch status {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -263,6 +263,12 @@
 	return true
 }
 
+// CoversTable reports whether one table in known is at least as new as in other, which has to have it.
+func CoversTable(known, other []TableVersion, name string) bool {
+	v := versionOf(other, name)
+	return v != 0 && versionOf(known, name) >= v
+}
+
 // versionOf returns the version of a table, or 0 if it is missing.
 func versionOf(versions []TableVersion, name string) uint64 {
 	for _, v := range versions {
