Stall reports are passed on twice for each group, the newest first

When a data centre's backend servers were lost, each of 295 instances reported some 28 groups, and relays passed on each report of each instance: thousands in a digest, which receivers dropped for its size, and a search through all of them for each one received. Two instances have to report a group before it counts; so two reports of each group are passed on now, and old ones are forgotten once a tick. TestManyStalledGroups failed before: with the bound on digests alone a group was known by one report only.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -403,6 +403,7 @@
 			delete(t.sums, d)
 		}
 	}
+	t.expireStalls(now)
 	if now-t.digestAt >= isolationTimeout {
 		t.totals = totals{}
 	}
--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -39,7 +40,10 @@
 	maxDigestRecords = 160
 	maxDigestReaders = 8
 	maxDigestCounts  = 250
-	maxDigestStalls  = 32
+	maxDigestStalls  = 64
+	// reportsPerStall is the number of reports of one group in a digest. Two instances have to
+	// report a group before it counts as stalled.
+	reportsPerStall = 2
 	// endedRetention is how long the records of ended runs are kept, so that they reach
 	// all subscribers.
 	endedRetention = 2 * time.Minute
@@ -462,14 +466,7 @@
 	if d != "" {
 		out.Acks = t.acks(now)
 	}
-	for r, heardAt := range t.stalls {
-		if now-heardAt < stallRelayTime && (d == "" || t.isLocal(r.Reporter)) {
-			out.Stalled = append(out.Stalled, r)
-		}
-	}
-	for _, g := range t.self.StalledGroups {
-		out.Stalled = append(out.Stalled, StalledReport{g, t.self.From})
-	}
+	out.Stalled = t.stallReports(now, d)
 	for id, r := range t.readers {
 		if p, ok := t.peers[id]; ok && !p.ended() && p.Has(FlagReadsStore) && (d == "" || p.DataCentre == d) {
 			s := r.ReaderState
@@ -481,7 +478,6 @@
 	if t.self.ReadsStore {
 		out.Readers = append(out.Readers, ReaderState{t.self.From, t.self.StoreAge, t.self.TableVersions})
 	}
-	out.Stalled = out.Stalled[:min(len(out.Stalled), maxDigestStalls)]
 	t.addRecords(now, &out, changed)
 	return out
 }
@@ -661,13 +657,34 @@
 }
 
 // recordStall records a report of a stalled group, to pass it on.
-func (t *Table) recordStall(now time.Duration, s StalledReport) {
+func (t *Table) recordStall(now time.Duration, s StalledReport) { t.stalls[s] = now }
+
+// expireStalls forgets the reports that are no longer passed on.
+func (t *Table) expireStalls(now time.Duration) {
+	maps.DeleteFunc(t.stalls, func(_ StalledReport, heardAt time.Duration) bool { return now-heardAt >= stallRelayTime })
+}
+
+// stallReports returns the reports to pass on, those of a data centre if one is given: the newest, and
+// reportsPerStall for each group, with which every receiver can confirm the stall.
+func (t *Table) stallReports(now time.Duration, d ident.DataCentre) []StalledReport {
+	var out []StalledReport
 	for r, heardAt := range t.stalls {
-		if now-heardAt >= stallRelayTime {
-			delete(t.stalls, r)
+		if now-heardAt < stallRelayTime && (d == "" || t.isLocal(r.Reporter)) {
+			out = append(out, r)
 		}
 	}
-	t.stalls[s] = now
+	for _, g := range t.self.StalledGroups {
+		out = append(out, StalledReport{g, t.self.From})
+	}
+	slices.SortFunc(out, func(a, b StalledReport) int {
+		return cmp.Or(cmp.Compare(t.stalls[b], t.stalls[a]), cmp.Compare(a.Group, b.Group), cmp.Compare(a.Reporter, b.Reporter))
+	})
+	reports := make(map[GroupEpoch]int)
+	out = slices.DeleteFunc(out, func(r StalledReport) bool {
+		reports[r.GroupEpoch]++
+		return reports[r.GroupEpoch] > reportsPerStall
+	})
+	return out[:min(len(out), maxDigestStalls)]
 }
 
 // knowsAlive reports whether this instance knows better than a digest, from a data centre
--- a/beacon/simulation_test.go
+++ b/beacon/simulation_test.go
@@ -510,3 +510,33 @@
 	assert.Equal(t, sim.oversized, 0)
 	assert.Equal(t, sim.unaware(), 0)
 }
+
+// Guards against stalls of many groups that are not known everywhere, because their reports are more
+// than a datagram holds, and against relays that spend their processor time on them.
+func TestManyStalledGroups(t *testing.T) {
+	sim := newBeaconSimulation(t, 10, 100, 4)
+	sim.run(3 * time.Second)
+	const groups = 60
+	for _, n := range sim.nodes {
+		n.message.StalledGroups = nil
+		for g := range groups {
+			n.message.StalledGroups = append(n.message.StalledGroups, GroupEpoch{Group: ident.GroupID(fmt.Sprint("group-with-a-name-", g)), Epoch: 7})
+		}
+	}
+	sim.run(time.Second)
+	assert.Equal(t, sim.oversized, 0)
+	assert.Equal(t, sim.unaware(), 0)
+	for _, n := range sim.nodes {
+		reporters := make(map[GroupEpoch]map[ident.InstanceID]bool)
+		for _, r := range n.stalls {
+			if reporters[r.GroupEpoch] == nil {
+				reporters[r.GroupEpoch] = make(map[ident.InstanceID]bool)
+			}
+			reporters[r.GroupEpoch][r.Reporter] = true
+		}
+		assert.Equal(t, len(reporters), groups, "%s", n.message.From)
+		for g, by := range reporters {
+			assert.Assert(t, len(by) >= 2, "%s knows one report of %s", n.message.From, g.Group)
+		}
+	}
+}
