Beacons and digests fit into a datagram whatever they hold

Findings about crashes were not counted against the size of a datagram: 16 crashes with 40 suspects each are 20 KB. Lists are shortened now until the rest fits, findings that are repeated first, and the size is added up without encoding.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -116,7 +116,14 @@
 }
 
 // Encode encodes a message as a datagram.
-func Encode(m *Message) ([]byte, error) { return encode(m) }
+func Encode(m *Message) ([]byte, error) {
+	b, err := encode(m)
+	for shrunk := *m; err == nil && len(b) > MaxDatagramBytes; {
+		shrunk.shrink()
+		b, err = encode(&shrunk)
+	}
+	return b, err
+}
 
 // digestMark is the first byte of a datagram with a digest. Those with a beacon begin with
 // the code of a map.
--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -486,6 +486,7 @@
 // the sender's own one, which is always the newest.
 func (t *Table) addRecords(now time.Duration, d *Digest, changed []*peer) {
 	own := t.self.record()
+	d.shrink(MaxDatagramBytes - minRecordRoom)
 	left := MaxDatagramBytes - d.encodedBytes() - own.encodedBytes()
 	for i, p := range changed {
 		if left -= p.encodedBytes(); left < 0 || i == maxDigestRecords {
