Readers that replace others are announced, whatever their rank in their data centre

Found by reading the change: the instance that replaced store readers which are cut off was not announced if its data centre had two preferred ones, so a system in one data centre had no source of changes. TestReadersAreReplacedInOneDataCentre failed before.

--- a/edge/follower.go
+++ b/edge/follower.go
@@ -153,7 +153,7 @@
 	}
 	needed := (rank < storeReaders && now >= discoveryTime) || lag > maxLag
 	// One that only catches up reads for itself: its own link is the last that others should use.
-	n.announcesReading.Store(n.roster.localRank < storeReaders)
+	n.announcesReading.Store(min(rank, n.roster.localRank) < storeReaders)
 	switch {
 	case needed:
 		n.lastNeededAt = now
--- a/edge/new_reader_test.go
+++ b/edge/new_reader_test.go
@@ -35,3 +35,21 @@
 	})
 	assert.Equal(t, follower.view.snapshotCalls(), before)
 }
+
+// Guards against instances without a source of changes: the next ones in the order replace store
+// readers that are cut off from the store, also where all are in one data centre.
+func TestReadersAreReplacedInOneDataCentre(t *testing.T) {
+	tc := newTestCluster(t, 41, 5)
+	tc.startPlainServer("p1", "a")
+	tc.store.put("op", "config", config(5, "k1"))
+	tc.eventually(5*time.Second, "requests are answered", func() bool { return tc.allAnswer("/l/", "k1", http.StatusOK) })
+	time.Sleep(time.Second)
+	for _, n := range tc.nodes {
+		if n.readsStore.Load() {
+			n.view.hang()
+		}
+	}
+	time.Sleep(2 * maxReaderAge)
+	tc.store.put("op", "config", config(6, "k2"))
+	tc.eventually(changeDeadline, "the new key is accepted", func() bool { return tc.allAnswer("/l/", "k2", http.StatusOK) })
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -137,7 +137,7 @@
 
 // readArrived reads bytes that had arrived when the read deadline passed. A read that begins after its
 // deadline, because the process was late, does not look for them. It returns the given error if there
-// are none.
+// are none. The connection has no read deadline afterwards.
 func (c *Conn) readArrived(timeout error) (n int, err error) {
 	if c.rawConn == nil {
 		return 0, timeout
