--- a/edge/contenders_test.go
+++ b/edge/contenders_test.go
@@ -15,7 +15,7 @@
 // Guards against a lease that all instances of a large fleet read and try to acquire once its
 // holder has ended, also the weakest: only the most preferred contend for it.
 func TestFewContendForLease(t *testing.T) {
-	tc := newTestCluster(t, 38, 1)
+	tc := newTestCluster(t, 51, 1)
 	n := tc.nodes[0]
 	holder := beacon.Run{Instance: "strong-0", Incarnation: "1"}
 	for i := range 20 {
--- a/edge/currency_test.go
+++ b/edge/currency_test.go
@@ -11,7 +11,7 @@
 // Guards against requests that are decided by a configuration that was replaced long ago, because the
 // instance that decides is late and does not know.
 func TestReplacedConfigurationDecidesNothing(t *testing.T) {
-	tc := newTestCluster(t, 39, 3)
+	tc := newTestCluster(t, 53, 3)
 	tc.startPlainServer("p1", "a")
 	tc.store.put("op", "config", config(5, "k1"))
 	tc.eventually(5*time.Second, "requests are answered", func() bool { return tc.allAnswer("/l/", "k1", http.StatusOK) })
@@ -34,7 +34,7 @@
 
 // Guards against refusals of all requests while the store is away for long.
 func TestConfigurationStaysInUseInOutage(t *testing.T) {
-	tc := newTestCluster(t, 40, 3)
+	tc := newTestCluster(t, 54, 3)
 	tc.startPlainServer("p1", "a")
 	tc.store.put("op", "config", config(5, "k1"))
 	tc.eventually(5*time.Second, "requests are answered", func() bool { return tc.allAnswer("/l/", "k1", http.StatusOK) })
--- a/edge/new_reader_test.go
+++ b/edge/new_reader_test.go
@@ -11,7 +11,7 @@
 // Guards against whole tables that are read by each instance that begins to read the store, although
 // its replica lacks nothing but the newest changes.
 func TestNewReaderReadsOnlyChanges(t *testing.T) {
-	tc := newTestCluster(t, 37, 3)
+	tc := newTestCluster(t, 52, 3)
 	tc.startPlainServer("p1", "a")
 	tc.store.put("op", "config", config(5, "k1"))
 	tc.eventually(5*time.Second, "requests are answered", func() bool { return tc.allAnswer("/l/", "k1", http.StatusOK) })
@@ -39,7 +39,7 @@
 // Guards against instances without a source of changes: the next ones in the order replace store
 // readers that are cut off from the store, also where all are in one data centre.
 func TestReadersAreReplacedInOneDataCentre(t *testing.T) {
-	tc := newTestCluster(t, 41, 5)
+	tc := newTestCluster(t, 55, 5)
 	tc.startPlainServer("p1", "a")
 	tc.store.put("op", "config", config(5, "k1"))
 	tc.eventually(5*time.Second, "requests are answered", func() bool { return tc.allAnswer("/l/", "k1", http.StatusOK) })
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -44,8 +44,8 @@
 	storeUnavailable bool
 	// failing is storeUnavailable for other goroutines.
 	failing atomic.Bool
-	// answered is true once the store has answered since this instance became a reader.
-	answered bool
+	// firstPoll is true until the store has answered since this instance became a reader.
+	firstPoll bool
 	// lastAnswerAt is when the store last answered, as returned by Node.now, or 0. The
 	// control goroutine and the beacon sender read it.
 	lastAnswerAt atomic.Int64
@@ -63,7 +63,7 @@
 			case <-r.wake:
 			}
 			r.knownVersion, _ = r.node.mirror.Complete(r.table)
-			r.answered = false
+			r.firstPoll = true
 			continue
 		}
 		r.readOnce(ctx)
@@ -95,7 +95,7 @@
 		r.storeUnavailable = false
 		log.Info("store regained")
 	}
-	r.answered = true
+	r.firstPoll = false
 	r.lastAnswerAt.Store(int64(r.node.now()))
 	if !isSnapshot && infra.VersionEra(changes.Version) != infra.VersionEra(r.knownVersion) {
 		// The changes since the known version belong to another history.
@@ -117,7 +117,7 @@
 // store is unavailable, because a call that began before the store came back hangs
 // until its timeout, and for the first poll of a reader, because others wait for its state.
 func (r *tableReader) nextPollTimeout() time.Duration {
-	if r.storeUnavailable || !r.answered {
+	if r.storeUnavailable || r.firstPoll {
 		return min(r.pollTimeout, outagePollTimeout)
 	}
 	return r.pollTimeout
