--- a/edge/contenders_test.go
+++ b/edge/contenders_test.go
@@ -28,7 +28,7 @@
 	tc.eventually(5*time.Second, "the holder is known", func() bool { return n.peers.Relayed() })
 	time.Sleep(300 * time.Millisecond)
 	reads := n.view.getCalls()
-	n.post(peerEvent{run: holder})
+	n.events <- peerEvent{run: holder}
 	time.Sleep(300 * time.Millisecond)
 	assert.Equal(t, n.view.getCalls(), reads, "%s is read by an instance of rank 20", formation.LeaseName)
 }
