Decode duties, server scaling and urgency from settings and configuration

The adapter dropped what the platform says of singleton duties (address, rate, windows, bounds), of the size of a service and of the urgency of routes and client accounts. Settings that name duties without an address, a rate or a usage window are refused with the remedy. Nothing acts on the new fields yet.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -69,6 +69,43 @@
 	// ConfigTime is the time from the confirmation of a configuration after which no request may
 	// be decided by an earlier one. 0 means that there is no bound.
 	ConfigTime time.Duration
+	// Duties are the calls to the platform that one entry instance at a time makes.
+	Duties DutySettings
+}
+
+// DutySettings describe the platform calls that one entry instance at a time makes. The zero
+// value asks for none.
+type DutySettings struct {
+	// Address is the address of the calls, and CallRate the number of them a second that the
+	// platform accepts from all entry instances together.
+	Address  string
+	CallRate float64
+	// ReportsUsage asks for a report of each usage window, OrdersServers for orders of the
+	// number of backend servers.
+	ReportsUsage, OrdersServers bool
+	// ChecksTokens is true if the platform refuses calls with an outdated fencing token.
+	ChecksTokens bool
+	// HolderTime is the time within which a duty must not return to an earlier holder.
+	HolderTime time.Duration
+	// UsageWindow is the length of a usage window, UsageDelay the time from the end of a window
+	// until its report is due, and UsageTolerance the relative error that a report may have.
+	UsageWindow, UsageDelay time.Duration
+	UsageTolerance          float64
+}
+
+// validate returns an error that names an invalid setting.
+func (d *DutySettings) validate() error {
+	switch {
+	case !d.ReportsUsage && !d.OrdersServers:
+		return nil
+	case d.Address == "":
+		return errors.New("settings name duties but no address for them: set the address of the platform's calls")
+	case d.CallRate <= 0:
+		return errors.New("settings name duties but no rate for them: set the number of calls a second to a positive number")
+	case d.ReportsUsage && d.UsageWindow <= 0:
+		return errors.New("settings ask for usage reports without a window: set the length of a usage window to a positive time")
+	}
+	return nil
 }
 
 // Validate returns an error that names a required setting that is missing.
@@ -83,7 +120,7 @@
 	case s.GracePeriod <= 0:
 		return errors.New("settings lack a positive grace period: set the time between SIGTERM and SIGKILL")
 	}
-	return nil
+	return s.Duties.validate()
 }
 
 // Platform adapts an entry instance to the platform that it runs on.
--- a/route/route.go
+++ b/route/route.go
@@ -54,6 +54,8 @@
 	LatencyGoal time.Duration
 	// MaxEventGap is the longest expected time between two events of a stream.
 	MaxEventGap time.Duration
+	// Urgency is the rank of the route's requests, 0 being the most urgent.
+	Urgency int
 	// AttemptLimit is the maximum number of backend servers that may run a request. The
 	// request may be sent to a few more, if some refuse it without running it.
 	AttemptLimit int
@@ -67,6 +69,15 @@
 	Targets []Target
 }
 
+// UrgencyOf returns the rank of a request of a route, 0 being the most urgent. account is nil for
+// a request without one.
+func UrgencyOf(r *Route, account *Account) int {
+	if account != nil && account.Urgency != nil {
+		return *account.Urgency
+	}
+	return r.Urgency
+}
+
 // Repeatable reports whether a request may be executed a second time.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
@@ -104,12 +115,24 @@
 	LoadsAtOnce int
 	// Engine describes the pace of the groups.
 	Engine Engine
+	// Scaling is nil unless the number of backend servers can be ordered.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of backend servers that can be ordered of a service.
+type Scaling struct {
+	// Min and Max bound the number of servers in each data centre.
+	Min, Max int
+	// StartTime is the time from an order until a new server runs.
+	StartTime time.Duration
 }
 
 // Account is a client account with its keys.
 type Account struct {
 	Name ident.Account
 	Keys []string
+	// Urgency takes precedence over that of a route. It is nil if the account has none.
+	Urgency *int
 }
 
 // Limits bounds the requests and connections of callers.
