Tests of a planned stop beside responses that are silent at any byte

forward.Options.Dial lets a test open connections in memory; the default is the dialer that was used before.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -32,9 +32,13 @@
 	incarnation ident.Incarnation
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Backend is the state that this entry instance keeps of one run of a backend server.
 type Backend struct {
 	key      backendKey
+	dial     DialFunc
 	inFlight atomic.Int32
 	// lastReceived is when the server last sent data.
 	lastReceived atomic.Int64
@@ -65,7 +69,7 @@
 	defer h.mu.Unlock()
 	b, ok := h.backends[key]
 	if !ok {
-		b = &Backend{key: key}
+		b = &Backend{key: key, dial: h.opts.Dial}
 		h.backends[key] = b
 	}
 	return b
@@ -191,8 +195,7 @@
 		}
 		c.close()
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := b.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -158,8 +157,7 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := h.opts.Dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -100,6 +101,8 @@
 	// HeldBytes limits the memory of the request and response bodies that are held. 0 means no
 	// limit.
 	HeldBytes int64
+	// Dial, if not nil, opens the connections to backend servers.
+	Dial DialFunc
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// ConfigCurrent, if not nil, reports whether requests may be decided by the view's
@@ -137,6 +140,9 @@
 // New returns a handler without a view. It refuses all requests until SetView is
 // called.
 func New(opts Options) *Handler {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	}
 	return &Handler{
 		opts:        opts,
 		crashes:     newCrashes(),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -36,6 +36,7 @@
 type harness struct {
 	t       testing.TB
 	gateway *Gateway
+	server  *http.Server
 	engines []*standin.Engine
 	url     string
 	addr    string
@@ -87,9 +88,9 @@
 	h.gateway = New(opts)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := h.gateway.Server(h.gateway.Handler(), 1<<16)
-	go func() { _ = server.Serve(h.gateway.Listener(l)) }()
-	t.Cleanup(func() { _ = server.Close() })
+	h.server = h.gateway.Server(h.gateway.Handler(), 1<<16)
+	go func() { _ = h.server.Serve(h.gateway.Listener(l)) }()
+	t.Cleanup(func() { _ = h.server.Close() })
 	h.addr = l.Addr().String()
 	h.url = "http://" + h.addr
 	return h
