--- a/edge/node.go
+++ b/edge/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
@@ -111,7 +112,9 @@
 	viewOutdated bool
 	leaseMachine *lease.Machine
 	planner      *formation.Planner
-	leaseRank    int
+	// duties is nil if the settings ask for no duty.
+	duties    *duty.Machine
+	leaseRank int
 	// contending is true while this instance follows the lease in the store.
 	contending bool
 	// lastTickAt is when the control loop last ticked.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -130,6 +130,8 @@
 	Watcher infra.Watcher
 	// Servers sends orders and probes to backend servers.
 	Servers formation.Commander
+	// Calls makes the calls of the duties. It is nil if the settings ask for none.
+	Calls PlatformCalls
 	// Headers names the platform's HTTP headers.
 	Headers forward.Headers
 	// Prompt describes a request's prompt.
