--- a/duty/events.go
+++ b/duty/events.go
@@ -12,11 +12,10 @@
 type Event interface{ dutyEvent() }
 
 // LeaseChanged reports that this entry instance acquired, renewed or lost the lease of the
-// duties. Era is the store's era, see infra.EraReporter.
+// duties.
 type LeaseChanged struct {
 	Held  bool
 	Grant lease.Grant
-	Era   uint64
 }
 
 // WindowCounted reports the complete counts of a usage window. The machine ignores a later
@@ -26,7 +25,8 @@
 	// Counts holds the number of requests of each client account that began to run in the
 	// window. The machine keeps the map; the caller must not change it afterwards.
 	Counts map[ident.Account]uint64
-	// Ended is when the window ended, on the clock that is passed to Step. 0 means now.
+	// Ended is when the window ended, on the clock that is passed to Step. 0 means now. The
+	// event has to come before Ended plus Config.UsageDelay.
 	Ended time.Duration
 }
 
@@ -89,8 +89,8 @@
 	Txn     infra.Txn
 }
 
-// Call requests a call of the platform. It must not be sent once less than the time for a call
-// remains until Expires, and must have ended by then.
+// Call requests a call of the platform, which must have ended by Expires. It must not be sent
+// if too little time remains for it, as after a suspension of the machine.
 type Call struct {
 	Attempt uint64
 	Kind    Kind
--- a/duty/token.go
+++ b/duty/token.go
@@ -17,6 +17,8 @@
 const (
 	sequenceBits = 20
 	tokenBits    = 53
+	// maxSequence is the highest sequence number.
+	maxSequence = 1<<sequenceBits - 1
 )
 
 // ErrTokenTooLarge means that an epoch or a sequence number does not fit into a token.
@@ -24,7 +26,7 @@
 
 // NewToken returns the token for a sequence number of the holder with an epoch.
 func NewToken(epoch ident.Epoch, sequence uint64) (Token, error) {
-	if epoch >= 1<<(tokenBits-sequenceBits) || sequence >= 1<<sequenceBits {
+	if epoch >= 1<<(tokenBits-sequenceBits) || sequence > maxSequence {
 		return 0, errors.Wrapf(ErrTokenTooLarge, "epoch %d, sequence number %d", epoch, sequence)
 	}
 	return Token(uint64(epoch)<<sequenceBits | sequence), nil
--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -139,6 +140,8 @@
 		n.peerChanged(e.run, e.alive)
 	case addressesWritten:
 		n.handleAddressesWritten(e)
+	case dutyEvent:
+		n.stepDuties(e.Event)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -196,6 +199,9 @@
 	n.measureDemand(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
+	if n.holdsLease.Load() {
+		n.stepDuties(duty.Tick{})
+	}
 }
 
 // maxLeaseContenders is the number of instances that read the lease rows from the store
--- a/edge/node.go
+++ b/edge/node.go
@@ -113,8 +113,10 @@
 	leaseMachine *lease.Machine
 	planner      *formation.Planner
 	// duties is nil if the settings ask for no duty.
-	duties    *duty.Machine
-	leaseRank int
+	duties *duty.Machine
+	// dutyStatus is what operators see of the duties.
+	dutyStatus atomic.Pointer[duty.Status]
+	leaseRank  int
 	// contending is true while this instance follows the lease in the store.
 	contending bool
 	// lastTickAt is when the control loop last ticked.
@@ -179,6 +181,7 @@
 	planConfig := formation.DefaultConfig()
 	planConfig.LoadWindow = settings.LoadWindow
 	n.planner = formation.New(planConfig)
+	n.duties = n.newDuties()
 	n.handler = forward.New(forward.Options{
 		Headers: platform.Headers, Now: n.now, Peers: n.peers, Log: log, Metrics: metrics,
 		DataCentre: settings.DataCentre, ColdFactor: settings.ColdFactor, ColdSlack: settings.ColdSlack,
@@ -300,6 +303,9 @@
 func (n *Node) startServers(server *http.Server, callers net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", n.metrics.Handler())
+	if n.duties != nil {
+		mux.HandleFunc("GET /duties", n.serveDutyStatus)
+	}
 	auxiliary := []struct {
 		address string
 		handler http.Handler
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/infra"
 	"github.com/bulrushfall/bulrushfall/lease"
@@ -25,12 +26,15 @@
 			n.holdsLease.Store(true)
 			n.log.WithFields(logrus.Fields{"duty": formation.LeaseName, "epoch": a.Grant.Epoch}).Info("lease acquired")
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
+			n.stepDuties(duty.LeaseChanged{Held: true, Grant: a.Grant})
 		case lease.Renewed:
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
+			n.stepDuties(duty.LeaseChanged{Held: true, Grant: a.Grant})
 		case lease.Lost:
 			n.holdsLease.Store(false)
 			n.log.WithFields(logrus.Fields{"duty": formation.LeaseName, "epoch": a.Epoch}).Info("lease ended")
 			n.stepPlanner(formation.LeaseChanged{})
+			n.stepDuties(duty.LeaseChanged{})
 		}
 	}
 }
