--- a/duty/machine.go
+++ b/duty/machine.go
@@ -59,7 +59,7 @@
 	calls        map[uint64]*call
 
 	usage usage
-	sizes map[subject]*size
+	sizes []*size // In the order of their subjects.
 
 	actions []Action
 }
@@ -76,8 +76,8 @@
 // New returns a machine that does not hold the lease.
 func New(cfg Config) *Machine {
 	return &Machine{
-		cfg: cfg, calls: make(map[uint64]*call), outdated: make(map[Kind]bool), sizes: make(map[subject]*size),
-		usage: usage{windows: make(map[int64]*window), rows: make(map[int64]bool)},
+		cfg: cfg, calls: make(map[uint64]*call), outdated: make(map[Kind]bool),
+		usage: usage{rows: make(map[int64]bool)},
 		// An earlier run on this machine may have called until its end.
 		actsUntil: cfg.StartedAt + cfg.LateCallTime,
 	}
@@ -155,7 +155,7 @@
 func (m *Machine) endTerm() {
 	m.held = false
 	clear(m.outdated)
-	clear(m.sizes)
+	m.sizes = nil
 	m.endUsageTerm()
 }
 
--- a/duty/size.go
+++ b/duty/size.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +14,10 @@
 	dataCentre ident.DataCentre
 }
 
+func (s subject) compare(other subject) int {
+	return cmp.Or(cmp.Compare(s.service, other.service), cmp.Compare(s.dataCentre, other.dataCentre))
+}
+
 // size is the state of the orders for a subject under the present lease.
 type size struct {
 	subject
@@ -36,12 +39,11 @@
 		return
 	}
 	k := subject{e.Service, e.DataCentre}
-	s, ok := m.sizes[k]
+	i, ok := slices.BinarySearchFunc(m.sizes, k, func(s *size, k subject) int { return s.compare(k) })
 	if !ok {
-		s = &size{subject: k}
-		m.sizes[k] = s
+		m.sizes = slices.Insert(m.sizes, i, &size{subject: k})
 	}
-	if !ok || e.Servers != s.wanted {
+	if s := m.sizes[i]; !ok || e.Servers != s.wanted {
 		s.wanted, s.reason = e.Servers, e.Reason
 	}
 }
@@ -51,7 +53,7 @@
 	if m.outdated[OrderServers] {
 		return nil
 	}
-	for _, s := range m.sortedSizes() {
+	for _, s := range m.sizes {
 		if s.inFlight || now < s.retry.at || (s.sent && s.settled && s.ordered == s.wanted) {
 			continue
 		}
@@ -92,9 +94,3 @@
 		s.retry.fail(now, &m.cfg)
 	}
 }
-
-func (m *Machine) sortedSizes() []*size {
-	return slices.SortedFunc(maps.Values(m.sizes), func(a, b *size) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.dataCentre, b.dataCentre))
-	})
-}
--- a/duty/status.go
+++ b/duty/status.go
@@ -51,14 +51,14 @@
 			s.Outdated = append(s.Outdated, k.String())
 		}
 	}
-	for _, w := range m.sortedWindows() {
+	for _, w := range m.usage.windows {
 		requests := uint64(0)
 		for _, count := range w.counts {
 			requests += count
 		}
 		s.Windows = append(s.Windows, WindowStatus{Window: w.number, Requests: requests, Stored: w.stored, Settled: w.settled})
 	}
-	for _, z := range m.sortedSizes() {
+	for _, z := range m.sizes {
 		out := SizeStatus{Service: z.service, DataCentre: z.dataCentre, Wanted: z.wanted, Settled: z.settled, Reason: z.reason}
 		if z.sent {
 			ordered := z.ordered
--- a/duty/usage.go
+++ b/duty/usage.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -52,8 +53,8 @@
 
 // usage is the state of the usage reports.
 type usage struct {
-	// windows are the windows that are not yet settled or have a row.
-	windows map[int64]*window
+	// windows are the windows that are not yet settled or have a row, in their order.
+	windows []*window
 	// rows holds the windows that have a row, deleted is the highest one whose row was deleted.
 	rows    map[int64]bool
 	deleted int64
@@ -92,12 +93,15 @@
 func (m *Machine) endUsageTerm() {
 	u := &m.usage
 	u.loaded, u.read, u.retry, u.eraWrite = false, 0, retry{}, 0
-	for k, w := range u.windows {
+	u.windows = slices.DeleteFunc(u.windows, func(w *window) bool {
 		w.retry = retry{}
-		if !w.stored {
-			delete(u.windows, k)
-		}
-	}
+		return !w.stored
+	})
+}
+
+// find returns the position of a window, or that at which it is to be inserted and false.
+func (u *usage) find(number int64) (int, bool) {
+	return slices.BinarySearchFunc(u.windows, number, func(w *window, n int64) int { return cmp.Compare(w.number, n) })
 }
 
 func (m *Machine) handleWindowCounted(now time.Duration, e WindowCounted) {
@@ -115,8 +119,8 @@
 			w.endKnown = true
 		}
 	}
-	if _, ok := u.windows[e.Window]; !ok {
-		u.windows[e.Window] = &window{number: e.Window, counts: e.Counts, ended: ended, endKnown: e.Ended != 0}
+	if i, ok := u.find(e.Window); !ok {
+		u.windows = slices.Insert(u.windows, i, &window{number: e.Window, counts: e.Counts, ended: ended, endKnown: e.Ended != 0})
 		m.forgetOldWindows()
 	}
 }
@@ -135,7 +139,7 @@
 		return
 	}
 	m.recordEra(now)
-	for _, w := range m.sortedWindows() {
+	for _, w := range m.usage.windows {
 		if w.stored || w.settled || w.write != 0 {
 			continue
 		}
@@ -231,12 +235,11 @@
 		}
 	}
 	for _, w := range read {
-		known, ok := u.windows[w.number]
-		switch {
-		case !ok:
+		i, ok := u.find(w.number)
+		if !ok {
 			w.settled = w.number <= settled
-			u.windows[w.number] = w
-		case !known.stored:
+			u.windows = slices.Insert(u.windows, i, w)
+		} else if known := u.windows[i]; !known.stored {
 			known.counts, known.stored, known.write = w.counts, true, 0
 		}
 	}
@@ -251,11 +254,14 @@
 // forgetOldWindows drops windows that need no more reports and have no row.
 func (m *Machine) forgetOldWindows() {
 	u := &m.usage
-	for _, w := range m.sortedWindows() {
-		if w.settled && !w.inFlight && w.write == 0 && !u.rows[w.number] && (w.number <= u.deleted || len(u.windows) > maxWindows) {
-			delete(u.windows, w.number)
+	surplus := len(u.windows) - maxWindows
+	u.windows = slices.DeleteFunc(u.windows, func(w *window) bool {
+		if !w.settled || w.inFlight || w.write != 0 || u.rows[w.number] || (w.number > u.deleted && surplus <= 0) {
+			return false
 		}
-	}
+		surplus--
+		return true
+	})
 }
 
 func (m *Machine) handleWritten(now time.Duration, e Written) {
@@ -303,7 +309,7 @@
 
 // expireWindows ends the reports of windows that are overdue.
 func (m *Machine) expireWindows(now time.Duration) {
-	for _, w := range m.sortedWindows() {
+	for _, w := range m.usage.windows {
 		if w.stored && !w.settled && !w.inFlight && now >= w.ended+m.cfg.UsageDelay {
 			w.settled = true
 			m.emit(LogEntry{Text: "usage window not reported", Kind: ReportUsage, Subject: fmt.Sprint(w.number), Detail: "the platform accepted no report until it was due"})
@@ -318,7 +324,7 @@
 	if m.outdated[ReportUsage] {
 		return nil
 	}
-	for _, w := range m.sortedWindows() {
+	for _, w := range m.usage.windows {
 		if !w.stored || w.settled || w.inFlight || now < w.retry.at {
 			continue
 		}
@@ -343,10 +349,6 @@
 	}
 }
 
-func (m *Machine) sortedWindows() []*window {
-	return slices.SortedFunc(maps.Values(m.usage.windows), func(a, b *window) int { return int(a.number - b.number) })
-}
-
 func rowKey(window int64) infra.RowKey {
 	return infra.RowKey{Table: Table, Key: strconv.FormatInt(window, 10)}
 }
