Model check: clustered faults, mutual partitions, orders that replace later ones, and a low call rate

Several changed conditions were not found by the schedules before. Counts that are not stored stay over a lapse of the lease: rows that another holder wrote meanwhile take precedence.

--- a/duty/simulation_test.go
+++ b/duty/simulation_test.go
@@ -28,6 +28,7 @@
 	// simFaultsUntil is when the last fault begins.
 	simFaultsUntil = 100 * time.Second
 	simStep        = 20 * time.Millisecond
+	simCallRate    = 3
 	// simRecovery is the time from the end of a fault until windows that end afterwards have to
 	// be reported in time: another one takes the lease over, waits, and skips windows after a
 	// restore.
@@ -38,7 +39,7 @@
 
 func simConfig(checksTokens bool, startedAt time.Duration) Config {
 	return Config{
-		ReportsUsage: true, ChecksTokens: checksTokens, CallRate: 20, HolderTime: 3 * time.Second,
+		ReportsUsage: true, ChecksTokens: checksTokens, CallRate: simCallRate, HolderTime: 3 * time.Second,
 		LeaseLength: 3 * time.Second, LateCallTime: 5 * time.Second, CallTime: time.Second,
 		RetryMin: 300 * time.Millisecond, RetryMax: 2 * time.Second,
 		UsageWindow: 5 * time.Second, UsageDelay: 10 * time.Second, StartedAt: startedAt,
@@ -102,6 +103,7 @@
 	highest      map[string]Token
 	acts         map[string][]simAct
 	sizes        map[string]int
+	orderedAt    map[string]time.Duration
 	callTimes    []time.Duration
 	problems     []string
 }
@@ -116,14 +118,14 @@
 }
 
 // do does a call. arrives is false for one that was held up on its way into the platform.
-func (p *simPlatform) do(at time.Duration, machine int, c Call, arrives bool) Result {
+func (p *simPlatform) do(sentAt, at time.Duration, machine int, c Call, arrives bool) Result {
 	name := c.Kind.String()
 	if c.Kind == OrderServers {
 		name += c.Subject()
 	}
 	if arrives {
 		p.callTimes = append(p.callTimes, at)
-		if n := len(p.callTimes); n > 20 && at-p.callTimes[n-21] < time.Second {
+		if n := len(p.callTimes); n > simCallRate && at-p.callTimes[n-1-simCallRate] < time.Second {
 			p.problem(at, "more calls than the platform accepts")
 		}
 	}
@@ -152,7 +154,10 @@
 	}
 	p.acts[name] = append(p.acts[name], simAct{machine, at})
 	if c.Kind == OrderServers {
-		p.sizes[c.Subject()] = c.Servers
+		if p.checksTokens && sentAt < p.orderedAt[name] && c.Servers != p.sizes[c.Subject()] {
+			p.problem(at, "%s: an order replaced a later one", name)
+		}
+		p.sizes[c.Subject()], p.orderedAt[name] = c.Servers, max(sentAt, p.orderedAt[name])
 		return Accepted
 	}
 	counts := fmt.Sprint(c.Counts)
@@ -368,18 +373,18 @@
 		answer(s.now, NotSent)
 		return
 	}
-	delay, machine := s.between(time.Millisecond, 100*time.Millisecond), n.index
+	delay, machine, sentAt := s.between(time.Millisecond, 100*time.Millisecond), n.index, s.now
 	lost := s.now < s.platformDown || s.now < n.platformCut
 	if s.now < s.answersLost && s.rng.IntN(3) > 0 {
 		lost = true
 		late := s.between(0, 4900*time.Millisecond)
-		s.at(s.now+late, func(now time.Duration) { s.platform.do(now, machine, c, false) })
+		s.at(s.now+late, func(now time.Duration) { s.platform.do(sentAt, now, machine, c, false) })
 	}
 	if lost {
 		answer(s.now+time.Second, Unanswered)
 		return
 	}
-	s.at(s.now+delay, func(now time.Duration) { answer(now+delay, s.platform.do(now, machine, c, true)) })
+	s.at(s.now+delay, func(now time.Duration) { answer(now+delay, s.platform.do(sentAt, now, machine, c, true)) })
 }
 
 // fault begins a random fault and returns when it ends.
@@ -411,7 +416,9 @@
 	case 4:
 		n.platformCut = end
 	case 5:
-		s.reportEnded(n, n.identity(), end)
+		for _, other := range s.nodes {
+			s.reportEnded(other, other.identity(), end)
+		}
 	case 6:
 		s.storeDown = end
 	case 7:
@@ -454,7 +461,7 @@
 		table: simTable{rows: make(map[infra.RowKey]infra.Row), era: 1},
 		platform: simPlatform{
 			checksTokens: checksTokens, reports: make(map[int64]string), reportedAt: make(map[int64]time.Duration),
-			senders: make(map[string]int), highest: make(map[string]Token), acts: make(map[string][]simAct), sizes: make(map[string]int),
+			senders: make(map[string]int), highest: make(map[string]Token), acts: make(map[string][]simAct), sizes: make(map[string]int), orderedAt: make(map[string]time.Duration),
 		},
 	}
 	for i := range 3 {
@@ -464,8 +471,12 @@
 	}
 	faults := s.rng.IntN(12)
 	var faultTimes []time.Duration
-	for range faults {
-		faultTimes = append(faultTimes, s.between(15*time.Second, simFaultsUntil))
+	for i := range faults {
+		if at := s.between(15*time.Second, simFaultsUntil); i == 0 || s.rng.IntN(2) == 0 {
+			faultTimes = append(faultTimes, at)
+		} else {
+			faultTimes = append(faultTimes, faultTimes[i-1]+s.between(0, 3*time.Second))
+		}
 	}
 	for s.now = 0; s.now < simLength; s.now += simStep {
 		step := s.now
--- a/duty/usage.go
+++ b/duty/usage.go
@@ -89,14 +89,14 @@
 	retry    retry
 }
 
-// endUsageTerm forgets windows that are not stored: the next holder may store other counts.
+// endUsageTerm ends the reads and writes. Counts that are not stored give way to those that
+// another holder stores.
 func (m *Machine) endUsageTerm() {
 	u := &m.usage
 	u.loaded, u.read, u.retry, u.eraWrite = false, 0, retry{}, 0
-	u.windows = slices.DeleteFunc(u.windows, func(w *window) bool {
-		w.retry = retry{}
-		return !w.stored
-	})
+	for _, w := range u.windows {
+		w.retry, w.write = retry{}, 0
+	}
 }
 
 // find returns the position of a window, or that at which it is to be inserted and false.
