Count runs by usage window and account, and demand by model

The duties need to know how many requests of each client account began to run in each window of true time, and the demand for each model over all entry instances. Package activity counts them, beacons carry the counts to the relays, and the holder of the planner's lease collects the sums by data centre. Nothing is counted or sent where the settings ask for no duties.

--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bulrushfall/bulrushfall/activity"
 	"github.com/bulrushfall/bulrushfall/admission"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/mirror"
@@ -113,6 +114,8 @@
 	// changes that earlier ones had.
 	WantDigest bool  `msgpack:"q"`
 	Acks       []Ack `msgpack:"k"`
+	// Activity is what the sender counts for duties, or nil if there are none.
+	Activity *activity.Report `msgpack:"m"`
 }
 
 // Encode encodes a message as a datagram.
--- a/beacon/relay.go
+++ b/beacon/relay.go
@@ -131,6 +131,8 @@
 	Crashes quarantine.Findings `msgpack:"j"`
 	// Limits are request limits of backend servers.
 	Limits []admission.LimitReport `msgpack:"l"`
+	// Time is the sender's estimate of the true time, or 0 if no duty needs it.
+	Time time.Duration `msgpack:"t"`
 }
 
 // Outgoing is a digest with the addresses to send it to.
@@ -367,6 +369,21 @@
 	return out
 }
 
+// RelaysOf returns the other relays of a data centre, or none if there are few instances.
+func (t *Table) RelaysOf(d ident.DataCentre, now time.Duration) []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.relayed() {
+		return nil
+	}
+	var out []Peer
+	relays, _ := t.relaysOf(d, relaysPerDataCentre, now)
+	for _, p := range relays {
+		out = append(out, Peer{p.From, p.addr})
+	}
+	return out
+}
+
 // acks returns the confirmations for all instances whose digests this one receives.
 func (t *Table) acks(now time.Duration) []Ack {
 	var out []Ack
@@ -454,6 +471,9 @@
 		From: t.self.From, Incarnation: t.self.Incarnation, Sequence: t.digestSequence, DataCentre: d, Sums: sums,
 		Base: acked, Change: t.change, Crashes: t.self.Crashes, Limits: t.self.Limits,
 	}
+	if t.self.Activity != nil {
+		out.Time = t.self.Activity.Time
+	}
 	var changed []*peer
 	if acked < t.change {
 		for _, p := range t.peers {
--- a/beacon/size.go
+++ b/beacon/size.go
@@ -12,6 +12,7 @@
 	findingBytes      = 28
 	traitBytes        = 9
 	limitBytes        = 36
+	timeBytes         = 12
 )
 
 // encodedBytes returns an upper bound of the size of an encoded record.
@@ -25,6 +26,9 @@
 	n := digestBytes + len(d.From) + len(d.Incarnation) + len(d.DataCentre)
 	n += countBytes * (len(d.Sums.Loads) + len(d.Sums.Failing) + len(d.Sums.Healthy))
 	n += ackBytes * len(d.Acks)
+	if d.Time != 0 {
+		n += timeBytes
+	}
 	for _, s := range d.Stalled {
 		n += stallBytes + len(s.Group) + len(s.Reporter)
 	}
@@ -92,6 +96,8 @@
 // shrink shortens the longest list of a beacon that is too large.
 func (m *Message) shrink() {
 	switch c := &m.Crashes; {
+	case m.Activity != nil && m.Activity.Counts() > 0:
+		m.Activity = m.Activity.Shrunk() // The counts are repeated.
 	case len(c.Clearances) > 0:
 		c.Clearances = half(c.Clearances)
 	case len(c.Crashes) > 1:
--- a/edge/control.go
+++ b/edge/control.go
@@ -139,6 +139,8 @@
 		n.peerChanged(e.run, e.alive)
 	case addressesWritten:
 		n.handleAddressesWritten(e)
+	case windowEvent:
+		n.handleWindow(e.Result)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -194,6 +196,7 @@
 	}
 	n.writeAddressList(now)
 	n.measureDemand(now)
+	n.collectActivity(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
 }
--- a/edge/follower.go
+++ b/edge/follower.go
@@ -77,6 +77,7 @@
 		defer cancel()
 		return followResponse{Updates: n.mirror.WaitForUpdates(ctx, req.Known)}, nil
 	})
+	n.registerActivity(mux)
 	secret := sha256.Sum256([]byte(n.settings.StoreAddress + "/" + strconv.Itoa(n.settings.PeerPort)))
 	self := wire.Peer{Instance: n.settings.Instance, Incarnation: n.self.Incarnation, DataCentre: n.settings.DataCentre}
 	return wire.NewNode(self, secret[:], mux)
--- a/edge/node.go
+++ b/edge/node.go
@@ -73,6 +73,8 @@
 	startTime time.Time
 	self      lease.Identity
 
+	// peerNode makes calls to other entry instances. Run sets it before the control loop starts.
+	peerNode     *wire.Node
 	mirror       *mirror.Mirror
 	tableReaders []*tableReader
 	// readsStore is true while this instance reads the store itself, holdsLease while
@@ -144,6 +146,11 @@
 	failingHeads  map[beacon.GroupEpoch]time.Duration
 	stalledGroups stalledGroupSet
 	stallReports  []stallReport
+
+	// activity counts for the duties, or is nil if there are none. It has its own mutex.
+	activity *activityState
+	// nextCollectAt is when the holder of the lease next collects the counts of the others.
+	nextCollectAt time.Duration
 }
 
 // stalledGroupSet holds the groups that requests of this entry instance found without
@@ -182,7 +189,7 @@
 		RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		DrainTime: settings.DrainTime, HeldBytes: heldBytes(settings.Memory),
 		Prompt: platform.Prompt, ConfigCurrent: n.configCurrent, OnFindings: n.requestBeacon,
-		OnStalledGroup: n.reportStall,
+		OnStalledGroup: n.reportStall, OnRun: n.startActivity(),
 	})
 	return n
 }
@@ -244,15 +251,15 @@
 		"instance": n.settings.Instance, "incarnation": n.self.Incarnation, "data_centre": n.settings.DataCentre,
 		"callers": n.settings.CallerAddress, "first_start": n.settings.FirstStart,
 	}).Info("started")
+	n.peerNode = n.newPeerNode()
 	go n.runControlLoop(workCtx)
 	go n.receiveBeacons(udp)
 	go n.sendBeacons(workCtx, udp)
 	for _, r := range n.tableReaders {
 		go r.run(workCtx)
 	}
-	peerServer := n.newPeerNode()
-	go n.servePeers(peerServer, peerListener)
-	go n.followReaders(workCtx, peerServer)
+	go n.servePeers(n.peerNode, peerListener)
+	go n.followReaders(workCtx, n.peerNode)
 	go n.register(workCtx)
 	go n.handleReloads(workCtx, reload)
 	<-ctx.Done()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -86,6 +86,7 @@
 		m.StalledGroups = append(m.StalledGroups, s)
 	}
 	n.stalledGroups.Unlock()
+	n.addActivity(&m)
 	n.peers.SetSelf(m)
 	b, err := beacon.Encode(&m)
 	if err != nil {
@@ -160,6 +161,7 @@
 	if result.Stale {
 		return nil
 	}
+	n.receiveActivity(&m)
 	if result.Appeared {
 		n.post(peerEvent{run: beacon.Run{Instance: m.From, Incarnation: m.Incarnation}, alive: true})
 		n.requestBeacon() // The peer may not know this instance yet.
@@ -194,6 +196,7 @@
 		return err
 	}
 	result := n.peers.ReceiveDigest(n.now(), d)
+	n.receiveTime(d.From, d.Time)
 	n.mergeFindings(d.From, d.Crashes, d.Limits)
 	for _, run := range result.Appeared {
 		n.post(peerEvent{run: run, alive: true})
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -266,12 +266,16 @@
 // classifyResponse determines from the response head whether the request ran.
 func (a *attempt) classifyResponse() sendResult {
 	h := a.resp.Header
-	switch {
-	case h.Get(a.req.handler.opts.Headers.NotRun) != "" || a.resp.StatusCode == http.StatusMisdirectedRequest:
+	if h.Get(a.req.handler.opts.Headers.NotRun) != "" || a.resp.StatusCode == http.StatusMisdirectedRequest {
 		a.req.addStep("not-run:" + string(a.server.ID) + ":" + a.resp.Status + failedMemberSuffix(h.Get(a.req.handler.opts.Headers.FailedMember)))
 		a.drain()
 		a.req.possibleRuns--
 		return notRun
+	}
+	if a.req.route.Kind != route.Streaming {
+		a.countRun(a.req.now() - a.sentAt)
+	}
+	switch {
 	case a.resp.StatusCode < 200, a.resp.StatusCode/100 == 2 && !a.isAttested(), h.Get("Content-Encoding") != "":
 		a.req.addStep("garbled:" + string(a.server.ID))
 		return mayHaveRun
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -58,6 +58,8 @@
 	SharedParts []string
 	// Content identifies the prompt as a whole.
 	Content string
+	// Tokens is the length of the prompt.
+	Tokens uint64
 }
 
 // traitsOf returns the traits of a request: its content and the shared parts of its prompt.
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -1,21 +1,39 @@
 package forward
 
-import "github.com/bulrushfall/bulrushfall/ident"
+import (
+	"time"
 
-// demand counts the requests for a model, and those of them that were refused because
-// no group had capacity.
-type demand struct{ requests, refused uint64 }
+	"github.com/bulrushfall/bulrushfall/ident"
+)
+
+// demand counts the requests for a model, those of them that were refused because no group
+// had capacity, and the prompt tokens of all.
+type demand struct{ requests, refused, promptTokens uint64 }
+
+// countRun counts a run that the backend server began some time ago.
+func (a *attempt) countRun(ago time.Duration) {
+	if f := a.req.handler.opts.OnRun; f != nil && a.req.account != nil {
+		f(a.req.account.Name, ago)
+	}
+}
 
 // demandFor returns the counters for a request's model, or nil if there are none:
 // callers choose the model name, so counters are created only for models that have an
 // open group. h.mu must be locked.
 func (h *Handler) demandFor(c *call) *demand {
-	if !c.route.UsesGroups {
+	key := modelKey{service: c.service}
+	hasGroup := false
+	switch {
+	case c.route.UsesGroups:
+		key.model = c.model
+		_, hasGroup = c.view.heads[key]
+	case h.opts.OnRun == nil:
 		return nil
+	default:
+		hasGroup = true // The configuration names the services.
 	}
-	key := modelKey{c.service, c.model}
 	d := h.demands[key]
-	if _, hasGroup := c.view.heads[key]; d == nil && hasGroup {
+	if d == nil && hasGroup {
 		d = &demand{}
 		h.demands[key] = d
 	}
@@ -30,6 +48,7 @@
 	h.retryBudget.RecordRequest()
 	if d := h.demandFor(c); d != nil {
 		d.requests++
+		d.promptTokens += c.prompt.Tokens
 	}
 }
 
@@ -54,6 +73,16 @@
 	return 0, 0
 }
 
+// VisitDemand calls f with the demand for each model so far. The model is empty for services
+// without models.
+func (h *Handler) VisitDemand(f func(service ident.ServiceName, model string, requests, refused, promptTokens uint64)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, d := range h.demands {
+		f(key.service, key.model, d.requests, d.refused, d.promptTokens)
+	}
+}
+
 // InUse returns the number of requests in flight at the groups of a model, including
 // those of other entry instances.
 func (h *Handler) InUse(service ident.ServiceName, model string) int {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -108,6 +108,9 @@
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
 	// of a backend server, of requests that are refused since, or of a request limit.
 	OnFindings func()
+	// OnRun, if not nil, is called for each run of an account's request that a backend server
+	// has begun, with the time since then.
+	OnRun func(account ident.Account, ago time.Duration)
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
 	OnStalledGroup func(group ident.GroupID, epoch ident.Epoch)
