--- a/edge/activity.go
+++ b/edge/activity.go
@@ -11,6 +11,7 @@
 
 	"github.com/bulrushfall/bulrushfall/activity"
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -250,7 +251,7 @@
 		n.metrics.Scope.Counter(metricWindowsShort).Inc(1)
 		log.Warn("usage window counted without all entry instances")
 	}
-	n.reportWindow(r)
+	n.stepDuties(duty.WindowCounted{Window: r.Window, Counts: r.Counts, Ended: bootNow() - r.Age})
 }
 
 // modelActivity returns the demand for models over all entry instances, as the holder of
