duty: a window that was counted after a later one is reported by the next holder

A row says up to which window reports were no longer due when it was written. The counts of a window can be known after those of the next one, as when an instance that had begun runs in it is gone. If the holder ended between the write of that row and its report, the next one took the window for settled because of the later window's row, and nobody reported it.

The statement of the row that was written last holds. The later window is then reported again, with the same counts.

TestTakeoverOfWindowThatWasLate failed before: reported [11] without 10. The model check gives its windows in their order and did not show it; 3,000 schedules of each kind pass.

--- a/duty/usage.go
+++ b/duty/usage.go
@@ -219,7 +219,7 @@
 	}
 	u.read, u.loaded, u.retry.delay = 0, true, 0
 	clear(u.rows)
-	recordedEra, settled := uint64(0), int64(0)
+	recordedEra, settled, latest := uint64(0), int64(0), uint64(0)
 	var read []*window
 	for _, r := range e.Rows {
 		number, row, era, err := decodeRow(r)
@@ -230,7 +230,11 @@
 			recordedEra = era
 		default:
 			u.rows[number] = true
-			u.deleted, settled = max(u.deleted, row.Deleted), max(settled, row.Settled)
+			u.deleted = max(u.deleted, row.Deleted)
+			if r.Version > latest {
+				// The row of an earlier window may be the later one.
+				latest, settled = r.Version, row.Settled
+			}
 			read = append(read, &window{number: number, counts: row.Counts, stored: true, ended: now})
 		}
 	}
