activity: no report is from later than it was received

An instance whose clock was ahead when its process started sent reports with a later time until it had heard the others. The largest time of a run was kept, so until the true time had come there its windows counted as complete before their last counts, and its demand for models was not seen at all.

The time of a report is bounded by that of its receipt. TestWindowOfInstanceWhoseClockWasAhead and TestDemandOfInstanceWhoseClockWasAhead failed before (1 whole instance instead of 0, 0 arrivals a second instead of 100).

--- a/activity/collector.go
+++ b/activity/collector.go
@@ -69,7 +69,9 @@
 		c.runs[run] = s
 	}
 	s.dataCentre = dataCentre
-	s.time, s.heardAt = max(s.time, r.Time), now
+	// The sender's clock may have been ahead when its process started.
+	at := min(r.Time, now)
+	s.time, s.heardAt = max(s.time, at), now
 	s.since = max(s.since, r.Since)
 	for _, w := range r.Windows {
 		if c.windows.isOpen(w.Window, now) {
@@ -77,7 +79,7 @@
 		}
 	}
 	for _, m := range r.Models {
-		s.mergeModel(r.Time, m)
+		s.mergeModel(at, m)
 	}
 }
 
