activity: estimates that waited during a suspension don't move the true time

An instance that was suspended reads datagrams that have waited, and if the receive buffer was full those of the first moments. Their estimates look old by the length of the suspension, and it took their median: its estimate went back by seconds for one to two beacons, and runs in that time counted in an earlier window.

Estimates are left out for 500 ms from the first sample after a gap of 2 s. TestTrueTimeAfterSuspension failed before (-7.2 s after a suspension of 8 s).

--- a/activity/truetime.go
+++ b/activity/truetime.go
@@ -23,6 +23,10 @@
 	// peerPeriod is the time over which the largest estimate of another instance counts:
 	// that with the least delay.
 	peerPeriod = time.Second
+	// maxSampleGap is the time between two samples from which this instance counts as
+	// suspended. The estimates that it reads for staleTime afterwards have waited.
+	maxSampleGap = 2 * time.Second
+	staleTime    = 500 * time.Millisecond
 	// maxTimePeers bounds the instances whose estimates are kept.
 	maxTimePeers = 1024
 )
@@ -41,7 +45,10 @@
 type TrueTime struct {
 	offset time.Duration
 	known  bool
-	peers  map[ident.InstanceID]*peerOffset
+	// sampledAt is when the clocks were last read. Estimates count from peersFrom.
+	sampledAt, peersFrom time.Duration
+
+	peers map[ident.InstanceID]*peerOffset
 }
 
 // NewTrueTime returns an estimate without samples.
@@ -60,6 +67,11 @@
 	case d.Abs() <= maxWallDifference:
 		t.offset += d / wallWeight
 	}
+	if t.sampledAt != 0 && steady-t.sampledAt > maxSampleGap {
+		t.peersFrom = steady + staleTime
+		clear(t.peers)
+	}
+	t.sampledAt = steady
 	period := int64(steady / peerPeriod)
 	offsets := []time.Duration{t.offset}
 	for id, p := range t.peers {
@@ -86,6 +98,9 @@
 
 // Receive records the estimate that another entry instance sent and that was received now.
 func (t *TrueTime) Receive(steady time.Duration, from ident.InstanceID, estimate time.Duration) {
+	if steady < t.peersFrom {
+		return
+	}
 	period, offset := int64(steady/peerPeriod), estimate-steady
 	p, ok := t.peers[from]
 	switch {
