--- a/duty/simulation_test.go
+++ b/duty/simulation_test.go
@@ -413,6 +413,9 @@
 		s.reportEnded(n, n.identity(), end)
 	case 3:
 		n.storeCut = end
+		if s.rng.IntN(2) == 0 {
+			s.reportEnded(n, n.identity(), end)
+		}
 	case 4:
 		n.platformCut = end
 	case 5:
@@ -504,7 +507,7 @@
 		s.countWindow(int64(s.now/(5*time.Second)) - 1)
 	}
 	for _, dataCentre := range simDataCentres {
-		if s.now%(2*time.Second) == 0 && s.rng.IntN(3) == 0 && s.now < simFaultsUntil+30*time.Second {
+		if s.now%(500*time.Millisecond) == 0 && s.rng.IntN(3) == 0 && s.now < simFaultsUntil+30*time.Second {
 			s.wanted[dataCentre] = s.rng.IntN(50)
 		}
 	}
