Duties resume at once after a lapse of the lease that nobody else used

The lease now names the former holder: a run on the same machine only waits until an earlier holder's lease has ended, and the same run not at all. A call that the platform does not understand is repeated every 30 s instead of 2 s.

--- a/duty/events.go
+++ b/duty/events.go
@@ -12,10 +12,11 @@
 type Event interface{ dutyEvent() }
 
 // LeaseChanged reports that this entry instance acquired, renewed or lost the lease of the
-// duties.
+// duties. OwnFormerRun is true if the holder before was an earlier run on this machine.
 type LeaseChanged struct {
-	Held  bool
-	Grant lease.Grant
+	Held         bool
+	Grant        lease.Grant
+	OwnFormerRun bool
 }
 
 // WindowCounted reports the complete counts of a usage window. The machine ignores a later
--- a/duty/machine.go
+++ b/duty/machine.go
@@ -26,6 +26,8 @@
 	CallTime time.Duration
 	// RetryMin and RetryMax bound the delay until a call or a store access is repeated.
 	RetryMin, RetryMax time.Duration
+	// RejectDelay is the delay until a call that the platform does not understand is repeated.
+	RejectDelay time.Duration
 	// UsageWindow is the length of a usage window, UsageDelay the time from its end until the
 	// report is due.
 	UsageWindow, UsageDelay time.Duration
@@ -124,17 +126,20 @@
 		m.endTerm()
 	case !m.held || e.Grant.Epoch != m.grant.Epoch:
 		m.endTerm()
-		m.beginTerm(now, e.Grant)
+		m.beginTerm(now, e)
 	default:
 		m.grant = e.Grant
 	}
 }
 
 // beginTerm begins to act under an acquired lease. The former holder may still act until its
-// lease has expired, and this one must not act shortly after its own former term, because
-// another one may have acted since.
-func (m *Machine) beginTerm(now time.Duration, g lease.Grant) {
-	m.held, m.grant = true, g
+// lease has expired. If it was another machine, this one must not act shortly after its own
+// calls of an earlier term either.
+func (m *Machine) beginTerm(now time.Duration, e LeaseChanged) {
+	// Each acquisition raises the epoch by one, and the first one after a restore of the store by
+	// more: nobody else has held the lease since this run did.
+	uninterrupted := m.grant.Epoch != 0 && e.Grant.Epoch == m.grant.Epoch+1
+	m.held, m.grant = true, e.Grant
 	wait := max(m.cfg.HolderTime, m.cfg.LeaseLength)
 	if !m.cfg.ChecksTokens {
 		// Nothing but time keeps a call of the former holder from being done after one of this.
@@ -144,8 +149,17 @@
 	for _, c := range m.calls {
 		actsUntil = max(actsUntil, c.sentAt+m.cfg.LateCallTime)
 	}
-	m.callsFrom = max(now+wait, actsUntil+m.cfg.HolderTime)
-	_, err := NewToken(g.Epoch, maxSequence)
+	switch {
+	case uninterrupted && m.cfg.ChecksTokens:
+		m.callsFrom = max(now, m.callsFrom)
+	case uninterrupted:
+		m.callsFrom = max(now, m.callsFrom, actsUntil)
+	case e.OwnFormerRun:
+		m.callsFrom = now + wait
+	default:
+		m.callsFrom = max(now+wait, actsUntil+m.cfg.HolderTime)
+	}
+	_, err := NewToken(m.grant.Epoch, maxSequence)
 	if m.invalidEpoch = err != nil; m.invalidEpoch {
 		m.emit(LogEntry{Text: "no duty is done: the lease's epoch is too large", Detail: err.Error()})
 	}
@@ -230,3 +244,10 @@
 	r.delay = min(max(cfg.RetryMin, 2*r.delay), cfg.RetryMax)
 	r.at = now + r.delay
 }
+
+// failCall delays the repetition of a call.
+func (r *retry) failCall(now time.Duration, result Result, cfg *Config) {
+	if r.fail(now, cfg); result == Rejected {
+		r.at = now + cfg.RejectDelay
+	}
+}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -25,6 +25,9 @@
 	// A report is due within seconds.
 	dutyRetryMin = 300 * time.Millisecond
 	dutyRetryMax = 2 * time.Second
+	// dutyRejectDelay is the delay until a call is repeated that the platform does not understand,
+	// which takes a change of the configuration.
+	dutyRejectDelay = 30 * time.Second
 )
 
 // UsageCall is a report of the requests of each client account in a usage window.
@@ -71,6 +74,7 @@
 		CallTime:     callTime,
 		RetryMin:     dutyRetryMin,
 		RetryMax:     dutyRetryMax,
+		RejectDelay:  dutyRejectDelay,
 		UsageWindow:  s.UsageWindow,
 		UsageDelay:   s.UsageDelay,
 		StartedAt:    bootNow(),
--- a/edge/planner.go
+++ b/edge/planner.go
@@ -26,7 +26,7 @@
 			n.holdsLease.Store(true)
 			n.log.WithFields(logrus.Fields{"duty": formation.LeaseName, "epoch": a.Grant.Epoch}).Info("lease acquired")
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
-			n.stepDuties(duty.LeaseChanged{Held: true, Grant: a.Grant})
+			n.stepDuties(duty.LeaseChanged{Held: true, Grant: a.Grant, OwnFormerRun: a.Former.Instance == n.self.Instance})
 		case lease.Renewed:
 			n.stepPlanner(formation.LeaseChanged{Held: true, Grant: a.Grant})
 			n.stepDuties(duty.LeaseChanged{Held: true, Grant: a.Grant})
--- a/lease/events.go
+++ b/lease/events.go
@@ -73,8 +73,12 @@
 	Era     uint64
 }
 
-// Acquired reports that this entry instance became the holder.
-type Acquired struct{ Grant Grant }
+// Acquired reports that this entry instance became the holder. Former is the holder before, or
+// zero if that one released the lease or is not known.
+type Acquired struct {
+	Grant  Grant
+	Former Identity
+}
 
 // Renewed reports that the lease expires later than before.
 type Renewed struct{ Grant Grant }
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -69,6 +69,9 @@
 	sentAt  time.Duration
 	acquire bool
 	release bool
+	// former is the holder before an acquisition. It is zero in the first acquisition after a
+	// restore of the store: the row may be that of an earlier holder.
+	former Identity
 }
 
 // observation is the state of the rows according to the last read or write.
@@ -294,7 +297,7 @@
 			CommandsFrom: now + m.cfg.MaxCommandDelay + m.cfg.MaxCommandDelay/10,
 			Expires:      expires,
 		}
-		return append(out, Acquired{Grant: m.grant})
+		return append(out, Acquired{Grant: m.grant, Former: a.former})
 	case m.holdsLease && expires > m.grant.Expires:
 		m.grant.Expires = expires
 		return append(out, Renewed{Grant: m.grant})
@@ -384,6 +387,9 @@
 	m.attemptCount++
 	a.id = fmt.Sprintf("%s/%s/%s/%d", m.self.Instance, m.self.Incarnation, m.service, m.attemptCount)
 	a.sentAt = now
+	if a.acquire && m.observed.epoch >= m.firstEpoch() {
+		a.former = m.observed.row.Holder
+	}
 	if a.release {
 		// The row may still name an earlier write when it is read, although the release is
 		// applied later.
