--- a/edge/duties.go
+++ b/edge/duties.go
@@ -116,7 +116,7 @@
 	era := infra.EraOf(n.platform.Table)
 	rows, err := n.platform.Table.Scan(ctx, duty.Table, "", scanPageSize)
 	if err != nil || infra.EraOf(n.platform.Table) != era {
-		n.post(dutyEvent{duty.ReadFailed{Attempt: r.Attempt}}) // The rows may be of two eras.
+		n.post(dutyEvent{duty.ReadFailed(r)}) // The rows may be of two eras.
 		return
 	}
 	n.post(dutyEvent{duty.RowsRead{Attempt: r.Attempt, Rows: rows, Era: era}})
