--- a/duty/events.go
+++ b/duty/events.go
@@ -170,17 +170,17 @@
 	Err    error
 }
 
-// Counter counts what became of usage windows.
+// Counter is the name of the metric that counts what became of usage windows.
 type Counter string
 
 // Counters.
 const (
 	// WindowsReported counts windows whose report was accepted in time, WindowsLate those whose
 	// report was accepted after it was due.
-	WindowsReported Counter = "windows_reported"
-	WindowsLate     Counter = "windows_late"
+	WindowsReported Counter = "usage_windows_reported_total"
+	WindowsLate     Counter = "usage_windows_late_total"
 	// WindowsUnreported counts windows whose report was not accepted until it was due.
-	WindowsUnreported Counter = "windows_unreported"
+	WindowsUnreported Counter = "usage_windows_unreported_total"
 	// WindowsSkipped counts windows that another report may exist of.
-	WindowsSkipped Counter = "windows_skipped"
+	WindowsSkipped Counter = "usage_windows_skipped_total"
 )
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -100,7 +100,7 @@
 		case duty.LogEntry:
 			n.log.WithFields(logrus.Fields{"duty": a.Kind.String(), "subject": a.Subject, "detail": a.Detail}).Info(a.Text)
 		case duty.Count:
-			n.metrics.Scope.SubScope("duty").Counter(string(a.Counter)).Inc(1)
+			n.metrics.Scope.Counter(string(a.Counter)).Inc(1)
 		}
 	}
 	if _, isTick := ev.(duty.Tick); !isTick || len(actions) > 0 {
@@ -154,7 +154,7 @@
 		fields["error"] = out.Err.Error()
 	}
 	n.log.WithFields(fields).Info("platform call")
-	n.metrics.Scope.Tagged(map[string]string{"duty": c.Kind.String(), "outcome": out.Result.String()}).Counter("platform_calls").Inc(1)
+	n.metrics.Scope.Tagged(map[string]string{"duty": c.Kind.String(), "outcome": out.Result.String()}).Counter("platform_calls_total").Inc(1)
 	n.post(dutyEvent{duty.Called{Attempt: c.Attempt, Outcome: out}})
 }
 
