--- a/edge/duties.go
+++ b/edge/duties.go
@@ -25,6 +25,9 @@
 	// A report is due within seconds.
 	dutyRetryMin = 300 * time.Millisecond
 	dutyRetryMax = 2 * time.Second
+	// dutyRejectDelay is the delay until a call is repeated that the platform does not understand,
+	// which takes a change of the configuration.
+	dutyRejectDelay = 30 * time.Second
 )
 
 // UsageCall is a report of the requests of each client account in a usage window.
@@ -71,6 +74,7 @@
 		CallTime:     callTime,
 		RetryMin:     dutyRetryMin,
 		RetryMax:     dutyRetryMax,
+		RejectDelay:  dutyRejectDelay,
 		UsageWindow:  s.UsageWindow,
 		UsageDelay:   s.UsageDelay,
 		StartedAt:    bootNow(),
@@ -96,7 +100,7 @@
 		case duty.LogEntry:
 			n.log.WithFields(logrus.Fields{"duty": a.Kind.String(), "subject": a.Subject, "detail": a.Detail}).Info(a.Text)
 		case duty.Count:
-			n.metrics.Scope.SubScope("duty").Counter(string(a.Counter)).Inc(1)
+			n.metrics.Scope.Counter(string(a.Counter)).Inc(1)
 		}
 	}
 	if _, isTick := ev.(duty.Tick); !isTick || len(actions) > 0 {
@@ -112,7 +116,7 @@
 	era := infra.EraOf(n.platform.Table)
 	rows, err := n.platform.Table.Scan(ctx, duty.Table, "", scanPageSize)
 	if err != nil || infra.EraOf(n.platform.Table) != era {
-		n.post(dutyEvent{duty.ReadFailed{Attempt: r.Attempt}}) // The rows may be of two eras.
+		n.post(dutyEvent{duty.ReadFailed(r)}) // The rows may be of two eras.
 		return
 	}
 	n.post(dutyEvent{duty.RowsRead{Attempt: r.Attempt, Rows: rows, Era: era}})
@@ -150,7 +154,7 @@
 		fields["error"] = out.Err.Error()
 	}
 	n.log.WithFields(fields).Info("platform call")
-	n.metrics.Scope.Tagged(map[string]string{"duty": c.Kind.String(), "outcome": out.Result.String()}).Counter("platform_calls").Inc(1)
+	n.metrics.Scope.Tagged(map[string]string{"duty": c.Kind.String(), "outcome": out.Result.String()}).Counter("platform_calls_total").Inc(1)
 	n.post(dutyEvent{duty.Called{Attempt: c.Attempt, Outcome: out}})
 }
 
