Count each request once, with its first run

Usage was counted for each run at a backend server. Counts are encoded as arrays: a frame skips over single values, so that two values for one element made the response to the relay call undecodable.

--- a/activity/report.go
+++ b/activity/report.go
@@ -55,19 +55,29 @@
 	Incarnation ident.Incarnation
 }
 
+// countFields is the number of fields of an encoded Count.
+const countFields = 2
+
 // Count is a number of runs of an account's requests.
 type Count struct {
 	Account ident.Account
 	Runs    uint64
 }
 
-// EncodeMsgpack writes the fields without their names.
+// EncodeMsgpack writes the fields as an array. A message of package wire has to consist of
+// single values.
 func (c Count) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(countFields); err != nil {
+		return errors.Wrap(err, "encode count")
+	}
 	return errors.Wrap(enc.EncodeMulti(string(c.Account), c.Runs), "encode count")
 }
 
 // DecodeMsgpack reads what EncodeMsgpack writes.
 func (c *Count) DecodeMsgpack(dec *msgpack.Decoder) error {
+	if n, err := dec.DecodeArrayLen(); err != nil || n != countFields {
+		return errors.Errorf("count has %d fields, want %d: upgrade the sender (%v)", n, countFields, err)
+	}
 	return errors.Wrap(dec.DecodeMulti((*string)(&c.Account), &c.Runs), "decode count")
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -273,7 +273,7 @@
 		return notRun
 	}
 	if a.req.route.Kind != route.Streaming {
-		a.countRun(a.req.now() - a.sentAt)
+		a.req.countRun(a.req.now() - a.sentAt)
 	}
 	switch {
 	case a.resp.StatusCode < 200, a.resp.StatusCode/100 == 2 && !a.isAttested(), h.Get("Content-Encoding") != "":
--- a/forward/call.go
+++ b/forward/call.go
@@ -67,6 +67,8 @@
 	// silent are attempts whose backend servers are silent while another attempt is
 	// followed.
 	silent []*attempt
+	// runCounted is true once Options.OnRun was called for the request.
+	runCounted bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	// steps describe the failed attempts, for the log.
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -10,10 +10,12 @@
 // had capacity, and the prompt tokens of all.
 type demand struct{ requests, refused, promptTokens uint64 }
 
-// countRun counts a run that the backend server began some time ago.
-func (a *attempt) countRun(ago time.Duration) {
-	if f := a.req.handler.opts.OnRun; f != nil && a.req.account != nil {
-		f(a.req.account.Name, ago)
+// countRun counts the request once a backend server has begun to run it, some time ago. A run
+// after a retry or for the rest of a stream is not counted again: usage is counted by request.
+func (c *call) countRun(ago time.Duration) {
+	if f := c.handler.opts.OnRun; f != nil && c.account != nil && !c.runCounted {
+		c.runCounted = true
+		f(c.account.Name, ago)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -108,8 +108,9 @@
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
 	// of a backend server, of requests that are refused since, or of a request limit.
 	OnFindings func()
-	// OnRun, if not nil, is called for each run of an account's request that a backend server
-	// has begun, with the time since then.
+	// OnRun, if not nil, is called once for each request of an account that a backend server
+	// has begun to run, with the time since then: for a stream when its first event comes, for
+	// other requests when the response comes.
 	OnRun func(account ident.Account, ago time.Duration)
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -95,7 +95,7 @@
 		a.backend.eventGaps.record(now - a.lastProgress)
 	} else {
 		a.firstEventAt = now
-		a.countRun(0)
+		a.req.countRun(0)
 	}
 	a.recordAnswering(now)
 	a.recordResumed()
