--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -141,6 +142,8 @@
 		n.handleAddressesWritten(e)
 	case windowEvent:
 		n.handleWindow(e.Result)
+	case dutyEvent:
+		n.stepDuties(e.Event)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -199,6 +202,9 @@
 	n.collectActivity(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
+	if n.holdsLease.Load() {
+		n.stepDuties(duty.Tick{})
+	}
 }
 
 // maxLeaseContenders is the number of instances that read the lease rows from the store
