--- a/activity/collector.go
+++ b/activity/collector.go
@@ -125,8 +125,12 @@
 
 // WindowSums are the sums of a window over the entry instances of a data centre.
 type WindowSums struct {
-	Window int64   `msgpack:"w"`
+	Window int64 `msgpack:"w"`
+	// Counts are the sums over the runs that began before the window, and Fresh those over
+	// later ones. They are merged apart: after the loss of a data centre its new relays know
+	// only the new runs, whose sums would disappear below the old ones.
 	Counts []Count `msgpack:"c"`
+	Fresh  []Count `msgpack:"f"`
 	// Whole is the number of instances whose counts are complete, and Partial that of runs
 	// in which the window has begun and which may report more of it.
 	Whole   int `msgpack:"n"`
@@ -172,15 +176,19 @@
 
 func (c *Collector) windowSums(k int64, runs []*runState) WindowSums {
 	out := WindowSums{Window: k}
-	counts := make(map[ident.Account]uint64)
+	counts, fresh := make(map[ident.Account]uint64), make(map[ident.Account]uint64)
 	for _, s := range runs {
 		w, ok := s.windows[k]
-		if ok {
+		if ok && s.since != 0 {
+			sums := counts
+			if s.since >= c.windows.Start(k) {
+				sums = fresh
+			}
 			for a, n := range w.counts {
-				counts[a] += n
+				sums[a] += n
 			}
 		}
-		whole := s.time >= c.windows.End(k)+settleTime && (!ok || w.sum >= w.total)
+		whole := s.time >= c.windows.End(k)+settleTime && (!ok || (w.sum >= w.total && s.since != 0))
 		switch {
 		case s.replaced:
 		case whole:
@@ -189,6 +197,6 @@
 			out.Partial++
 		}
 	}
-	out.Counts = sortedCounts(counts)
+	out.Counts, out.Fresh = sortedCounts(counts), sortedCounts(fresh)
 	return out
 }
--- a/activity/totals.go
+++ b/activity/totals.go
@@ -28,7 +28,7 @@
 
 // windowTotal is a window of a data centre.
 type windowTotal struct {
-	counts         map[ident.Account]uint64
+	counts, fresh  map[ident.Account]uint64
 	whole, partial int
 }
 
@@ -94,12 +94,15 @@
 func (d *dataCentreTotal) mergeWindow(s WindowSums) {
 	w, ok := d.windows[s.Window]
 	if !ok {
-		w = &windowTotal{counts: make(map[ident.Account]uint64)}
+		w = &windowTotal{counts: make(map[ident.Account]uint64), fresh: make(map[ident.Account]uint64)}
 		d.windows[s.Window] = w
 	}
 	for _, n := range s.Counts {
 		w.counts[n.Account] = max(w.counts[n.Account], n.Runs)
 	}
+	for _, n := range s.Fresh {
+		w.fresh[n.Account] = max(w.fresh[n.Account], n.Runs)
+	}
 	// The relay that hears of the most instances knows best what is missing.
 	switch {
 	case s.Whole > w.whole:
@@ -152,6 +155,9 @@
 			for a, n := range w.counts {
 				r.Counts[a] += n
 			}
+			for a, n := range w.fresh {
+				r.Counts[a] += n
+			}
 			r.Partial += w.partial
 		}
 	}
--- a/activity/truetime.go
+++ b/activity/truetime.go
@@ -15,9 +15,11 @@
 	maxWallDifference = 100 * time.Millisecond
 	// wallWeight is the weight of a difference of the wall clock: 1 in wallWeight.
 	wallWeight = 16
-	// maxPeerDifference is the difference from the median of the others' estimates from
-	// which this instance uses theirs. It exceeds the delays of beacons and digests.
-	maxPeerDifference = 250 * time.Millisecond
+	// maxBehind and maxAhead are how far the estimate may be behind and ahead of the median
+	// of the others' estimates. Delays of their messages can only make it look ahead. If all
+	// instances followed late messages, their time would fall behind step by step.
+	maxBehind = 250 * time.Millisecond
+	maxAhead  = time.Second
 	// minPeers is the number of others from which the median counts.
 	minPeers = 2
 	// peerPeriod is the time over which the largest estimate of another instance counts:
@@ -77,7 +79,7 @@
 	}
 	slices.Sort(offsets)
 	median := offsets[len(offsets)/2]
-	if d := median - t.offset; d.Abs() > maxPeerDifference {
+	if d := median - t.offset; d > maxBehind || d < -maxAhead {
 		t.offset = median
 		return d
 	}
