--- a/activity/report.go
+++ b/activity/report.go
@@ -154,13 +154,3 @@
 	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(a.Account, b.Account) })
 	return out
 }
-
-// sortedKeys returns the keys of a map of windows in ascending order.
-func sortedKeys[V any](m map[int64]V) []int64 {
-	out := make([]int64, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
