Windows that ended after a restore of the store are reported

The end of a window is known, so only those are skipped that ended before the read or up to half a window later. Windows that a former holder may have reported are no longer logged as not reported.

--- a/duty/machine_test.go
+++ b/duty/machine_test.go
@@ -109,12 +109,14 @@
 	d := newDriver(t, true)
 	d.era = 2
 	d.hold(1<<16 + 1)
-	d.step(WindowCounted{Window: 7, Counts: map[ident.Account]uint64{"x": 4}})
-	d.pass(16 * time.Second)
+	d.step(WindowCounted{Window: 7, Ended: d.now + 2*time.Second})
+	d.step(WindowCounted{Window: 6})
+	d.pass(4 * time.Second)
 	assert.Equal(t, len(d.calls), 0)
-	d.step(WindowCounted{Window: 10, Counts: map[ident.Account]uint64{"x": 5}})
+	d.step(WindowCounted{Window: 8, Ended: d.now - time.Second})
+	d.pass(4 * time.Second)
 	assert.Equal(t, len(d.calls), 1)
-	assert.Equal(t, d.calls[0].Window, int64(10))
+	assert.Equal(t, d.calls[0].Window, int64(8))
 }
 
 // Guards against further calls after the platform has seen a higher token, and against a duty
--- a/duty/simulation_test.go
+++ b/duty/simulation_test.go
@@ -172,6 +172,7 @@
 // simNode is a machine with the present run of its process.
 type simNode struct {
 	index       int
+	clockError  time.Duration
 	run         int
 	rate        float64
 	lease       *lease.Machine
@@ -438,7 +439,7 @@
 	ended := s.now
 	for _, n := range s.nodes {
 		s.onNode(ended+s.between(200*time.Millisecond, 4*time.Second), n, func(time.Duration) {
-			s.stepDuty(n, WindowCounted{Window: window, Counts: map[ident.Account]uint64{"a": s.rng.Uint64N(1000)}, Ended: n.local(ended)})
+			s.stepDuty(n, WindowCounted{Window: window, Counts: map[ident.Account]uint64{"a": s.rng.Uint64N(1000)}, Ended: n.local(ended + n.clockError)})
 		})
 	}
 }
@@ -453,7 +454,7 @@
 		},
 	}
 	for i := range 3 {
-		n := &simNode{index: i, rate: 0.97 + 0.06*s.rng.Float64()}
+		n := &simNode{index: i, rate: 0.97 + 0.06*s.rng.Float64(), clockError: s.between(-time.Second, time.Second)}
 		s.nodes = append(s.nodes, n)
 		s.startRun(n)
 	}
--- a/duty/usage.go
+++ b/duty/usage.go
@@ -63,11 +63,11 @@
 	loaded bool
 	read   uint64
 	retry  retry
-	// skipUntil is the time until which counted windows may have been reported before a restore
-	// of the store. era is the era to be recorded then, or 0, and eraWrite that write.
-	skipUntil time.Duration
-	era       uint64
-	eraWrite  uint64
+	// restoredBy is when the rows of a restored store were first read, or 0. era is the era to be
+	// recorded once no window that ended before is due, or 0, and eraWrite that write.
+	restoredBy time.Duration
+	era        uint64
+	eraWrite   uint64
 }
 
 // window is a usage window.
@@ -83,10 +83,12 @@
 	write  uint64
 	// deletes are the windows whose rows the write deletes.
 	deletes []int64
-	// settled is true if the report was accepted, or is no longer due.
-	settled  bool
-	inFlight bool
-	retry    retry
+	// settled is true if the report was accepted, or is no longer due. inherited is true if a
+	// former holder may have reported the window.
+	settled   bool
+	inherited bool
+	inFlight  bool
+	retry     retry
 }
 
 // endUsageTerm ends the reads and writes. Counts that are not stored give way to those that
@@ -156,7 +158,7 @@
 // skipReason returns why a counted window must not be reported, or "".
 func (m *Machine) skipReason(now time.Duration, w *window) string {
 	switch u := &m.usage; {
-	case now < u.skipUntil:
+	case m.mayBeLost(w):
 		return "it may have been reported before the store was restored from an older copy"
 	case w.number <= u.deleted || (len(u.rows) >= keptRows && w.number < slices.Min(slices.Collect(maps.Keys(u.rows)))):
 		return "later windows were reported long ago"
@@ -166,6 +168,19 @@
 	return ""
 }
 
+// mayBeLost reports whether the store may have lost the row of a window in a restore. Such a
+// window ended before the restored rows were read, also by the clock of another holder.
+func (m *Machine) mayBeLost(w *window) bool {
+	switch u := &m.usage; {
+	case u.restoredBy == 0:
+		return false
+	case w.endKnown:
+		return w.ended < u.restoredBy+m.cfg.UsageWindow/2
+	default:
+		return w.ended < u.restoredBy+m.cfg.UsageDelay+m.cfg.UsageWindow
+	}
+}
+
 // writeWindow writes the row of a window and deletes rows beyond keptRows. The write fails if
 // the lease has a newer holder, so that none is done after that one has read the rows. One
 // without an answer may be done later, but has the same counts as its repetition.
@@ -195,7 +210,7 @@
 // recordEra records that the windows that a restore may have lost were skipped.
 func (m *Machine) recordEra(now time.Duration) {
 	u := &m.usage
-	if u.era == 0 || u.eraWrite != 0 || now < u.skipUntil {
+	if u.era == 0 || u.eraWrite != 0 || now < u.restoredBy+m.cfg.UsageDelay+m.cfg.UsageWindow {
 		return
 	}
 	u.eraWrite = m.nextAttempt()
@@ -231,7 +246,7 @@
 		default:
 			u.rows[number] = true
 			u.deleted, settled = max(u.deleted, row.Deleted), max(settled, row.Settled)
-			read = append(read, &window{number: number, counts: row.Counts, stored: true, ended: now})
+			read = append(read, &window{number: number, counts: row.Counts, stored: true, inherited: true, ended: now})
 		}
 	}
 	for _, w := range read {
@@ -240,14 +255,12 @@
 			w.settled = w.number <= settled
 			u.windows = slices.Insert(u.windows, i, w)
 		} else if known := u.windows[i]; !known.stored {
-			known.counts, known.stored, known.write = w.counts, true, 0
+			known.counts, known.stored, known.inherited, known.write = w.counts, true, true, 0
 		}
 	}
 	m.forgetOldWindows()
 	if u.era = 0; e.Era > max(1, recordedEra) {
-		// The rows may lack windows that were reported. Those ended before now, and the counts of
-		// a window come at the latest when its report is due.
-		u.era, u.skipUntil = e.Era, now+m.cfg.UsageDelay+m.cfg.UsageWindow
+		u.era, u.restoredBy = e.Era, now // The rows may lack windows that were reported.
 	}
 }
 
@@ -312,6 +325,9 @@
 	for _, w := range m.usage.windows {
 		if w.stored && !w.settled && !w.inFlight && now >= w.ended+m.cfg.UsageDelay {
 			w.settled = true
+			if w.inherited {
+				continue
+			}
 			m.emit(LogEntry{Text: "usage window not reported", Kind: ReportUsage, Subject: fmt.Sprint(w.number), Detail: "the platform accepted no report until it was due"})
 			m.emit(Count{WindowsUnreported})
 		}
