--- a/edge/control.go
+++ b/edge/control.go
@@ -142,6 +142,8 @@
 		n.handleAddressesWritten(e)
 	case dutyEvent:
 		n.stepDuties(e.Event)
+	case windowEvent:
+		n.handleWindow(e.Result)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -197,6 +199,7 @@
 	}
 	n.writeAddressList(now)
 	n.measureDemand(now)
+	n.collectActivity(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
 	if n.holdsLease.Load() {
