--- a/edge/activity.go
+++ b/edge/activity.go
@@ -28,7 +28,7 @@
 
 // Names of the metrics of usage windows.
 const (
-	metricWindows          = "usage_windows_total"
+	metricWindows          = "usage_windows_counted_total"
 	metricWindowsShort     = "usage_windows_incomplete_total"
 	metricInstancesMissing = "usage_instances_missing"
 	metricWindowAge        = "usage_window_age_seconds"
