--- a/duty/events.go
+++ b/duty/events.go
@@ -36,6 +36,9 @@
 	Service    ident.ServiceName
 	DataCentre ident.DataCentre
 	Servers    int
+	// Decision identifies the decision. Another one is ordered although the number is the same,
+	// as after a loss of servers, which the platform replaces only on a new order.
+	Decision uint64
 	// Reason is logged with the call.
 	Reason string
 }
--- a/duty/size.go
+++ b/duty/size.go
@@ -18,8 +18,9 @@
 // size is the state of the orders for a subject under the present lease.
 type size struct {
 	subject
-	wanted int
-	reason string
+	wanted   int
+	decision uint64
+	reason   string
 	// sent is true once an order was sent: the last one, for ordered servers, has the sequence
 	// number sequence. settled is true if the platform has done it.
 	sent, settled bool
@@ -41,9 +42,12 @@
 		s = &size{subject: k}
 		m.sizes[k] = s
 	}
-	if !ok || e.Servers != s.wanted {
+	if !ok || e.Servers != s.wanted || e.Decision != s.decision {
 		s.wanted, s.reason = e.Servers, e.Reason
 	}
+	if e.Decision != s.decision {
+		s.decision, s.settled = e.Decision, false
+	}
 }
 
 // nextOrder returns the next order that is due, or nil.
--- a/edge/control.go
+++ b/edge/control.go
@@ -197,6 +197,7 @@
 	}
 	n.writeAddressList(now)
 	n.measureDemand(now)
+	n.adjustSizes(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
 	if n.holdsLease.Load() {
--- a/edge/node.go
+++ b/edge/node.go
@@ -28,6 +28,7 @@
 	"github.com/bulrushfall/bulrushfall/lease"
 	"github.com/bulrushfall/bulrushfall/mirror"
 	"github.com/bulrushfall/bulrushfall/route"
+	"github.com/bulrushfall/bulrushfall/sizing"
 	"github.com/bulrushfall/bulrushfall/telemetry"
 	"github.com/bulrushfall/bulrushfall/wire"
 )
@@ -144,6 +145,13 @@
 	lastLogged   map[string]time.Duration
 	modelDemands map[string]*modelDemand
 	nextDemandAt time.Duration
+	// sizing decides the number of backend servers while this instance holds the lease, and is
+	// nil otherwise.
+	sizing *sizing.Planner
+	// leavingServers are the servers that sizing gave up at its last step.
+	leavingServers map[ident.InstanceID]bool
+	orderCount     uint64
+	nextSizeAt     time.Duration
 
 	// failingHeads holds the groups whose heads fail all requests, and since when.
 	failingHeads  map[beacon.GroupEpoch]time.Duration
@@ -180,6 +188,9 @@
 	n.leaseMachine.Step(bootNow(), lease.Standby{On: true})
 	planConfig := formation.DefaultConfig()
 	planConfig.LoadWindow = settings.LoadWindow
+	if settings.Duties.OrdersServers && !settings.Duties.LogsOrdersOnly {
+		planConfig.CompareStay = platform.CompareStay
+	}
 	n.planner = formation.New(planConfig)
 	n.duties = n.newDuties()
 	n.handler = forward.New(forward.Options{
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -83,6 +83,8 @@
 	// ReportsUsage asks for a report of each usage window, OrdersServers for orders of the
 	// number of backend servers.
 	ReportsUsage, OrdersServers bool
+	// LogsOrdersOnly makes the orders of servers appear in the log only.
+	LogsOrdersOnly bool
 	// ChecksTokens is true if the platform refuses calls with an outdated fencing token.
 	ChecksTokens bool
 	// HolderTime is the time within which a duty must not return to an earlier holder.
@@ -148,6 +150,9 @@
 	// DecodeServer decodes the entry of a backend server. now is the current time on
 	// the clock of the Node.
 	DecodeServer func(row infra.Row, now time.Duration) (fleet.Server, error)
+	// CompareStay orders two backend servers of a data centre: it is negative if the platform
+	// takes b away before a when it is to have fewer.
+	CompareStay func(a, b *fleet.Server) int
 	// LookupHandler serves callers' address lookups and ReadyHandler the platform's
 	// readiness checks.
 	LookupHandler func(lookup func() ([]string, time.Duration)) http.Handler
--- /dev/null
+++ b/edge/sizing.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bulrushfall/bulrushfall/duty"
+	"github.com/bulrushfall/bulrushfall/formation"
+	"github.com/bulrushfall/bulrushfall/route"
+	"github.com/bulrushfall/bulrushfall/sizing"
+)
+
+// sizeInterval is the time between decisions about the number of backend servers.
+const sizeInterval = demandInterval / 2
+
+// adjustSizes decides the number of backend servers of the service with models. Only the
+// holder of the lease does, and only if the settings and the configuration ask for it.
+func (n *Node) adjustSizes(now time.Duration) {
+	if !n.settings.Duties.OrdersServers || n.routes == nil || !n.holdsLease.Load() {
+		n.sizing = nil
+		return
+	}
+	service := n.modelService()
+	if service == nil || service.Scaling == nil || now < n.nextSizeAt {
+		return
+	}
+	n.nextSizeAt = now + sizeInterval
+	if n.sizing == nil {
+		n.sizing = sizing.New(sizing.DefaultConfig())
+	}
+	input := n.sizingInput(service)
+	for _, o := range n.sizing.Step(now, input) {
+		n.orderCount++
+		n.log.WithFields(logrus.Fields{
+			"service": service.Name, "data_centre": o.DataCentre, "servers": o.Servers, "reason": o.Reason, "dry_run": n.settings.Duties.LogsOrdersOnly,
+		}).Info("number of servers decided")
+		if !n.settings.Duties.LogsOrdersOnly {
+			n.stepDuties(duty.SizeWanted{Service: service.Name, DataCentre: o.DataCentre, Servers: o.Servers, Decision: n.orderCount, Reason: o.Reason})
+		}
+	}
+	n.reportSizes(service, input)
+	if leaving := n.sizing.Leaving(); !n.settings.Duties.LogsOrdersOnly && !maps.Equal(leaving, n.leavingServers) {
+		n.leavingServers = maps.Clone(leaving)
+		n.stepPlanner(formation.Leaving{Servers: n.leavingServers})
+	}
+}
+
+// sizingInput returns what this instance knows for a decision.
+func (n *Node) sizingInput(service *route.Service) sizing.Input {
+	in := sizing.Input{Service: service, Evacuated: n.evacuated}
+	for i := range n.routes.Routes {
+		r := &n.routes.Routes[i]
+		if !r.UsesGroups || !slices.ContainsFunc(r.Targets, func(t route.Target) bool { return t.Service == service.Name }) {
+			continue
+		}
+		in.Goal, in.Gap = leastPositive(in.Goal, r.LatencyGoal), leastPositive(in.Gap, r.MaxEventGap)
+	}
+	servers := slices.Clone(n.serverSnapshot.Servers)
+	if n.platform.CompareStay != nil {
+		slices.SortStableFunc(servers, n.platform.CompareStay)
+	}
+	for _, s := range servers {
+		if s.Service != service.Name || s.Draining {
+			continue
+		}
+		model, grouped := n.planner.Model(s)
+		in.Servers = append(in.Servers, sizing.Server{ID: s.ID, DataCentre: s.DataCentre, Domain: s.Domain, Model: model, Grouped: grouped})
+	}
+	for _, m := range service.Models {
+		if d := n.modelDemands[m.Name]; d != nil && d.slots > 0 {
+			in.Demand = append(in.Demand, sizing.Demand{Model: m.Name, Slots: d.slots})
+		}
+	}
+	return in
+}
+
+// leastPositive returns the smaller of two times, of which 0 means that there is none.
+func leastPositive(a, b time.Duration) time.Duration {
+	if a <= 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// reportSizes sets the metrics of the last decision.
+func (n *Node) reportSizes(service *route.Service, in sizing.Input) {
+	scope := n.metrics.Scope.Tagged(map[string]string{"service": string(service.Name)})
+	scope.Gauge("servers_present").Update(float64(len(in.Servers)))
+	scope.Gauge("servers_leaving").Update(float64(len(n.sizing.Leaving())))
+	wanted := 0
+	for _, need := range n.sizing.Needs() {
+		wanted += need.Wanted * need.GroupSize
+		model := scope.Tagged(map[string]string{"model": need.Model})
+		model.Gauge("demand_slots").Update(need.Slots)
+		model.Gauge("groups_possible").Update(float64(need.Groups))
+		model.Gauge("groups_wanted").Update(float64(need.Wanted))
+	}
+	scope.Gauge("servers_wanted").Update(float64(wanted))
+}
--- a/formation/form.go
+++ b/formation/form.go
@@ -34,7 +34,7 @@
 	index := make(map[ident.Domain]int)
 	var out []domain
 	for _, s := range p.servers.Servers {
-		if s.Service != p.service.Name || s.Draining {
+		if s.Service != p.service.Name || p.leaves(s) {
 			continue
 		}
 		i, ok := index[s.Domain]
@@ -155,7 +155,7 @@
 // isIdle reports whether a server can be used for a group. A server whose entry still
 // names a group cannot.
 func (p *Planner) isIdle(s *fleet.Server) bool {
-	return s.Service == p.service.Name && s.State == fleet.NoGroup && !s.Draining &&
+	return s.Service == p.service.Name && s.State == fleet.NoGroup && !p.leaves(s) &&
 		!slices.Contains(p.evacuated, s.DataCentre) && !p.isDead(s.ID, s.Incarnation)
 }
 
@@ -291,7 +291,7 @@
 			continue
 		}
 		slices.SortStableFunc(best, func(a, b *fleet.Server) int {
-			return cmp.Compare(stagedRank(a, m.Name), stagedRank(b, m.Name))
+			return p.compareForGroup(a, b, m.Name)
 		})
 		return m.Model, best[:m.Size], true
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -39,6 +39,8 @@
 
 	service   *route.Service
 	evacuated []ident.DataCentre
+	// leaving are the servers that are given up.
+	leaving map[ident.InstanceID]bool
 	// unrepeatableTime is that of the configuration, and unrepeatableUntil when the last
 	// requests of earlier configurations end.
 	unrepeatableTime, unrepeatableUntil time.Duration
@@ -168,6 +170,8 @@
 		p.handleHeadFailing(now, e)
 	case Probed:
 		p.handleProbed(now, e)
+	case Leaving:
+		p.leaving = e.Servers
 	case TrafficStarted:
 		p.trafficStarted = true
 	case Demand:
--- a/formation/types.go
+++ b/formation/types.go
@@ -296,6 +296,9 @@
 	SummaryInterval time.Duration
 	// LoadWindow is the window over which the number of started loads is limited.
 	LoadWindow time.Duration
+	// CompareStay orders two servers by the time for which they are expected to stay: it is
+	// negative if the platform takes b away before a. It is nil if the platform takes none away.
+	CompareStay func(a, b *fleet.Server) int
 }
 
 // DefaultConfig returns the default configuration.
--- /dev/null
+++ b/sizing/sizing.go
@@ -0,0 +1,511 @@
+// Package sizing decides how many backend servers a service has in each data centre, where
+// the platform lets the system order them. Servers are paid for as long as they run, and a new
+// one serves only after it has started, loaded weights and joined a group, so growing is slow.
+//
+// It answers these loads and failures: demand that grows, falls or moves between models, the
+// loss of a domain or of single servers, and servers that return after an outage. Only whole
+// groups count: a server that completes none is not worth keeping. A Planner has no
+// goroutine, socket or log; its state is rebuilt from what a new holder of the lease sees.
+package sizing
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// Server is a backend server of the service that accepts requests or could.
+type Server struct {
+	ID         ident.InstanceID
+	DataCentre ident.DataCentre
+	Domain     ident.Domain
+	// Model is the model whose weights the server holds or loads, or "" if there is none.
+	Model string
+	// Grouped is set while the server is a member of a group.
+	Grouped bool
+}
+
+// Demand is the measured demand for a model, in slots: those in use plus those that refused
+// requests would use.
+type Demand struct {
+	Model string
+	Slots float64
+}
+
+// Input is what is known at the time of a step.
+type Input struct {
+	Service *route.Service
+	// Goal is the time to the first event that callers expect, Gap the longest time between
+	// two events. 0 means that they expect none.
+	Goal, Gap time.Duration
+	// Servers lists the servers that do not leave yet, those last that the platform takes away
+	// first.
+	Servers []Server
+	// Evacuated data centres get no orders, and their servers do not count.
+	Evacuated []ident.DataCentre
+	// Demand is empty until the demand for all models was measured.
+	Demand []Demand
+}
+
+// Order is the number of servers that a data centre is to have.
+type Order struct {
+	DataCentre ident.DataCentre
+	Servers    int
+	Reason     string
+}
+
+// Config holds the times of a Planner.
+type Config struct {
+	// FormTime is the time from loaded weights until a group serves.
+	FormTime time.Duration
+	// SettleTime is how long after its first step, and after an order, a Planner does not
+	// shrink. It covers the update of the list and of the demand.
+	SettleTime time.Duration
+	// EmptyTime is how long the groups of leaving servers may take to finish their requests.
+	EmptyTime time.Duration
+	// ListTime is the time until the list shows a started server.
+	ListTime time.Duration
+}
+
+// DefaultConfig returns the default configuration.
+func DefaultConfig() Config {
+	return Config{FormTime: 2 * time.Second, SettleTime: 2 * time.Second, EmptyTime: 4 * time.Second, ListTime: 2 * time.Second}
+}
+
+const (
+	// shortHistoryMargin is the part of the demand that is added while demand was measured for
+	// a short time only, and may grow to. It falls to 0 over the time in which servers
+	// can be had, because by then a change of the demand is answered by orders.
+	shortHistoryMargin = 0.25
+	// maxGrowth bounds the expected growth of the demand. A jump is not taken for a trend that
+	// lasts.
+	maxGrowth = 0.5
+	// outageShare is the part of a domain's servers whose loss at once is taken for an outage
+	// from which they return.
+	outageShare = 0.5
+	// outageWindow is the time within which such servers disappear from the list.
+	outageWindow = 4 * time.Second
+	// maxRemoved is the largest part of the servers that one step gives up. The demand is
+	// measured again before the next one.
+	maxRemoved = 0.15
+)
+
+// Planner decides the number of servers of one service. It is not safe for concurrent use.
+type Planner struct {
+	cfg     Config
+	started bool
+	// startedAt is when the first step was, knownSince when the demand became known.
+	startedAt, knownSince time.Duration
+	history               map[string][]sample
+	centres               map[ident.DataCentre]*centre
+	domains               map[ident.Domain]*domain
+	leaving               map[ident.InstanceID]bool
+	// settledAt is when the effect of the last change is expected to show.
+	settledAt time.Duration
+	needed    []Need
+}
+
+// sample is the demand for a model at a time.
+type sample struct {
+	at    time.Duration
+	slots float64
+}
+
+// centre is the state of the orders for a data centre.
+type centre struct {
+	// startingUntil is when the servers of the last order that added some are in the list, and
+	// starting their number.
+	startingUntil time.Duration
+	starting      int
+	// keep is the number of servers after a reduction that waits until the groups of the
+	// leaving servers are empty, at the latest at emptyBy. 0 means that none waits.
+	keep    int
+	emptyBy time.Duration
+	reason  string
+	// ordered is the number in the last order, and orderedAt its time.
+	ordered   int
+	orderedAt time.Duration
+}
+
+// domain is the recent size of a domain.
+type domain struct {
+	centre ident.DataCentre
+	// peak is the largest size since peakAt.
+	peak   int
+	peakAt time.Duration
+	// outUntil is when an outage is taken for a loss.
+	outUntil time.Duration
+}
+
+// Need is the number of groups that a model needs.
+type Need struct {
+	Model                        string
+	Slots, Forecast              float64
+	Groups, Wanted, GroupSize    int
+	SlotsPerGroup, MaxSlotsGroup float64
+}
+
+// New returns a Planner.
+func New(cfg Config) *Planner {
+	return &Planner{cfg: cfg, history: make(map[string][]sample), centres: make(map[ident.DataCentre]*centre), domains: make(map[ident.Domain]*domain), leaving: make(map[ident.InstanceID]bool)}
+}
+
+// Leaving returns the servers that are given up. Their groups are to be emptied. The caller
+// must not change the map.
+func (p *Planner) Leaving() map[ident.InstanceID]bool { return p.leaving }
+
+// Needs returns the needs of the last step.
+func (p *Planner) Needs() []Need { return p.needed }
+
+// Step returns the orders to send now.
+func (p *Planner) Step(now time.Duration, in Input) []Order {
+	if in.Service == nil || in.Service.Scaling == nil || len(in.Servers) == 0 {
+		return nil
+	}
+	if !p.started {
+		p.started, p.startedAt, p.settledAt = true, now, now+p.cfg.SettleTime
+	}
+	in.Servers = slices.DeleteFunc(slices.Clone(in.Servers), func(s Server) bool { return slices.Contains(in.Evacuated, s.DataCentre) })
+	p.recordDomains(now, &in)
+	out := p.limitToMax(now, &in)
+	p.recordDemand(now, &in)
+	out = append(out, p.finishReductions(now, &in)...)
+	if p.knownSince == 0 || len(in.Demand) == 0 {
+		return out
+	}
+	p.needed = p.needs(now, &in)
+	if grown := p.grow(now, &in); len(grown) > 0 {
+		return append(out, grown...)
+	}
+	p.reduce(now, &in)
+	return out
+}
+
+// LeadTime is the time from an order until a new server serves.
+func (p *Planner) LeadTime(s *route.Service) time.Duration {
+	load := time.Duration(0)
+	for _, m := range s.Models {
+		load = max(load, m.LoadTime)
+	}
+	return s.Scaling.StartTime + load + p.cfg.FormTime
+}
+
+// limitToMax orders the maximum where a data centre has more servers than the platform allows.
+func (p *Planner) limitToMax(now time.Duration, in *Input) []Order {
+	var out []Order
+	for _, dc := range centresOf(in) {
+		c := p.centre(dc)
+		if n := len(in.staying(dc, nil)); n > in.Service.Scaling.Max && c.keep == 0 && c.ordered != in.Service.Scaling.Max && !p.inOutage(now, dc) {
+			for _, s := range in.staying(dc, nil)[in.Service.Scaling.Max:] {
+				p.leaving[s.ID] = true
+			}
+			c.ordered, c.orderedAt = in.Service.Scaling.Max, now
+			p.settledAt = now + p.cfg.SettleTime
+			out = append(out, Order{dc, in.Service.Scaling.Max, fmt.Sprintf("%d servers listed, the maximum is %d", n, in.Service.Scaling.Max)})
+		}
+	}
+	return out
+}
+
+// recordDomains notes the sizes of the domains and starts or ends outages.
+func (p *Planner) recordDomains(now time.Duration, in *Input) {
+	sizes := make(map[ident.Domain]int)
+	for _, s := range in.Servers {
+		if p.leaving[s.ID] {
+			continue
+		}
+		sizes[s.Domain]++
+		if p.domains[s.Domain] == nil {
+			p.domains[s.Domain] = &domain{centre: s.DataCentre}
+		}
+	}
+	for name, d := range p.domains {
+		n := sizes[name]
+		if d.outUntil == 0 && float64(d.peak-n) >= max(2, outageShare*float64(d.peak)) {
+			d.outUntil = now + p.LeadTime(in.Service)
+		}
+		if d.outUntil != 0 && (now >= d.outUntil || float64(n) > (1-outageShare)*float64(d.peak)) {
+			d.outUntil, d.peak, d.peakAt = 0, n, now
+		}
+		if n >= d.peak || (d.outUntil == 0 && now-d.peakAt >= outageWindow) {
+			d.peak, d.peakAt = n, now
+		}
+	}
+}
+
+// inOutage reports whether a domain of the data centre is away and expected back. Orders would
+// then start servers that are late, and that are too many once the domain has returned.
+func (p *Planner) inOutage(now time.Duration, dc ident.DataCentre) bool {
+	for _, d := range p.domains {
+		if d.centre == dc && now < d.outUntil {
+			return true
+		}
+	}
+	return false
+}
+
+// recordDemand adds the demand to the history, which covers twice the lead time.
+func (p *Planner) recordDemand(now time.Duration, in *Input) {
+	if len(in.Demand) < len(in.Service.Models) {
+		return
+	}
+	if p.knownSince == 0 {
+		p.knownSince = now
+	}
+	oldest := now - 2*p.LeadTime(in.Service)
+	for _, d := range in.Demand {
+		h := slices.DeleteFunc(p.history[d.Model], func(s sample) bool { return s.at < oldest })
+		p.history[d.Model] = append(h, sample{now, d.Slots})
+	}
+}
+
+// forecast returns the demand to expect within the lead time: the recent peak, plus its growth
+// over the time before. A wave that has been seen whole does not count as growth.
+func (p *Planner) forecast(now time.Duration, in *Input, model string) float64 {
+	lead := p.LeadTime(in.Service)
+	recent, before := 0.0, 0.0
+	for _, s := range p.history[model] {
+		if s.at > now-lead/2 {
+			recent = max(recent, s.slots)
+		} else {
+			before = max(before, s.slots)
+		}
+	}
+	peak := max(recent, before)
+	known := now - p.knownSince
+	if known < lead/2 {
+		return peak * (1 + shortHistoryMargin)
+	}
+	margin := shortHistoryMargin * max(0, 1-float64(known-lead/2)/float64(lead/2))
+	growth := 0.0
+	if before > 0 {
+		growth = min(maxGrowth, max(0, recent/before-1))
+	}
+	return peak * (1 + max(margin, growth))
+}
+
+// needs returns the groups that each model needs.
+func (p *Planner) needs(now time.Duration, in *Input) []Need {
+	out := make([]Need, 0, len(in.Service.Models))
+	for _, m := range in.Service.Models {
+		slots := 0.0
+		for _, d := range in.Demand {
+			if d.Model == m.Name {
+				slots = d.Slots
+			}
+		}
+		n := Need{Model: m.Name, Slots: slots, Forecast: p.forecast(now, in, m.Name), GroupSize: m.Size}
+		n.Groups = in.possibleGroups(m.Name, m.Size, p.leaving)
+		n.MaxSlotsGroup = usableSlots(in.Service, m.Name, in.Goal, in.Gap)
+		n.SlotsPerGroup = plannedSlots(n.MaxSlotsGroup)
+		rate := n.Forecast / passTime(in.Service, m.Name, min(n.MaxSlotsGroup, n.Forecast/float64(max(1, n.Groups))))
+		perGroup := n.SlotsPerGroup / passTime(in.Service, m.Name, n.SlotsPerGroup)
+		n.Wanted = max(1, int(math.Ceil(rate/perGroup-1e-9)))
+		// After the loss of the largest domain the rest holds all requests, though not in time.
+		share := in.largestDomainShare(m.Name, m.Size, n.Groups)
+		for lost := max(1, int(math.Ceil(share*float64(n.Wanted)))); float64(n.Wanted-lost)*float64(in.Service.Slots) < n.Forecast; {
+			n.Wanted++
+			lost = max(1, int(math.Ceil(share*float64(n.Wanted))))
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// finishReductions returns the orders of reductions whose leaving servers are empty.
+func (p *Planner) finishReductions(now time.Duration, in *Input) []Order {
+	var out []Order
+	for _, dc := range centresOf(in) {
+		c := p.centre(dc)
+		if c.keep == 0 {
+			continue
+		}
+		busy := 0
+		for _, s := range in.Servers {
+			if s.DataCentre == dc && p.leaving[s.ID] && s.Grouped {
+				busy++
+			}
+		}
+		if busy > 0 && now < c.emptyBy {
+			continue
+		}
+		if p.inOutage(now, dc) {
+			p.cancel(in, dc, c)
+			continue
+		}
+		c.keep = min(c.keep, len(in.staying(dc, p.leaving))) // Others may have been lost meanwhile.
+		out = append(out, Order{dc, c.keep, c.reason})
+		c.ordered, c.orderedAt, c.keep = c.keep, now, 0
+		p.settledAt = max(p.settledAt, now+p.cfg.SettleTime)
+	}
+	// A server that the platform has left after all can be used again.
+	maps.DeleteFunc(p.leaving, func(id ident.InstanceID, _ bool) bool {
+		i := slices.IndexFunc(in.Servers, func(s Server) bool { return s.ID == id })
+		if i < 0 {
+			return true
+		}
+		c := p.centre(in.Servers[i].DataCentre)
+		return c.keep == 0 && now-c.orderedAt >= 2*p.cfg.ListTime
+	})
+	return out
+}
+
+// cancel gives up a reduction that was not ordered yet.
+func (p *Planner) cancel(in *Input, dc ident.DataCentre, c *centre) {
+	c.keep = 0
+	for _, s := range in.Servers {
+		if s.DataCentre == dc {
+			delete(p.leaving, s.ID)
+		}
+	}
+}
+
+// grow orders servers for the groups that are missing.
+func (p *Planner) grow(now time.Duration, in *Input) []Order {
+	if now-p.startedAt < p.cfg.SettleTime {
+		return nil
+	}
+	missing, reasons := 0, []string(nil)
+	for _, n := range p.needed {
+		if n.Groups < n.Wanted {
+			missing += (n.Wanted - n.Groups) * n.GroupSize
+			reasons = append(reasons, fmt.Sprintf("model %s has %d groups and needs %d for %.0f of %.0f slots", n.Model, n.Groups, n.Wanted, n.Slots, n.Forecast))
+		}
+	}
+	missing -= in.unloaded(p.leaving)
+	for _, d := range p.domains {
+		if now < d.outUntil {
+			missing -= d.peak
+		}
+	}
+	for _, c := range p.centres {
+		if now < c.startingUntil {
+			missing -= c.starting
+		}
+	}
+	if missing <= 0 {
+		return nil
+	}
+	reason := strings.Join(reasons, "; ")
+	added := make(map[ident.DataCentre]int)
+	centres := centresOf(in)
+	for ; missing > 0; missing-- {
+		best, bestCount := ident.DataCentre(""), in.Service.Scaling.Max
+		for _, dc := range centres {
+			c := p.centre(dc)
+			if p.inOutage(now, dc) || now < c.startingUntil {
+				continue
+			}
+			if n := len(in.staying(dc, p.leaving)) + added[dc]; n < bestCount {
+				best, bestCount = dc, n
+			}
+		}
+		if best == "" {
+			break
+		}
+		added[best]++
+	}
+	var out []Order
+	for _, dc := range centres {
+		if added[dc] == 0 {
+			continue
+		}
+		c := p.centre(dc)
+		p.cancel(in, dc, c)
+		c.starting, c.startingUntil = added[dc], now+in.Service.Scaling.StartTime+p.cfg.ListTime
+		c.ordered, c.orderedAt = len(in.staying(dc, p.leaving))+added[dc], now
+		p.settledAt = max(p.settledAt, now+p.LeadTime(in.Service))
+		out = append(out, Order{dc, c.ordered, reason})
+	}
+	return out
+}
+
+// reduce chooses the servers to give up. It takes one at a time from the data centre that has
+// most, as long as the rest can form the groups that are needed.
+func (p *Planner) reduce(now time.Duration, in *Input) {
+	if now < p.settledAt || len(p.leaving) > 0 {
+		return
+	}
+	for _, c := range p.centres {
+		if c.keep > 0 || now < c.startingUntil {
+			return
+		}
+	}
+	most := max(maxSize(in.Service), int(maxRemoved*float64(len(in.Servers))))
+	leaving := make(map[ident.InstanceID]bool)
+	for len(leaving) < most {
+		var best []Server
+		for _, dc := range centresOf(in) {
+			stay := in.staying(dc, leaving)
+			if len(stay) <= max(1, in.Service.Scaling.Min) || len(stay) <= len(best) || p.inOutage(now, dc) {
+				continue
+			}
+			last := stay[len(stay)-1].ID
+			leaving[last] = true
+			if p.enough(in, leaving) {
+				best = stay
+			}
+			delete(leaving, last)
+		}
+		if best == nil {
+			break
+		}
+		leaving[best[len(best)-1].ID] = true
+	}
+	if len(leaving) == 0 || p.removable(in, leaving) == 0 {
+		return
+	}
+	p.leaving = leaving
+	for _, dc := range centresOf(in) {
+		stay := len(in.staying(dc, leaving))
+		if before := len(in.staying(dc, nil)); stay < before {
+			c := p.centre(dc)
+			c.keep, c.emptyBy = stay, now+p.cfg.EmptyTime
+			c.reason = fmt.Sprintf("%d of %d servers are not needed: %s", before-stay, before, p.describe())
+		}
+	}
+	p.settledAt = now + p.cfg.SettleTime
+}
+
+// removable returns the number of groups that a reduction gives up, or of servers in none.
+func (p *Planner) removable(in *Input, leaving map[ident.InstanceID]bool) int {
+	n := 0
+	for _, s := range in.Servers {
+		if leaving[s.ID] {
+			n++
+		}
+	}
+	return n / minSize(in.Service)
+}
+
+func (p *Planner) enough(in *Input, leaving map[ident.InstanceID]bool) bool {
+	for _, n := range p.needed {
+		if in.possibleGroups(n.Model, n.GroupSize, leaving) < n.Wanted {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Planner) describe() string {
+	var out []string
+	for _, n := range p.needed {
+		out = append(out, fmt.Sprintf("model %s needs %d of %d groups for %.0f slots", n.Model, n.Wanted, n.Groups, n.Slots))
+	}
+	return strings.Join(out, ", ")
+}
+
+func (p *Planner) centre(dc ident.DataCentre) *centre {
+	c := p.centres[dc]
+	if c == nil {
+		c = &centre{}
+		p.centres[dc] = c
+	}
+	return c
+}
