--- a/edge/sizing.go
+++ b/edge/sizing.go
@@ -16,6 +16,13 @@
 // sizeInterval is the time between decisions about the number of backend servers.
 const sizeInterval = demandInterval / 2
 
+// sizeLogInterval is the time between log lines about the size of the service.
+const sizeLogInterval = 2 * time.Second
+
+// minCountedShare is the part of the entry instances that must have counted their requests for
+// the demand to be known.
+const minCountedShare = 0.7
+
 // adjustSizes decides the number of backend servers of the service with models. Only the
 // holder of the lease does, and only if the settings and the configuration ask for it.
 func (n *Node) adjustSizes(now time.Duration) {
@@ -42,6 +49,10 @@
 		}
 	}
 	n.reportSizes(service, input)
+	if n.sizing != nil && now >= n.nextSizeLogAt {
+		n.nextSizeLogAt = now + sizeLogInterval
+		n.log.WithFields(logrus.Fields{"service": service.Name, "present": len(input.Servers), "leaving": len(n.sizing.Leaving()), "needs": n.sizing.Describe()}).Info("size of the service")
+	}
 	if leaving := n.sizing.Leaving(); !n.settings.Duties.LogsOrdersOnly && !maps.Equal(leaving, n.leavingServers) {
 		n.leavingServers = maps.Clone(leaving)
 		n.stepPlanner(formation.Leaving{Servers: n.leavingServers})
@@ -69,10 +80,19 @@
 		model, grouped := n.planner.Model(s)
 		in.Servers = append(in.Servers, sizing.Server{ID: s.ID, DataCentre: s.DataCentre, Domain: s.Domain, Model: model, Grouped: grouped})
 	}
+	rates := n.modelActivity()
+	counted := 0 // An instance counts a model only once it has had a request for it.
 	for _, m := range service.Models {
-		if d := n.modelDemands[m.Name]; d != nil && d.slots > 0 {
-			in.Demand = append(in.Demand, sizing.Demand{Model: m.Name, Slots: d.slots})
+		counted = max(counted, rates[modelKey{Service: service.Name, Model: m.Name}].Counted)
+	}
+	for _, m := range service.Models {
+		r := rates[modelKey{Service: service.Name, Model: m.Name}]
+		if r.Arrivals <= 0 || float64(counted) < minCountedShare*float64(r.Expected) {
+			continue
 		}
+		in.Demand = append(in.Demand, sizing.Demand{
+			Model: m.Name, Arrivals: r.Arrivals, PromptTokens: r.PromptTokens, Slots: float64(n.handler.InUse(service.Name, m.Name)),
+		})
 	}
 	return in
 }
@@ -94,7 +114,8 @@
 	for _, need := range n.sizing.Needs() {
 		wanted += need.Wanted * need.GroupSize
 		model := scope.Tagged(map[string]string{"model": need.Model})
-		model.Gauge("demand_slots").Update(need.Slots)
+		model.Gauge("demand_rate").Update(need.Arrivals)
+		model.Gauge("demand_rate_expected").Update(need.Forecast)
 		model.Gauge("groups_possible").Update(float64(need.Groups))
 		model.Gauge("groups_wanted").Update(float64(need.Wanted))
 	}
--- a/sizing/capacity.go
+++ b/sizing/capacity.go
@@ -9,54 +9,99 @@
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
-// passTime returns the mean time of a pass, in seconds, of a group with a number of slots in
-// use, which includes the prompts that are read in it. It is 1 if the engine's figures are not known.
-func passTime(s *route.Service, model string, slots float64) float64 {
-	e := &s.Engine
-	if e.StepsPerPass <= 0 || e.StepTime <= 0 {
-		return 1
+// work is the work of a request at the engine, in seconds and tokens.
+type work struct {
+	engine *route.Engine
+	factor float64
+	// prompt is the number of tokens of a prompt, passes the number of passes of an answer.
+	prompt, passes float64
+	answer         float64
+}
+
+// usualWork returns the work of a usual request of the service.
+func usualWork(s *route.Service, m route.Model) work {
+	w := work{engine: &s.Engine, factor: m.TimeFactor, prompt: s.Engine.UsualPrompt, answer: s.Engine.UsualAnswer, passes: 1}
+	if w.factor <= 0 {
+		w.factor = 1
 	}
-	context := (e.UsualPrompt + e.UsualAnswer) / 1000 * e.ContextTime.Seconds()
-	pass := float64(e.StepsPerPass) * (e.StepTime.Seconds() + slots*(e.StepTimePerRequest.Seconds()+context))
-	if e.ReadRate > 0 {
-		pass += slots / answerPasses(e) * e.UsualPrompt / e.ReadRate
+	if s.Engine.StepsPerPass > 0 {
+		w.passes = max(1, w.answer/float64(s.Engine.StepsPerPass))
 	}
-	return pass * timeFactor(s, model)
+	return w
 }
 
-// answerPasses returns the number of passes that a usual answer takes.
-func answerPasses(e *route.Engine) float64 { return max(1, e.UsualAnswer/float64(e.StepsPerPass)) }
+// known reports whether the engine's figures are configured.
+func (w *work) known() bool { return w.engine.StepsPerPass > 0 && w.engine.StepTime > 0 }
 
-func timeFactor(s *route.Service, model string) float64 {
-	for _, m := range s.Models {
-		if m.Name == model && m.TimeFactor > 0 {
-			return m.TimeFactor
-		}
+// reading returns the time to read a prompt.
+func (w *work) reading() float64 {
+	if w.engine.ReadRate <= 0 {
+		return 0
+	}
+	return w.factor * (w.prompt/w.engine.ReadRate + w.prompt*w.prompt/1e6*w.engine.PairTime.Seconds())
+}
+
+// steps returns the time of a pass without prompts, and what each slot in use adds.
+func (w *work) steps() (base, perSlot float64) {
+	k := w.factor * float64(w.engine.StepsPerPass)
+	context := (w.prompt + w.answer) / 1000 * w.engine.ContextTime.Seconds()
+	return k * w.engine.StepTime.Seconds(), k * (w.engine.StepTimePerRequest.Seconds() + context)
+}
+
+// pass returns the time of a pass of a group that gets a rate of requests and has a number of
+// slots in use. Reading takes its share of the time.
+func (w *work) pass(rate, slots float64) float64 {
+	if !w.known() {
+		return 1
 	}
-	return 1
+	base, perSlot := w.steps()
+	return (base + slots*perSlot) / max(minWritingShare, 1-rate*w.reading())
 }
 
-// firstEventPasses is the number of passes until a first event: the rest of the pass under way,
-// and the pass that reads the prompt and makes the event.
-const firstEventPasses = 2
+// minWritingShare bounds the time of a pass of an overloaded group.
+const minWritingShare = 0.05
+
+// slots returns the number of slots in use of a group that gets a rate of requests.
+func (w *work) slots(rate float64) float64 {
+	base, perSlot := w.steps()
+	left := 1 - rate*w.reading() - rate*w.passes*perSlot
+	if left <= 0 {
+		return math.Inf(1)
+	}
+	return rate * w.passes * base / left
+}
 
-// usableSlots returns the number of slots that a group may have in use while first events and
-// pauses are within what callers expect.
-func usableSlots(s *route.Service, model string, goal, gap time.Duration) float64 {
-	for n := s.Slots; n > 1; n-- {
-		pass := passTime(s, model, float64(n))
-		if s.Engine.StepTime <= 0 || ((goal <= 0 || firstEventPasses*pass <= goal.Seconds()) && (gap <= 0 || pass <= gap.Seconds())) {
-			return float64(n)
+// rate returns the rate of requests with which a group has a number of slots in use, or the
+// lower one with which first events and pauses are within what callers expect. The first event
+// takes the rest of the pass under way, the prompt, and a pass. Without figures of the engine a
+// request is taken to last a second.
+func (w *work) rate(slots float64, goal, gap time.Duration) float64 {
+	if !w.known() {
+		return slots
+	}
+	low, high := 0.0, slots/w.passes/w.pass(0, 0)
+	for range bisections {
+		mid := (low + high) / 2
+		n := w.slots(mid)
+		pass := w.pass(mid, n)
+		switch {
+		case n > slots, goal > 0 && 2*pass+w.reading() > goal.Seconds(), gap > 0 && pass > gap.Seconds():
+			high = mid
+		default:
+			low = mid
 		}
 	}
-	return 1
+	return max(low, high/2)
 }
 
+// bisections is the number of steps in which rate is found.
+const bisections = 30
+
 // plannedSlots returns the mean number of slots in use from which chance rarely fills a group:
 // the number in use varies by its square root.
-func plannedSlots(usable float64) float64 {
-	root := (math.Sqrt(1+4*usable) - 1) / 2
-	return max(usable/2, root*root)
+func plannedSlots(slots int) float64 {
+	root := (math.Sqrt(1+4*float64(slots)) - 1) / 2
+	return max(float64(slots)/2, root*root)
 }
 
 // centresOf returns the data centres in order.
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -31,10 +31,13 @@
 	Grouped bool
 }
 
-// Demand is the measured demand for a model, in slots: those in use plus those that refused
-// requests would use.
+// Demand is the measured demand for a model.
 type Demand struct {
 	Model string
+	// Arrivals is the number of requests a second, those included that are refused, and
+	// PromptTokens the number of their prompt tokens a second.
+	Arrivals, PromptTokens float64
+	// Slots is the number of slots in use.
 	Slots float64
 }
 
@@ -71,11 +74,13 @@
 	EmptyTime time.Duration
 	// ListTime is the time until the list shows a started server.
 	ListTime time.Duration
+	// OrderTime is how long an order may take until its effect shows.
+	OrderTime time.Duration
 }
 
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
-	return Config{FormTime: 2 * time.Second, SettleTime: 2 * time.Second, EmptyTime: 4 * time.Second, ListTime: 2 * time.Second}
+	return Config{FormTime: 2 * time.Second, SettleTime: 2 * time.Second, EmptyTime: 4 * time.Second, ListTime: 2 * time.Second, OrderTime: 10 * time.Second}
 }
 
 const (
@@ -113,8 +118,8 @@
 
 // sample is the demand for a model at a time.
 type sample struct {
-	at    time.Duration
-	slots float64
+	at time.Duration
+	Demand
 }
 
 // centre is the state of the orders for a data centre.
@@ -145,10 +150,12 @@
 
 // Need is the number of groups that a model needs.
 type Need struct {
-	Model                        string
-	Slots, Forecast              float64
-	Groups, Wanted, GroupSize    int
-	SlotsPerGroup, MaxSlotsGroup float64
+	Model string
+	// Arrivals is the present rate of requests, Forecast the rate to expect within the lead
+	// time, and GroupRate the one that a group serves in time.
+	Arrivals, Forecast, GroupRate float64
+	// Groups is the number of groups that the servers can form, Wanted the number needed.
+	Groups, Wanted, GroupSize int
 }
 
 // New returns a Planner.
@@ -199,16 +206,25 @@
 // limitToMax orders the maximum where a data centre has more servers than the platform allows.
 func (p *Planner) limitToMax(now time.Duration, in *Input) []Order {
 	var out []Order
+	most := in.Service.Scaling.Max
 	for _, dc := range centresOf(in) {
-		c := p.centre(dc)
-		if n := len(in.staying(dc, nil)); n > in.Service.Scaling.Max && c.keep == 0 && c.ordered != in.Service.Scaling.Max && !p.inOutage(now, dc) {
-			for _, s := range in.staying(dc, nil)[in.Service.Scaling.Max:] {
+		c, all := p.centre(dc), in.staying(dc, nil)
+		if len(all) <= most || c.keep > 0 || p.inOutage(now, dc) {
+			continue
+		}
+		for i, s := range all {
+			if i >= most {
 				p.leaving[s.ID] = true
+			} else {
+				delete(p.leaving, s.ID)
 			}
-			c.ordered, c.orderedAt = in.Service.Scaling.Max, now
-			p.settledAt = now + p.cfg.SettleTime
-			out = append(out, Order{dc, in.Service.Scaling.Max, fmt.Sprintf("%d servers listed, the maximum is %d", n, in.Service.Scaling.Max)})
 		}
+		p.settledAt = max(p.settledAt, now+p.cfg.SettleTime)
+		if c.ordered == most && now-c.orderedAt < p.cfg.OrderTime {
+			continue
+		}
+		c.ordered, c.orderedAt = most, now
+		out = append(out, Order{dc, most, fmt.Sprintf("%d servers listed, the maximum is %d", len(all), most)})
 	}
 	return out
 }
@@ -261,7 +277,7 @@
 	oldest := now - 2*p.LeadTime(in.Service)
 	for _, d := range in.Demand {
 		h := slices.DeleteFunc(p.history[d.Model], func(s sample) bool { return s.at < oldest })
-		p.history[d.Model] = append(h, sample{now, d.Slots})
+		p.history[d.Model] = append(h, sample{now, d})
 	}
 }
 
@@ -272,9 +288,9 @@
 	recent, before := 0.0, 0.0
 	for _, s := range p.history[model] {
 		if s.at > now-lead/2 {
-			recent = max(recent, s.slots)
+			recent = max(recent, s.Arrivals)
 		} else {
-			before = max(before, s.slots)
+			before = max(before, s.Arrivals)
 		}
 	}
 	peak := max(recent, before)
@@ -294,30 +310,62 @@
 func (p *Planner) needs(now time.Duration, in *Input) []Need {
 	out := make([]Need, 0, len(in.Service.Models))
 	for _, m := range in.Service.Models {
-		slots := 0.0
-		for _, d := range in.Demand {
-			if d.Model == m.Name {
-				slots = d.Slots
-			}
+		n := Need{Model: m.Name, GroupSize: m.Size, Groups: in.possibleGroups(m.Name, m.Size, p.leaving)}
+		if h := p.history[m.Name]; len(h) > 0 {
+			n.Arrivals = h[len(h)-1].Arrivals
 		}
-		n := Need{Model: m.Name, Slots: slots, Forecast: p.forecast(now, in, m.Name), GroupSize: m.Size}
-		n.Groups = in.possibleGroups(m.Name, m.Size, p.leaving)
-		n.MaxSlotsGroup = usableSlots(in.Service, m.Name, in.Goal, in.Gap)
-		n.SlotsPerGroup = plannedSlots(n.MaxSlotsGroup)
-		rate := n.Forecast / passTime(in.Service, m.Name, min(n.MaxSlotsGroup, n.Forecast/float64(max(1, n.Groups))))
-		perGroup := n.SlotsPerGroup / passTime(in.Service, m.Name, n.SlotsPerGroup)
-		n.Wanted = max(1, int(math.Ceil(rate/perGroup-1e-9)))
-		// After the loss of the largest domain the rest holds all requests, though not in time.
-		share := in.largestDomainShare(m.Name, m.Size, n.Groups)
-		for lost := max(1, int(math.Ceil(share*float64(n.Wanted)))); float64(n.Wanted-lost)*float64(in.Service.Slots) < n.Forecast; {
+		w := p.work(now, in, m, n.Groups)
+		n.Forecast = p.forecast(now, in, m.Name)
+		n.GroupRate = w.rate(plannedSlots(in.Service.Slots), in.Goal, in.Gap)
+		n.Wanted = max(1, int(math.Ceil(n.Forecast/n.GroupRate-roundingMargin)))
+		// After the loss of the largest domain the rest serves all requests, though not in time.
+		share, mostRate := in.largestDomainShare(m.Name, m.Size, n.Groups), w.rate(float64(in.Service.Slots), 0, 0)
+		for {
+			lost := max(1, int(math.Ceil(share*float64(n.Wanted)-roundingMargin)))
+			if float64(n.Wanted-lost)*mostRate >= n.Forecast {
+				break
+			}
 			n.Wanted++
-			lost = max(1, int(math.Ceil(share*float64(n.Wanted))))
 		}
 		out = append(out, n)
 	}
 	return out
 }
 
+// roundingMargin keeps a number of groups that is whole but for rounding from being raised.
+const roundingMargin = 1e-6
+
+// work returns the work of a usual request of a model: as configured, and as measured once the
+// demand has been seen for some time.
+func (p *Planner) work(now time.Duration, in *Input, m route.Model, groups int) work {
+	w := usualWork(in.Service, m)
+	h := p.history[m.Name]
+	if len(h) == 0 || now-p.knownSince < p.cfg.SettleTime {
+		return w
+	}
+	arrivals, prompts, slots := 0.0, 0.0, 0.0
+	for _, s := range h {
+		arrivals, prompts, slots = arrivals+s.Arrivals, prompts+s.PromptTokens, max(slots, s.Slots)
+	}
+	if arrivals <= 0 {
+		return w
+	}
+	if prompts > 0 {
+		w.prompt = prompts / arrivals
+	}
+	// Slots in use over arrivals is the time of a request. Requests that wait for a slot prolong
+	// it, so it may only lower the usual number of passes.
+	mean := arrivals / float64(len(h))
+	if perGroup := slots / float64(max(1, groups)); perGroup > 0 {
+		passes := slots / mean / w.pass(mean/float64(max(1, groups)), perGroup)
+		w.passes = min(w.passes, max(passes, w.passes*minAnswerShare))
+	}
+	return w
+}
+
+// minAnswerShare bounds by how much the measured answers of a model are shorter than usual ones.
+const minAnswerShare = 0.3
+
 // finishReductions returns the orders of reductions whose leaving servers are empty.
 func (p *Planner) finishReductions(now time.Duration, in *Input) []Order {
 	var out []Order
@@ -351,7 +399,7 @@
 			return true
 		}
 		c := p.centre(in.Servers[i].DataCentre)
-		return c.keep == 0 && now-c.orderedAt >= 2*p.cfg.ListTime
+		return c.keep == 0 && (len(in.staying(in.Servers[i].DataCentre, nil)) <= c.ordered || now-c.orderedAt >= p.cfg.OrderTime)
 	})
 	return out
 }
@@ -375,7 +423,7 @@
 	for _, n := range p.needed {
 		if n.Groups < n.Wanted {
 			missing += (n.Wanted - n.Groups) * n.GroupSize
-			reasons = append(reasons, fmt.Sprintf("model %s has %d groups and needs %d for %.0f of %.0f slots", n.Model, n.Groups, n.Wanted, n.Slots, n.Forecast))
+			reasons = append(reasons, fmt.Sprintf("model %s has %d groups and needs %d for %.1f requests a second, expected to become %.1f", n.Model, n.Groups, n.Wanted, n.Arrivals, n.Forecast))
 		}
 	}
 	missing -= in.unloaded(p.leaving)
@@ -467,7 +515,7 @@
 		if before := len(in.staying(dc, nil)); stay < before {
 			c := p.centre(dc)
 			c.keep, c.emptyBy = stay, now+p.cfg.EmptyTime
-			c.reason = fmt.Sprintf("%d of %d servers are not needed: %s", before-stay, before, p.describe())
+			c.reason = fmt.Sprintf("%d of %d servers are not needed: %s", before-stay, before, p.Describe())
 		}
 	}
 	p.settledAt = now + p.cfg.SettleTime
@@ -493,10 +541,11 @@
 	return true
 }
 
-func (p *Planner) describe() string {
+// Describe returns the needs of the last step as text.
+func (p *Planner) Describe() string {
 	var out []string
 	for _, n := range p.needed {
-		out = append(out, fmt.Sprintf("model %s needs %d of %d groups for %.0f slots", n.Model, n.Wanted, n.Groups, n.Slots))
+		out = append(out, fmt.Sprintf("model %s needs %d of %d groups for %.1f requests a second, at present %.1f, a group serves %.1f", n.Model, n.Wanted, n.Groups, n.Forecast, n.Arrivals, n.GroupRate))
 	}
 	return strings.Join(out, ", ")
 }
