--- a/edge/sizing.go
+++ b/edge/sizing.go
@@ -21,7 +21,7 @@
 
 // minCountedShare is the part of the entry instances that must have counted their requests for
 // the demand to be known.
-const minCountedShare = 0.7
+const minCountedShare = 0.3
 
 // adjustSizes decides the number of backend servers of the service with models. Only the
 // holder of the lease does, and only if the settings and the configuration ask for it.
@@ -90,8 +90,10 @@
 		if r.Arrivals <= 0 || float64(counted) < minCountedShare*float64(r.Expected) {
 			continue
 		}
+		// Callers spread over all instances, so that those that were not counted get as many requests.
+		all := max(1, float64(r.Expected)/float64(counted))
 		in.Demand = append(in.Demand, sizing.Demand{
-			Model: m.Name, Arrivals: r.Arrivals, PromptTokens: r.PromptTokens, Slots: float64(n.handler.InUse(service.Name, m.Name)),
+			Model: m.Name, Arrivals: all * r.Arrivals, PromptTokens: all * r.PromptTokens, Slots: float64(n.handler.InUse(service.Name, m.Name)),
 		})
 	}
 	return in
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/layout"
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
@@ -105,6 +106,8 @@
 type Planner struct {
 	cfg     Config
 	started bool
+	// measured is set once the demand was measured.
+	measured bool
 	// startedAt is when the first step was, knownSince when the demand became known.
 	startedAt, knownSince time.Duration
 	history               map[string][]sample
@@ -183,7 +186,7 @@
 	out := p.limitToMax(now, &in)
 	p.recordDemand(now, &in)
 	out = append(out, p.finishReductions(now, &in)...)
-	if p.knownSince == 0 || len(in.Demand) == 0 {
+	if !p.measured || len(in.Demand) < len(in.Service.Models) || now < p.knownSince+p.cfg.SettleTime/2 {
 		return out
 	}
 	p.needed = p.needs(now, &in)
@@ -271,16 +274,32 @@
 	if len(in.Demand) < len(in.Service.Models) {
 		return
 	}
-	if p.knownSince == 0 {
-		p.knownSince = now
+	if !p.measured {
+		// The first rates are of a time that lies partly before the first requests.
+		p.measured, p.knownSince = true, now+p.cfg.SettleTime/2
+	}
+	if now < p.knownSince {
+		return
 	}
 	oldest := now - 2*p.LeadTime(in.Service)
 	for _, d := range in.Demand {
 		h := slices.DeleteFunc(p.history[d.Model], func(s sample) bool { return s.at < oldest })
+		if len(h) > 0 {
+			// At first the mean of all rates, later an exponential moving average.
+			last := h[len(h)-1]
+			elapsed := (now - last.at).Seconds()
+			weight := max(1-math.Exp(-elapsed/smoothingTime.Seconds()), min(1, elapsed/(now-p.knownSince).Seconds()))
+			d.Arrivals = last.Arrivals + weight*(d.Arrivals-last.Arrivals)
+			d.PromptTokens = last.PromptTokens + weight*(d.PromptTokens-last.PromptTokens)
+		}
 		p.history[d.Model] = append(h, sample{now, d})
 	}
 }
 
+// smoothingTime is the time constant of the demand's moving average. Chance alone varies the
+// rate of a model with few requests by much within a second.
+const smoothingTime = 2500 * time.Millisecond
+
 // forecast returns the demand to expect within the lead time: the recent peak, plus its growth
 // over the time before. A wave that has been seen whole does not count as growth.
 func (p *Planner) forecast(now time.Duration, in *Input, model string) float64 {
@@ -532,9 +551,15 @@
 	return n / minSize(in.Service)
 }
 
+// enough reports whether the staying servers form the groups that are needed, with spares that
+// replace lost members.
 func (p *Planner) enough(in *Input, leaving map[ident.InstanceID]bool) bool {
 	for _, n := range p.needed {
-		if in.possibleGroups(n.Model, n.GroupSize, leaving) < n.Wanted {
+		kept := 0
+		for _, held := range in.holders(n.Model, leaving) {
+			kept += int(float64(held) / (float64(n.GroupSize) * (1 + layout.LossShare)))
+		}
+		if kept < n.Wanted {
 			return false
 		}
 	}
