--- a/edge/node.go
+++ b/edge/node.go
@@ -152,9 +152,11 @@
 	sizing *sizing.Planner
 	// leavingServers are the servers that sizing gave up at its last step.
 	leavingServers map[ident.InstanceID]bool
-	orderCount     uint64
-	nextSizeLogAt  time.Duration
-	nextSizeAt     time.Duration
+	// reassignedServers are those that sizing gave another model.
+	reassignedServers map[ident.InstanceID]string
+	orderCount        uint64
+	nextSizeLogAt     time.Duration
+	nextSizeAt        time.Duration
 
 	// failingHeads holds the groups whose heads fail all requests, and since when.
 	failingHeads  map[beacon.GroupEpoch]time.Duration
--- a/edge/sizing.go
+++ b/edge/sizing.go
@@ -53,22 +53,23 @@
 		n.nextSizeLogAt = now + sizeLogInterval
 		n.log.WithFields(logrus.Fields{"service": service.Name, "present": len(input.Servers), "leaving": len(n.sizing.Leaving()), "needs": n.sizing.Describe()}).Info("size of the service")
 	}
-	if leaving := n.sizing.Leaving(); !n.settings.Duties.LogsOrdersOnly && !maps.Equal(leaving, n.leavingServers) {
+	if n.settings.Duties.LogsOrdersOnly {
+		return
+	}
+	if leaving := n.sizing.Leaving(); !maps.Equal(leaving, n.leavingServers) {
 		n.leavingServers = maps.Clone(leaving)
 		n.stepPlanner(formation.Leaving{Servers: n.leavingServers})
 	}
+	if models := n.sizing.Reassigned(); !maps.Equal(models, n.reassignedServers) {
+		n.reassignedServers = maps.Clone(models)
+		n.log.WithFields(logrus.Fields{"service": service.Name, "servers": len(models), "reason": n.sizing.Describe()}).Info("servers reassigned to other models")
+		n.stepPlanner(formation.Reassigned{Models: n.reassignedServers})
+	}
 }
 
 // sizingInput returns what this instance knows for a decision.
 func (n *Node) sizingInput(service *route.Service) sizing.Input {
 	in := sizing.Input{Service: service, Evacuated: n.evacuated}
-	for i := range n.routes.Routes {
-		r := &n.routes.Routes[i]
-		if !r.UsesGroups || !slices.ContainsFunc(r.Targets, func(t route.Target) bool { return t.Service == service.Name }) {
-			continue
-		}
-		in.Goal, in.Gap = leastPositive(in.Goal, r.LatencyGoal), leastPositive(in.Gap, r.MaxEventGap)
-	}
 	servers := slices.Clone(n.serverSnapshot.Servers)
 	if n.platform.CompareStay != nil {
 		slices.SortStableFunc(servers, n.platform.CompareStay)
@@ -77,8 +78,8 @@
 		if s.Service != service.Name || s.Draining {
 			continue
 		}
-		model, grouped := n.planner.Model(s)
-		in.Servers = append(in.Servers, sizing.Server{ID: s.ID, DataCentre: s.DataCentre, Domain: s.Domain, Model: model, Grouped: grouped})
+		model, group := n.planner.Model(s)
+		in.Servers = append(in.Servers, sizing.Server{ID: s.ID, DataCentre: s.DataCentre, Domain: s.Domain, Model: model, Group: group})
 	}
 	rates := n.modelActivity()
 	counted := 0 // An instance counts a model only once it has had a request for it.
@@ -92,21 +93,14 @@
 		}
 		// Callers spread over all instances, so that those that were not counted get as many requests.
 		all := max(1, float64(r.Expected)/float64(counted))
+		goal, gap := n.handler.ModelGoals(n.routes, service.Name, m.Name)
 		in.Demand = append(in.Demand, sizing.Demand{
-			Model: m.Name, Arrivals: all * r.Arrivals, PromptTokens: all * r.PromptTokens, Slots: float64(n.handler.InUse(service.Name, m.Name)),
+			Model: m.Name, Arrivals: all * r.Arrivals, PromptTokens: all * r.PromptTokens, Slots: float64(n.handler.InUse(service.Name, m.Name)), Goal: goal, Gap: gap,
 		})
 	}
 	return in
 }
 
-// leastPositive returns the smaller of two times, of which 0 means that there is none.
-func leastPositive(a, b time.Duration) time.Duration {
-	if a <= 0 || (b > 0 && b < a) {
-		return b
-	}
-	return a
-}
-
 // reportSizes sets the metrics of the last decision.
 func (n *Node) reportSizes(service *route.Service, in sizing.Input) {
 	scope := n.metrics.Scope.Tagged(map[string]string{"service": string(service.Name)})
@@ -114,12 +108,12 @@
 	scope.Gauge("servers_leaving").Update(float64(len(n.sizing.Leaving())))
 	wanted := 0
 	for _, need := range n.sizing.Needs() {
-		wanted += need.Wanted * need.GroupSize
+		wanted += need.Kept * need.GroupSize
 		model := scope.Tagged(map[string]string{"model": need.Model})
 		model.Gauge("demand_rate").Update(need.Arrivals)
 		model.Gauge("demand_rate_expected").Update(need.Forecast)
 		model.Gauge("groups_possible").Update(float64(need.Groups))
-		model.Gauge("groups_wanted").Update(float64(need.Wanted))
+		model.Gauge("groups_wanted").Update(float64(need.Needed))
 	}
 	scope.Gauge("servers_wanted").Update(float64(wanted))
 }
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -94,7 +94,7 @@
 // stagedOrStaging reports whether a free server has staged a model's weights or is
 // staging them.
 func (p *Planner) stagedOrStaging(s *fleet.Server, model string) bool {
-	return s.HasStaged(model) || p.stagingLoads[s.ID].model == model
+	return p.holds(s, model) || p.stagingLoads[s.ID].model == model
 }
 
 // stagePlan is a useful load of a model's weights onto a server.
@@ -200,7 +200,7 @@
 // than stagingTimeout does not count.
 func (p *Planner) unloadedServers(now time.Duration, d domain, models []modelDemandRatio) []*fleet.Server {
 	return slices.DeleteFunc(slices.Clone(d.idle), func(s *fleet.Server) bool {
-		if slices.ContainsFunc(models, func(m modelDemandRatio) bool { return s.HasStaged(m.Name) }) {
+		if _, ok := p.reassigned[s.ID]; ok || slices.ContainsFunc(models, func(m modelDemandRatio) bool { return s.HasStaged(m.Name) }) {
 			return true
 		}
 		load, ok := p.stagingLoads[s.ID]
--- a/formation/form.go
+++ b/formation/form.go
@@ -185,7 +185,7 @@
 	assigned := p.assignedServers()
 	var out []Member
 	for _, s := range p.servers.Servers {
-		if len(out) < count && (g.Domain == "" || s.Domain == g.Domain) && p.isIdle(s) && assigned[s.ID] == nil && s.HasStaged(g.Model) {
+		if len(out) < count && (g.Domain == "" || s.Domain == g.Domain) && p.isIdle(s) && assigned[s.ID] == nil && p.holds(s, g.Model) {
 			out = append(out, Member{ID: s.ID, Incarnation: s.Incarnation})
 		}
 	}
@@ -307,7 +307,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(d.idle), func(s *fleet.Server) bool {
 		_, staging := p.stagingLoads[s.ID]
-		return !s.HasStaged(m.Name) && (p.trafficStarted || staging)
+		return !p.holds(s, m.Name) && (p.trafficStarted || staging)
 	})
 }
 
--- a/formation/leaving.go
+++ b/formation/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -17,6 +18,49 @@
 
 func (Leaving) formationEvent() {}
 
+// Reassigned reports the servers that are to hold another model than they did. It answers demand
+// that moves between models: such a server leaves its group as if it drained, and loads the
+// weights of its new model.
+type Reassigned struct {
+	// Models holds the new model of each server. It must not be changed afterwards.
+	Models map[ident.InstanceID]string
+}
+
+func (Reassigned) formationEvent() {}
+
+// holds reports whether a server holds a model's weights and may use them.
+func (p *Planner) holds(s *fleet.Server, model string) bool {
+	m, ok := p.reassigned[s.ID]
+	return s.HasStaged(model) && (!ok || m == model)
+}
+
+// leavesGroup reports whether a member is to leave a group of a model.
+func (p *Planner) leavesGroup(s *fleet.Server, model string) bool {
+	m, ok := p.reassigned[s.ID]
+	return p.leaves(s) || (ok && m != model)
+}
+
+// stageReassigned loads the new weights of idle servers that were reassigned.
+func (p *Planner) stageReassigned(now time.Duration) {
+	if len(p.reassigned) == 0 {
+		return
+	}
+	assigned := p.assignedServers()
+	for _, s := range p.servers.Servers {
+		m, ok := p.reassigned[s.ID]
+		load, loading := p.stagingLoads[s.ID]
+		if !ok || !p.isIdle(s) || assigned[s.ID] != nil || s.HasStaged(m) || (loading && load.model == m && now-load.startedAt < p.stagingTimeout(m)) {
+			continue
+		}
+		if !p.mayStartLoads(now, 1) {
+			return
+		}
+		p.recordLoadStarts(now, 1)
+		p.stagingLoads[s.ID] = stagingLoad{model: m, incarnation: s.Incarnation, startedAt: now}
+		p.sendOrder(s, Order{Kind: Stage, Model: m})
+	}
+}
+
 // leaves reports whether a server drains or is given up.
 func (p *Planner) leaves(s *fleet.Server) bool { return s.Draining || p.leaving[s.ID] }
 
@@ -36,16 +80,19 @@
 }
 
 // Model returns the model whose weights a server holds or loads, or "" if there is none, and
-// whether the server is in a group.
-func (p *Planner) Model(s *fleet.Server) (model string, grouped bool) {
+// its group.
+func (p *Planner) Model(s *fleet.Server) (string, ident.GroupID) {
+	group, model := ident.GroupID(""), p.stagingLoads[s.ID].model
+	if len(s.Staged) > 0 {
+		model = s.Staged[0]
+	}
 	if g := p.assignedServers()[s.ID]; g != nil {
-		return g.latestRow().Model, true
+		group, model = g.Group, g.latestRow().Model
+	} else if s.State != fleet.NoGroup {
+		group = s.Group
 	}
-	switch {
-	case s.State != fleet.NoGroup && s.Model != "":
-		return s.Model, true
-	case len(s.Staged) > 0:
-		return s.Staged[0], false
+	if m, ok := p.reassigned[s.ID]; ok {
+		model = m
 	}
-	return p.stagingLoads[s.ID].model, false
+	return model, group
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -41,6 +41,8 @@
 	evacuated []ident.DataCentre
 	// leaving are the servers that are given up.
 	leaving map[ident.InstanceID]bool
+	// reassigned are the servers that are to hold another model.
+	reassigned map[ident.InstanceID]string
 	// unrepeatableTime is that of the configuration, and unrepeatableUntil when the last
 	// requests of earlier configurations end.
 	unrepeatableTime, unrepeatableUntil time.Duration
@@ -172,6 +174,8 @@
 		p.handleProbed(now, e)
 	case Leaving:
 		p.leaving = e.Servers
+	case Reassigned:
+		p.reassigned = e.Models
 	case TrafficStarted:
 		p.trafficStarted = true
 	case Demand:
@@ -396,6 +400,7 @@
 	}
 	p.releaseStrayServers(now)
 	if !p.formGroups(now) {
+		p.stageReassigned(now)
 		p.stageWeights(now)
 	}
 	p.logSummary(now)
--- a/formation/reconcile.go
+++ b/formation/reconcile.go
@@ -40,7 +40,7 @@
 		return memberUnlisted, nil
 	case s.Incarnation != m.Incarnation:
 		return memberGone, s
-	case p.leaves(s):
+	case p.leavesGroup(s, g.Model):
 		return memberDraining, s
 	case s.Group != g.Group || s.Epoch != g.Epoch:
 		return memberWaiting, s
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -8,7 +8,11 @@
 
 // demand counts the requests for a model, those of them that were refused because no group
 // had capacity, and the prompt tokens of all.
-type demand struct{ requests, refused, promptTokens uint64 }
+type demand struct {
+	requests, refused, promptTokens uint64
+	// goal and gap are the shortest expected times of the requests' routes.
+	goal, gap time.Duration
+}
 
 // countRun counts a run that the backend server began some time ago.
 func (a *attempt) countRun(ago time.Duration) {
@@ -49,6 +53,7 @@
 	if d := h.demandFor(c); d != nil {
 		d.requests++
 		d.promptTokens += c.prompt.Tokens
+		d.recordGoals(c.route)
 	}
 }
 
--- a/sizing/capacity.go
+++ b/sizing/capacity.go
@@ -98,9 +98,9 @@
 const bisections = 30
 
 // plannedSlots returns the mean number of slots in use from which chance rarely fills a group:
-// the number in use varies by its square root.
+// the number in use varies by its square root, twice which is kept free.
 func plannedSlots(slots int) float64 {
-	root := (math.Sqrt(1+4*float64(slots)) - 1) / 2
+	root := math.Sqrt(1+float64(slots)) - 1
 	return max(float64(slots)/2, root*root)
 }
 
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -28,8 +28,8 @@
 	Domain     ident.Domain
 	// Model is the model whose weights the server holds or loads, or "" if there is none.
 	Model string
-	// Grouped is set while the server is a member of a group.
-	Grouped bool
+	// Group is the group that the server is a member of, or "".
+	Group ident.GroupID
 }
 
 // Demand is the measured demand for a model.
@@ -40,14 +40,14 @@
 	Arrivals, PromptTokens float64
 	// Slots is the number of slots in use.
 	Slots float64
+	// Goal is the time to the first event that callers expect, Gap the longest time between
+	// two events. 0 means that they expect none.
+	Goal, Gap time.Duration
 }
 
 // Input is what is known at the time of a step.
 type Input struct {
 	Service *route.Service
-	// Goal is the time to the first event that callers expect, Gap the longest time between
-	// two events. 0 means that they expect none.
-	Goal, Gap time.Duration
 	// Servers lists the servers that do not leave yet, those last that the platform takes away
 	// first.
 	Servers []Server
@@ -92,6 +92,11 @@
 	// maxGrowth bounds the expected growth of the demand. A jump is not taken for a trend that
 	// lasts.
 	maxGrowth = 0.5
+	// minMargin is the part of the demand that is kept beyond the expected one. It keeps a small
+	// change of the demand from causing orders by turns.
+	minMargin = 0.1
+	// minGrowth is the growth from which it counts as a trend and not as chance.
+	minGrowth = 0.1
 	// outageShare is the part of a domain's servers whose loss at once is taken for an outage
 	// from which they return.
 	outageShare = 0.5
@@ -114,6 +119,7 @@
 	centres               map[ident.DataCentre]*centre
 	domains               map[ident.Domain]*domain
 	leaving               map[ident.InstanceID]bool
+	reassigned            map[ident.InstanceID]string
 	// settledAt is when the effect of the last change is expected to show.
 	settledAt time.Duration
 	needed    []Need
@@ -157,19 +163,24 @@
 	// Arrivals is the present rate of requests, Forecast the rate to expect within the lead
 	// time, and GroupRate the one that a group serves in time.
 	Arrivals, Forecast, GroupRate float64
-	// Groups is the number of groups that the servers can form, Wanted the number needed.
-	Groups, Wanted, GroupSize int
+	// Groups is the number of groups that the servers can form. Servers are ordered if it is below
+	// Needed, and given up if it is above Kept.
+	Groups, Needed, Kept, GroupSize int
 }
 
 // New returns a Planner.
 func New(cfg Config) *Planner {
-	return &Planner{cfg: cfg, history: make(map[string][]sample), centres: make(map[ident.DataCentre]*centre), domains: make(map[ident.Domain]*domain), leaving: make(map[ident.InstanceID]bool)}
+	return &Planner{cfg: cfg, history: make(map[string][]sample), centres: make(map[ident.DataCentre]*centre), domains: make(map[ident.Domain]*domain), leaving: make(map[ident.InstanceID]bool), reassigned: make(map[ident.InstanceID]string)}
 }
 
 // Leaving returns the servers that are given up. Their groups are to be emptied. The caller
 // must not change the map.
 func (p *Planner) Leaving() map[ident.InstanceID]bool { return p.leaving }
 
+// Reassigned returns the servers that are to hold another model than they did, and that model.
+// The caller must not change the map.
+func (p *Planner) Reassigned() map[ident.InstanceID]string { return p.reassigned }
+
 // Needs returns the needs of the last step.
 func (p *Planner) Needs() []Need { return p.needed }
 
@@ -190,6 +201,7 @@
 		return out
 	}
 	p.needed = p.needs(now, &in)
+	p.reassign(&in)
 	if grown := p.grow(now, &in); len(grown) > 0 {
 		return append(out, grown...)
 	}
@@ -298,31 +310,26 @@
 
 // smoothingTime is the time constant of the demand's moving average. Chance alone varies the
 // rate of a model with few requests by much within a second.
-const smoothingTime = 2500 * time.Millisecond
+const smoothingTime = 4 * time.Second
 
-// forecast returns the demand to expect within the lead time: the recent peak, plus its growth
-// over the time before. A wave that has been seen whole does not count as growth.
-func (p *Planner) forecast(now time.Duration, in *Input, model string) float64 {
+// forecast returns the rate of requests to expect within the lead time: the recent peak, plus
+// its growth over the time before. A wave that has been seen whole does not count as growth.
+// margin is the part that is kept beyond it before servers are given up.
+func (p *Planner) forecast(now time.Duration, in *Input, model string) (rate, margin float64) {
 	lead := p.LeadTime(in.Service)
-	recent, before := 0.0, 0.0
+	// peaks are those of the last two quarters of the lead time, and of the time before.
+	var peaks [3]float64
 	for _, s := range p.history[model] {
-		if s.at > now-lead/2 {
-			recent = max(recent, s.Arrivals)
-		} else {
-			before = max(before, s.Arrivals)
-		}
-	}
-	peak := max(recent, before)
-	known := now - p.knownSince
-	if known < lead/2 {
-		return peak * (1 + shortHistoryMargin)
+		quarter := min(2, int(4*(now-s.at)/lead))
+		peaks[quarter] = max(peaks[quarter], s.Arrivals)
 	}
-	margin := shortHistoryMargin * max(0, 1-float64(known-lead/2)/float64(lead/2))
 	growth := 0.0
-	if before > 0 {
-		growth = min(maxGrowth, max(0, recent/before-1))
+	if before := peaks[2]; before > 0 && peaks[1] > before && peaks[0] > before*(1+minGrowth) {
+		// A jump is no trend: it shows in one quarter only.
+		growth = min(maxGrowth, 4*min(peaks[0]/peaks[1]-1, peaks[1]/before-1))
 	}
-	return peak * (1 + max(margin, growth))
+	unseen := 1 - min(1, float64(now-p.knownSince)/float64(lead))
+	return max(peaks[0], peaks[1], peaks[2]) * (1 + max(0, growth)), minMargin + (shortHistoryMargin-minMargin)*unseen
 }
 
 // needs returns the groups that each model needs.
@@ -334,23 +341,41 @@
 			n.Arrivals = h[len(h)-1].Arrivals
 		}
 		w := p.work(now, in, m, n.Groups)
-		n.Forecast = p.forecast(now, in, m.Name)
-		n.GroupRate = w.rate(plannedSlots(in.Service.Slots), in.Goal, in.Gap)
-		n.Wanted = max(1, int(math.Ceil(n.Forecast/n.GroupRate-roundingMargin)))
-		// After the loss of the largest domain the rest serves all requests, though not in time.
+		margin := 0.0
+		n.Forecast, margin = p.forecast(now, in, m.Name)
+		n.GroupRate = w.rate(plannedSlots(in.Service.Slots), goalOf(in, m.Name).Goal, goalOf(in, m.Name).Gap)
 		share, mostRate := in.largestDomainShare(m.Name, m.Size, n.Groups), w.rate(float64(in.Service.Slots), 0, 0)
-		for {
-			lost := max(1, int(math.Ceil(share*float64(n.Wanted)-roundingMargin)))
-			if float64(n.Wanted-lost)*mostRate >= n.Forecast {
-				break
-			}
-			n.Wanted++
-		}
+		n.Needed = groupsFor(n.Forecast, n.GroupRate, mostRate, share)
+		n.Kept = groupsFor(n.Forecast*(1+margin), n.GroupRate, mostRate, share)
 		out = append(out, n)
 	}
 	return out
 }
 
+// groupsFor returns the number of groups for a rate of requests, so that after the loss of the
+// largest domain, which holds the given share of the groups, the rest serves all requests, though
+// not in time.
+func groupsFor(rate, groupRate, mostRate, share float64) int {
+	n := max(1, int(math.Ceil(rate/groupRate-roundingMargin)))
+	for {
+		lost := max(1, int(math.Ceil(share*float64(n)-roundingMargin)))
+		if float64(n-lost)*mostRate >= rate {
+			return n
+		}
+		n++
+	}
+}
+
+// goalOf returns what callers of a model expect.
+func goalOf(in *Input, model string) Demand {
+	for _, d := range in.Demand {
+		if d.Model == model {
+			return d
+		}
+	}
+	return Demand{}
+}
+
 // roundingMargin keeps a number of groups that is whole but for rounding from being raised.
 const roundingMargin = 1e-6
 
@@ -395,7 +420,7 @@
 		}
 		busy := 0
 		for _, s := range in.Servers {
-			if s.DataCentre == dc && p.leaving[s.ID] && s.Grouped {
+			if s.DataCentre == dc && p.leaving[s.ID] && s.Group != "" {
 				busy++
 			}
 		}
@@ -433,6 +458,14 @@
 	}
 }
 
+func (p *Planner) cancelAll(in *Input) {
+	for _, dc := range centresOf(in) {
+		if c := p.centre(dc); c.keep > 0 {
+			p.cancel(in, dc, c)
+		}
+	}
+}
+
 // grow orders servers for the groups that are missing.
 func (p *Planner) grow(now time.Duration, in *Input) []Order {
 	if now-p.startedAt < p.cfg.SettleTime {
@@ -440,9 +473,9 @@
 	}
 	missing, reasons := 0, []string(nil)
 	for _, n := range p.needed {
-		if n.Groups < n.Wanted {
-			missing += (n.Wanted - n.Groups) * n.GroupSize
-			reasons = append(reasons, fmt.Sprintf("model %s has %d groups and needs %d for %.1f requests a second, expected to become %.1f", n.Model, n.Groups, n.Wanted, n.Arrivals, n.Forecast))
+		if n.Groups < n.Needed {
+			missing += (n.Needed - n.Groups) * n.GroupSize
+			reasons = append(reasons, fmt.Sprintf("model %s has %d groups and needs %d for %.1f requests a second, expected to become %.1f", n.Model, n.Groups, n.Needed, n.Arrivals, n.Forecast))
 		}
 	}
 	missing -= in.unloaded(p.leaving)
@@ -459,6 +492,12 @@
 	if missing <= 0 {
 		return nil
 	}
+	for _, dc := range centresOf(in) {
+		if p.centre(dc).keep > 0 {
+			p.cancelAll(in)
+			return nil // The needs are compared again with the servers that stay after all.
+		}
+	}
 	reason := strings.Join(reasons, "; ")
 	added := make(map[ident.DataCentre]int)
 	centres := centresOf(in)
@@ -484,7 +523,6 @@
 			continue
 		}
 		c := p.centre(dc)
-		p.cancel(in, dc, c)
 		c.starting, c.startingUntil = added[dc], now+in.Service.Scaling.StartTime+p.cfg.ListTime
 		c.ordered, c.orderedAt = len(in.staying(dc, p.leaving))+added[dc], now
 		p.settledAt = max(p.settledAt, now+p.LeadTime(in.Service))
@@ -504,73 +542,86 @@
 			return
 		}
 	}
+	centres := centresOf(in)
+	stay := make(map[ident.DataCentre][]Server)
+	for _, dc := range centres {
+		stay[dc] = in.staying(dc, nil)
+	}
+	r := newReduction(in, p.needed)
 	most := max(maxSize(in.Service), int(maxRemoved*float64(len(in.Servers))))
 	leaving := make(map[ident.InstanceID]bool)
 	for len(leaving) < most {
-		var best []Server
-		for _, dc := range centresOf(in) {
-			stay := in.staying(dc, leaving)
-			if len(stay) <= max(1, in.Service.Scaling.Min) || len(stay) <= len(best) || p.inOutage(now, dc) {
-				continue
-			}
-			last := stay[len(stay)-1].ID
-			leaving[last] = true
-			if p.enough(in, leaving) {
-				best = stay
+		best := ident.DataCentre("")
+		for _, dc := range centres {
+			if n := len(stay[dc]); n > max(1, in.Service.Scaling.Min) && n > len(stay[best]) && !p.inOutage(now, dc) && r.allows(stay[dc][n-1]) {
+				best = dc
 			}
-			delete(leaving, last)
 		}
-		if best == nil {
+		if best == "" {
 			break
 		}
-		leaving[best[len(best)-1].ID] = true
+		last := len(stay[best]) - 1
+		r.remove(stay[best][last])
+		leaving[stay[best][last].ID] = true
+		stay[best] = stay[best][:last]
 	}
-	if len(leaving) == 0 || p.removable(in, leaving) == 0 {
+	if len(leaving) < minSize(in.Service) {
 		return
 	}
 	p.leaving = leaving
-	for _, dc := range centresOf(in) {
-		stay := len(in.staying(dc, leaving))
-		if before := len(in.staying(dc, nil)); stay < before {
+	for _, dc := range centres {
+		if n, before := len(stay[dc]), len(in.staying(dc, nil)); n < before {
 			c := p.centre(dc)
-			c.keep, c.emptyBy = stay, now+p.cfg.EmptyTime
-			c.reason = fmt.Sprintf("%d of %d servers are not needed: %s", before-stay, before, p.Describe())
+			c.keep, c.emptyBy = n, now+p.cfg.EmptyTime
+			c.reason = fmt.Sprintf("%d of %d servers are not needed: %s", before-n, before, p.Describe())
 		}
 	}
 	p.settledAt = now + p.cfg.SettleTime
 }
 
-// removable returns the number of groups that a reduction gives up, or of servers in none.
-func (p *Planner) removable(in *Input, leaving map[ident.InstanceID]bool) int {
-	n := 0
-	for _, s := range in.Servers {
-		if leaving[s.ID] {
-			n++
-		}
+// reduction counts the groups that the staying servers form while servers are given up.
+type reduction struct {
+	held  map[string]map[ident.Domain]int
+	needs map[string]Need
+}
+
+func newReduction(in *Input, needs []Need) *reduction {
+	r := &reduction{held: make(map[string]map[ident.Domain]int), needs: make(map[string]Need)}
+	for _, n := range needs {
+		r.held[n.Model], r.needs[n.Model] = in.holders(n.Model, nil), n
 	}
-	return n / minSize(in.Service)
+	return r
 }
 
-// enough reports whether the staying servers form the groups that are needed, with spares that
-// replace lost members.
-func (p *Planner) enough(in *Input, leaving map[ident.InstanceID]bool) bool {
-	for _, n := range p.needed {
-		kept := 0
-		for _, held := range in.holders(n.Model, leaving) {
-			kept += int(float64(held) / (float64(n.GroupSize) * (1 + layout.LossShare)))
-		}
-		if kept < n.Wanted {
-			return false
+// allows reports whether the servers without s form the groups that are needed, with spares
+// that replace lost members. A server without weights that are used is not needed.
+func (r *reduction) allows(s Server) bool {
+	n, ok := r.needs[s.Model]
+	if !ok {
+		return true
+	}
+	groups, servers := 0, 0
+	for domain, held := range r.held[s.Model] {
+		if domain == s.Domain {
+			held--
 		}
+		groups += held / n.GroupSize
+		servers += held
+	}
+	return groups >= n.Kept && float64(servers) >= (1+layout.LossShare)*float64(n.Kept*n.GroupSize)
+}
+
+func (r *reduction) remove(s Server) {
+	if held := r.held[s.Model]; held != nil {
+		held[s.Domain]--
 	}
-	return true
 }
 
 // Describe returns the needs of the last step as text.
 func (p *Planner) Describe() string {
 	var out []string
 	for _, n := range p.needed {
-		out = append(out, fmt.Sprintf("model %s needs %d of %d groups for %.1f requests a second, at present %.1f, a group serves %.1f", n.Model, n.Wanted, n.Groups, n.Forecast, n.Arrivals, n.GroupRate))
+		out = append(out, fmt.Sprintf("model %s has %d groups, needs %d, keeps %d for %.1f requests a second, at present %.1f, a group serves %.1f", n.Model, n.Groups, n.Needed, n.Kept, n.Forecast, n.Arrivals, n.GroupRate))
 	}
 	return strings.Join(out, ", ")
 }
