--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -201,7 +201,9 @@
 		return out
 	}
 	p.needed = p.needs(now, &in)
-	p.reassign(&in)
+	if p.mayRelease(now, &in) {
+		p.reassign(&in)
+	}
 	if grown := p.grow(now, &in); len(grown) > 0 {
 		return append(out, grown...)
 	}
@@ -218,6 +220,17 @@
 	return s.Scaling.StartTime + load + p.cfg.FormTime
 }
 
+// mayRelease reports whether servers may be given up or reassigned: not during an outage, nor
+// before a new holder of the lease can tell one from a size that was chosen.
+func (p *Planner) mayRelease(now time.Duration, in *Input) bool {
+	for _, d := range p.domains {
+		if now < d.outUntil {
+			return false
+		}
+	}
+	return now-p.startedAt >= p.LeadTime(in.Service)/2
+}
+
 // limitToMax orders the maximum where a data centre has more servers than the platform allows.
 func (p *Planner) limitToMax(now time.Duration, in *Input) []Order {
 	var out []Order
@@ -534,7 +547,7 @@
 // reduce chooses the servers to give up. It takes one at a time from the data centre that has
 // most, as long as the rest can form the groups that are needed.
 func (p *Planner) reduce(now time.Duration, in *Input) {
-	if now < p.settledAt || len(p.leaving) > 0 {
+	if now < p.settledAt || len(p.leaving) > 0 || !p.mayRelease(now, in) {
 		return
 	}
 	for _, c := range p.centres {
