--- a/duty/size.go
+++ b/duty/size.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +14,10 @@
 	dataCentre ident.DataCentre
 }
 
+func (s subject) compare(other subject) int {
+	return cmp.Or(cmp.Compare(s.service, other.service), cmp.Compare(s.dataCentre, other.dataCentre))
+}
+
 // size is the state of the orders for a subject under the present lease.
 type size struct {
 	subject
@@ -26,8 +29,10 @@
 	sent, settled bool
 	ordered       int
 	sequence      uint64
-	inFlight      bool
-	retry         retry
+	// orderedDecision is the decision of the last order.
+	orderedDecision uint64
+	inFlight        bool
+	retry           retry
 	// unsettledUntil is when the last order without an answer can be done at the latest.
 	unsettledUntil time.Duration
 }
@@ -37,16 +42,12 @@
 		return
 	}
 	k := subject{e.Service, e.DataCentre}
-	s, ok := m.sizes[k]
+	i, ok := slices.BinarySearchFunc(m.sizes, k, func(s *size, k subject) int { return s.compare(k) })
 	if !ok {
-		s = &size{subject: k}
-		m.sizes[k] = s
-	}
-	if !ok || e.Servers != s.wanted || e.Decision != s.decision {
-		s.wanted, s.reason = e.Servers, e.Reason
+		m.sizes = slices.Insert(m.sizes, i, &size{subject: k})
 	}
-	if e.Decision != s.decision {
-		s.decision, s.settled = e.Decision, false
+	if s := m.sizes[i]; !ok || e.Servers != s.wanted || e.Decision != s.decision {
+		s.wanted, s.decision, s.reason = e.Servers, e.Decision, e.Reason
 	}
 }
 
@@ -55,15 +56,15 @@
 	if m.outdated[OrderServers] {
 		return nil
 	}
-	for _, s := range m.sortedSizes() {
-		if s.inFlight || now < s.retry.at || (s.sent && s.settled && s.ordered == s.wanted) {
+	for _, s := range m.sizes {
+		if s.inFlight || now < s.retry.at || (s.sent && s.settled && s.ordered == s.wanted && s.orderedDecision == s.decision) {
 			continue
 		}
 		if s.sent && s.ordered != s.wanted && m.fences(s) {
 			// An order without an answer is refused if it comes after this one.
 			s.sequence++
 		}
-		s.sent, s.settled, s.inFlight, s.ordered = true, false, true, s.wanted
+		s.sent, s.settled, s.inFlight, s.ordered, s.orderedDecision = true, false, true, s.wanted, s.decision
 		return &call{size: s, Call: Call{
 			Kind: OrderServers, Token: m.token(s.sequence),
 			Service: s.service, DataCentre: s.dataCentre, Servers: s.wanted, Reason: s.reason,
@@ -92,13 +93,7 @@
 	case Unanswered:
 		s.unsettledUntil = c.sentAt + m.cfg.LateCallTime
 		s.retry.fail(now, &m.cfg)
-	case Throttled, Rejected, NotSent, Outdated:
-		s.retry.fail(now, &m.cfg)
+	default:
+		s.retry.failCall(now, r, &m.cfg)
 	}
 }
-
-func (m *Machine) sortedSizes() []*size {
-	return slices.SortedFunc(maps.Values(m.sizes), func(a, b *size) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.dataCentre, b.dataCentre))
-	})
-}
--- a/edge/control.go
+++ b/edge/control.go
@@ -140,10 +140,10 @@
 		n.peerChanged(e.run, e.alive)
 	case addressesWritten:
 		n.handleAddressesWritten(e)
-	case dutyEvent:
-		n.stepDuties(e.Event)
 	case windowEvent:
 		n.handleWindow(e.Result)
+	case dutyEvent:
+		n.stepDuties(e.Event)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -25,6 +25,9 @@
 	// A report is due within seconds.
 	dutyRetryMin = 300 * time.Millisecond
 	dutyRetryMax = 2 * time.Second
+	// dutyRejectDelay is the delay until a call is repeated that the platform does not understand,
+	// which takes a change of the configuration.
+	dutyRejectDelay = 30 * time.Second
 )
 
 // UsageCall is a report of the requests of each client account in a usage window.
@@ -71,6 +74,7 @@
 		CallTime:     callTime,
 		RetryMin:     dutyRetryMin,
 		RetryMax:     dutyRetryMax,
+		RejectDelay:  dutyRejectDelay,
 		UsageWindow:  s.UsageWindow,
 		UsageDelay:   s.UsageDelay,
 		StartedAt:    bootNow(),
@@ -112,7 +116,7 @@
 	era := infra.EraOf(n.platform.Table)
 	rows, err := n.platform.Table.Scan(ctx, duty.Table, "", scanPageSize)
 	if err != nil || infra.EraOf(n.platform.Table) != era {
-		n.post(dutyEvent{duty.ReadFailed{Attempt: r.Attempt}}) // The rows may be of two eras.
+		n.post(dutyEvent{duty.ReadFailed(r)}) // The rows may be of two eras.
 		return
 	}
 	n.post(dutyEvent{duty.RowsRead{Attempt: r.Attempt, Rows: rows, Era: era}})
