--- a/sizing/reassign.go
+++ b/sizing/reassign.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/bulrushfall/bulrushfall/ident"
-	"github.com/bulrushfall/bulrushfall/layout"
 )
 
 // reassign moves servers from a model with more groups than are kept to one that lacks groups.
@@ -34,7 +33,7 @@
 	for _, n := range held {
 		servers += n
 	}
-	if float64(servers-to.GroupSize) < (1+layout.LossShare)*float64(from.Kept*from.GroupSize) {
+	if float64(servers-to.GroupSize) < (1+spareShare)*float64(from.Kept*from.GroupSize) {
 		return false
 	}
 	best := ident.Domain("")
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -95,6 +95,10 @@
 	// minMargin is the part of the demand that is kept beyond the expected one. It keeps a small
 	// change of the demand from causing orders by turns.
 	minMargin = 0.1
+	// spareShare is the part of the members of the groups that are kept for which spares are kept
+	// too. A large group serves nothing once a member is lost that no spare replaces, and
+	// spares in other domains do not help.
+	spareShare = 2 * layout.LossShare
 	// minGrowth is the growth from which it counts as a trend and not as chance.
 	minGrowth = 0.1
 	// outageShare is the part of a domain's servers whose loss at once is taken for an outage
@@ -621,7 +625,7 @@
 		groups += held / n.GroupSize
 		servers += held
 	}
-	return groups >= n.Kept && float64(servers) >= (1+layout.LossShare)*float64(n.Kept*n.GroupSize)
+	return groups >= n.Kept && float64(servers) >= (1+spareShare)*float64(n.Kept*n.GroupSize)
 }
 
 func (r *reduction) remove(s Server) {
