--- /dev/null
+++ b/edge/sizing_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/formation"
+	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// Guards against orders where the settings or the configuration ask for none, where another
+// instance holds the lease, and in a dry run.
+func TestServersAreOrderedOnlyWhereAsked(t *testing.T) {
+	scaling := &route.Scaling{Min: 1, Max: 60, StartTime: time.Second}
+	for _, c := range []struct {
+		name    string
+		duties  DutySettings
+		scaling *route.Scaling
+		holder  bool
+		// decided is the number of decisions, leaving that of servers whose groups are emptied.
+		decided uint64
+		leaving int
+	}{
+		{"asked", DutySettings{OrdersServers: true}, scaling, true, 1, 14},
+		{"dry run", DutySettings{OrdersServers: true, LogsOrdersOnly: true}, scaling, true, 1, 0},
+		{"no duty", DutySettings{ReportsUsage: true}, scaling, true, 0, 0},
+		{"no bounds", DutySettings{OrdersServers: true}, nil, true, 0, 0},
+		{"not the holder", DutySettings{OrdersServers: true}, scaling, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := dutyNode(t, c.duties, nil)
+			n.routes = route.Compile(route.Config{Services: []route.Service{{Name: "s", Slots: 1, Scaling: c.scaling, Models: []route.Model{{Name: "m", Size: 2}}}}})
+			n.holdsLease.Store(c.holder)
+			n.serverSnapshot = &fleet.Snapshot{}
+			for i := range 74 {
+				n.serverSnapshot.Servers = append(n.serverSnapshot.Servers, &fleet.Server{ID: ident.InstanceID(fmt.Sprintf("i%02d", i)), Service: "s", DataCentre: "a"})
+			}
+			n.stepPlanner(formation.ServersChanged{Servers: n.serverSnapshot})
+			for now := time.Duration(0); now < 5*time.Second; now += sizeInterval {
+				n.adjustSizes(now)
+			}
+			assert.Equal(t, n.orderCount, c.decided)
+			assert.Equal(t, len(n.leavingServers), c.leaving)
+			assert.Equal(t, n.sizing != nil, c.decided > 0)
+		})
+	}
+}
