--- a/edge/sizing.go
+++ b/edge/sizing.go
@@ -26,7 +26,7 @@
 // adjustSizes decides the number of backend servers of the service with models. Only the
 // holder of the lease does, and only if the settings and the configuration ask for it.
 func (n *Node) adjustSizes(now time.Duration) {
-	if !n.settings.Duties.OrdersServers || n.routes == nil || !n.holdsLease.Load() {
+	if !n.settings.Duties.OrdersServers || n.routes == nil || n.handler.View() == nil || !n.holdsLease.Load() {
 		n.sizing = nil
 		return
 	}
--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -170,6 +170,8 @@
 	// Groups is the number of groups that the servers can form. Servers are ordered if it is below
 	// Needed, and given up if it is above Kept.
 	Groups, Needed, Kept, GroupSize int
+	// KeptForGood replaces Kept where servers that are given up cannot be had again.
+	KeptForGood int
 }
 
 // New returns a Planner.
@@ -198,9 +200,8 @@
 	}
 	in.Servers = slices.DeleteFunc(slices.Clone(in.Servers), func(s Server) bool { return slices.Contains(in.Evacuated, s.DataCentre) })
 	p.recordDomains(now, &in)
-	out := p.limitToMax(now, &in)
 	p.recordDemand(now, &in)
-	out = append(out, p.finishReductions(now, &in)...)
+	out := p.finishReductions(now, &in)
 	if !p.measured || len(in.Demand) < len(in.Service.Models) || now < p.knownSince+p.cfg.SettleTime/2 {
 		return out
 	}
@@ -235,32 +236,6 @@
 	return now-p.startedAt >= p.LeadTime(in.Service)/2
 }
 
-// limitToMax orders the maximum where a data centre has more servers than the platform allows.
-func (p *Planner) limitToMax(now time.Duration, in *Input) []Order {
-	var out []Order
-	most := in.Service.Scaling.Max
-	for _, dc := range centresOf(in) {
-		c, all := p.centre(dc), in.staying(dc, nil)
-		if len(all) <= most || c.keep > 0 || p.inOutage(now, dc) {
-			continue
-		}
-		for i, s := range all {
-			if i >= most {
-				p.leaving[s.ID] = true
-			} else {
-				delete(p.leaving, s.ID)
-			}
-		}
-		p.settledAt = max(p.settledAt, now+p.cfg.SettleTime)
-		if c.ordered == most && now-c.orderedAt < p.cfg.OrderTime {
-			continue
-		}
-		c.ordered, c.orderedAt = most, now
-		out = append(out, Order{dc, most, fmt.Sprintf("%d servers listed, the maximum is %d", len(all), most)})
-	}
-	return out
-}
-
 // recordDomains notes the sizes of the domains and starts or ends outages.
 func (p *Planner) recordDomains(now time.Duration, in *Input) {
 	sizes := make(map[ident.Domain]int)
@@ -364,6 +339,7 @@
 		share, mostRate := in.largestDomainShare(m.Name, m.Size, n.Groups), w.rate(float64(in.Service.Slots), 0, 0)
 		n.Needed = groupsFor(n.Forecast, n.GroupRate, mostRate, share)
 		n.Kept = groupsFor(n.Forecast*(1+margin), n.GroupRate, mostRate, share)
+		n.KeptForGood = groupsFor(n.Forecast*(1+shortHistoryMargin), n.GroupRate, mostRate, share)
 		out = append(out, n)
 	}
 	return out
@@ -564,13 +540,13 @@
 	for _, dc := range centres {
 		stay[dc] = in.staying(dc, nil)
 	}
-	r := newReduction(in, p.needed)
+	leaving := p.removeToMax(in, stay)
 	most := max(maxSize(in.Service), int(maxRemoved*float64(len(in.Servers))))
-	leaving := make(map[ident.InstanceID]bool)
-	for len(leaving) < most {
+	for r := newReduction(in, p.needed, leaving, false); len(leaving) < most; {
 		best := ident.DataCentre("")
 		for _, dc := range centres {
-			if n := len(stay[dc]); n > max(1, in.Service.Scaling.Min) && n > len(stay[best]) && !p.inOutage(now, dc) && r.allows(stay[dc][n-1]) {
+			n := len(stay[dc])
+			if n > max(1, in.Service.Scaling.Min) && n <= in.Service.Scaling.Max && n > len(stay[best]) && !p.inOutage(now, dc) && r.allows(stay[dc][n-1]) {
 				best = dc
 			}
 		}
@@ -596,16 +572,44 @@
 	p.settledAt = now + p.cfg.SettleTime
 }
 
+// removeToMax gives up the servers beyond the maximum of at most one data centre, if the rest is
+// enough. The platform holds each order to the maximum, so that these servers leave all at once
+// and cannot be had again: a larger margin is kept.
+func (p *Planner) removeToMax(in *Input, stay map[ident.DataCentre][]Server) map[ident.InstanceID]bool {
+	most := in.Service.Scaling.Max
+	for _, dc := range centresOf(in) {
+		if len(stay[dc]) <= most {
+			continue
+		}
+		leaving := make(map[ident.InstanceID]bool)
+		r := newReduction(in, p.needed, nil, true)
+		for i := len(stay[dc]) - 1; i >= most && r.allows(stay[dc][i]); i-- {
+			r.remove(stay[dc][i])
+			leaving[stay[dc][i].ID] = true
+		}
+		if len(leaving) == len(stay[dc])-most {
+			stay[dc] = stay[dc][:most]
+			return leaving
+		}
+	}
+	return make(map[ident.InstanceID]bool)
+}
+
 // reduction counts the groups that the staying servers form while servers are given up.
 type reduction struct {
-	held  map[string]map[ident.Domain]int
-	needs map[string]Need
+	held map[string]map[ident.Domain]int
+	// kept is the number of groups that is kept, size their size.
+	kept, size map[string]int
 }
 
-func newReduction(in *Input, needs []Need) *reduction {
-	r := &reduction{held: make(map[string]map[ident.Domain]int), needs: make(map[string]Need)}
+// newReduction returns a reduction. final is set if the servers cannot be had again.
+func newReduction(in *Input, needs []Need, leaving map[ident.InstanceID]bool, final bool) *reduction {
+	r := &reduction{held: make(map[string]map[ident.Domain]int), kept: make(map[string]int), size: make(map[string]int)}
 	for _, n := range needs {
-		r.held[n.Model], r.needs[n.Model] = in.holders(n.Model, nil), n
+		r.held[n.Model], r.kept[n.Model], r.size[n.Model] = in.holders(n.Model, leaving), n.Kept, n.GroupSize
+		if final {
+			r.kept[n.Model] = n.KeptForGood
+		}
 	}
 	return r
 }
@@ -613,7 +617,7 @@
 // allows reports whether the servers without s form the groups that are needed, with spares
 // that replace lost members. A server without weights that are used is not needed.
 func (r *reduction) allows(s Server) bool {
-	n, ok := r.needs[s.Model]
+	size, ok := r.size[s.Model]
 	if !ok {
 		return true
 	}
@@ -622,10 +626,11 @@
 		if domain == s.Domain {
 			held--
 		}
-		groups += held / n.GroupSize
+		groups += held / size
 		servers += held
 	}
-	return groups >= n.Kept && float64(servers) >= (1+spareShare)*float64(n.Kept*n.GroupSize)
+	kept := r.kept[s.Model]
+	return groups >= kept && float64(servers) >= (1+spareShare)*float64(kept*size)
 }
 
 func (r *reduction) remove(s Server) {
