No servers are ordered in a data centre while entries disappear there

An order for as many servers as are listed took 12 away: the platform counts a domain that will return.

--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -104,6 +104,9 @@
 	// outageShare is the part of a domain's servers whose loss at once is taken for an outage
 	// from which they return.
 	outageShare = 0.5
+	// outageSuspicion is the number of servers that a domain may lose within outageWindow until
+	// nothing is given up, because an outage may begin.
+	outageSuspicion = 2
 	// outageWindow is the time within which such servers disappear from the list.
 	outageWindow = 4 * time.Second
 	// maxRemoved is the largest part of the servers that one step gives up. The demand is
@@ -157,6 +160,9 @@
 	// peak is the largest size since peakAt.
 	peak   int
 	peakAt time.Duration
+	// size is the last size, and fellAt when it last fell.
+	size   int
+	fellAt time.Duration
 	// outUntil is when an outage is taken for a loss.
 	outUntil time.Duration
 }
@@ -229,7 +235,7 @@
 // before a new holder of the lease can tell one from a size that was chosen.
 func (p *Planner) mayRelease(now time.Duration, in *Input) bool {
 	for _, d := range p.domains {
-		if now < d.outUntil {
+		if now < d.outUntil || d.peak-d.size > outageSuspicion {
 			return false
 		}
 	}
@@ -250,6 +256,10 @@
 	}
 	for name, d := range p.domains {
 		n := sizes[name]
+		if n < d.size {
+			d.fellAt = now
+		}
+		d.size = n
 		if d.outUntil == 0 && float64(d.peak-n) >= max(2, outageShare*float64(d.peak)) {
 			d.outUntil = now + p.LeadTime(in.Service)
 		}
@@ -273,6 +283,18 @@
 	return false
 }
 
+// mayOrder reports whether servers may be ordered in a data centre. While entries disappear it is
+// open whether an outage begins. The platform counts servers that will return, so that an order
+// for as many as are listed would take servers away.
+func (p *Planner) mayOrder(now time.Duration, dc ident.DataCentre) bool {
+	for _, d := range p.domains {
+		if d.centre == dc && d.fellAt != 0 && now-d.fellAt < outageWindow {
+			return false
+		}
+	}
+	return !p.inOutage(now, dc) && now >= p.centre(dc).startingUntil
+}
+
 // recordDemand adds the demand to the history, which covers twice the lead time.
 func (p *Planner) recordDemand(now time.Duration, in *Input) {
 	if len(in.Demand) < len(in.Service.Models) {
@@ -497,8 +519,7 @@
 	for ; missing > 0; missing-- {
 		best, bestCount := ident.DataCentre(""), in.Service.Scaling.Max
 		for _, dc := range centres {
-			c := p.centre(dc)
-			if p.inOutage(now, dc) || now < c.startingUntil {
+			if !p.mayOrder(now, dc) {
 				continue
 			}
 			if n := len(in.staying(dc, p.leaving)) + added[dc]; n < bestCount {
@@ -562,6 +583,11 @@
 		return
 	}
 	p.leaving = leaving
+	for _, s := range in.Servers {
+		if d := p.domains[s.Domain]; leaving[s.ID] {
+			d.peak, d.size = d.peak-1, d.size-1 // It is not lost.
+		}
+	}
 	for _, dc := range centres {
 		if n, before := len(stay[dc]), len(in.staying(dc, nil)); n < before {
 			c := p.centre(dc)
