activity: reports that are read at once give no rate

Reports of an instance whose clock is ahead count as received at once if they waited in the receive buffer, since the time of a report is bounded by its receipt. The rate of the demand was then a count over microseconds (1e+08 a second in TestDemandOfReportsThatWaited, which failed before). A rate needs 200 ms.

--- a/activity/clock_test.go
+++ b/activity/clock_test.go
@@ -46,3 +46,20 @@
 	assert.Equal(t, len(sums[0].Models), 1)
 	assert.Equal(t, sums[0].Models[0].Arrivals, 100.0)
 }
+
+// Guards against a demand of millions a second, because reports of an instance whose clock is ahead were
+// read at once after they had waited.
+func TestDemandOfReportsThatWaited(t *testing.T) {
+	c := NewCollector(testWindows())
+	run, key := Run{"e1", "1"}, ModelKey{"s", "m"}
+	for i := range uint64(4) {
+		sent := testNow + time.Duration(i)*time.Second
+		now := testNow + 4*time.Second + time.Duration(i)*time.Microsecond
+		if i == 0 {
+			now = testNow
+		}
+		c.Receive(now, run, "a", &Report{Time: sent + 5*time.Second, Models: []ModelDemand{{key, Demand{Requests: 100 * i}}}})
+	}
+	arrivals := c.Sums(testNow + 4*time.Second)[0].Models[0].Arrivals
+	assert.Assert(t, arrivals > 0 && arrivals <= 100, "%v a second", arrivals)
+}
--- a/activity/collector.go
+++ b/activity/collector.go
@@ -16,6 +16,8 @@
 	settleTime = 500 * time.Millisecond
 	// freshTime is how old the last report of a run may be for its rates to count.
 	freshTime = 3 * time.Second
+	// minRateTime is the least time between two reports from which a rate is taken.
+	minRateTime = 200 * time.Millisecond
 )
 
 // runWindow is what a run has reported of a window.
@@ -104,8 +106,8 @@
 		s.models[m.ModelKey] = &modelRun{at: at, last: m.Demand}
 		return
 	}
-	if at <= old.at || m.Requests < old.last.Requests {
-		return // The datagram is an old one.
+	if at < old.at+minRateTime || m.Requests < old.last.Requests {
+		return // The datagram is an old one, or came with the last one.
 	}
 	old.rate = ratesOf(old.last, m.Demand, at-old.at)
 	old.at, old.last = at, m.Demand
