Forecast of first events and pauses, and deferral of late requests by age

Package forecast predicts times from the engine's figures, calibrated by own events; package scarcity places requests; Request-Priority is set where the routes of a service differ in urgency.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -96,6 +96,11 @@
 	// request if this one was written whole.
 	reusable bool
 	finished bool
+	// forecastAt is when the forecast of the first event was made, or 0 if none is open, and
+	// predicted the time to it without the model's overhead. deferred is true if the request
+	// runs behind all others.
+	forecastAt, predicted time.Duration
+	deferred              bool
 }
 
 // progressCheckInterval is how often a waiting request checks its deadline and the
@@ -121,6 +126,7 @@
 	now := c.now()
 	a := &attempt{req: c, server: s, backend: b, progressTimeout: progressTimeout, firstEventTimeout: firstEventTimeout, lastProgress: now}
 	ctx := c.request.Context()
+	a.beginForecast(now)
 	b.inFlight.Add(1)
 	if s.Cold(now) {
 		b.recordColdSend(now)
@@ -436,6 +442,7 @@
 		return
 	}
 	a.finished = true
+	a.endWaiting()
 	a.backend.inFlight.Add(-1)
 	defer a.req.release(&a.bufHold)
 	a.end(a.req.now())
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/forecast"
 	"github.com/bulrushfall/bulrushfall/ident"
 )
 
@@ -43,6 +44,14 @@
 	lastFailureAt, lastAnswerAt atomic.Int64
 
 	eventGaps gapAverage
+	// unanswered counts the requests that wait for their first event, unansweredTokens their
+	// prompt tokens, and deferred those of them that run behind all others. They are counted
+	// only for services that defer requests.
+	unanswered, deferred atomic.Int32
+	unansweredTokens     atomic.Int64
+	// paceMu guards pace, the pace of the group relative to the forecast.
+	paceMu sync.Mutex
+	pace   forecast.Pace
 	// stalledUntil is the end of a pause because the group made no progress. Data from
 	// the group ends it.
 	stalledUntil atomic.Int64
@@ -78,6 +87,9 @@
 	for key, b := range h.backends {
 		if n := b.inFlight.Load(); n > 0 {
 			visit(key.id, int(n))
+			if n := b.deferred.Load(); n > 0 {
+				visit(deferredKey(key.id), int(n))
+			}
 		}
 	}
 }
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/scarcity"
 )
 
 // Parameters of load balancing.
@@ -55,6 +56,7 @@
 	backend *Backend
 	// load is the fraction of the slots in use, weight the weight in random sampling.
 	load, weight float64
+	placement    scarcity.Placement
 	// failsAll marks a server that fails all requests.
 	failsAll bool
 	// leaving marks a server that leaves and is used only if there are no others.
@@ -72,6 +74,9 @@
 			}
 		}
 		if c.handler.limits.take(now, best.server.ID, c.handler.opts.Peers) {
+			if c.scarce != nil {
+				c.scarce.setPriority(best.placement)
+			}
 			return best.server, best.backend, picked
 		}
 		// Another request has taken the last place since.
@@ -113,11 +118,20 @@
 			continue
 		}
 		load := float64(int(b.inFlight.Load())+c.handler.opts.Peers.InFlight(s.ID)) / float64(max(1, s.Slots))
-		if load >= maxLoadFactor {
+		placement := scarcity.Urgent
+		if c.scarce != nil {
+			room := c.room(s, b, now)
+			placement = scarcity.Place(c.scarceRequest(now), room)
+			load = room.FirstEvent.Seconds()
+			if placement == scarcity.Deferred {
+				load = room.DeferredWait.Seconds()
+			}
+		}
+		if placement == scarcity.Refused || (c.scarce == nil && load >= maxLoadFactor) {
 			outcome = max(outcome, someBusy)
 			continue
 		}
-		o := candidate{server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
+		o := candidate{placement: placement, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
 		anyWorking = anyWorking || !o.failsAll
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
@@ -130,7 +144,16 @@
 	if anyWorking {
 		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
 	}
-	return preferStaying(out), outcome
+	return preferUrgent(preferStaying(out)), outcome
+}
+
+// preferUrgent returns the candidates at which the request is expected in time, or all if there are
+// none.
+func preferUrgent(candidates []candidate) []candidate {
+	if slices.ContainsFunc(candidates, func(o candidate) bool { return o.placement == scarcity.Urgent }) {
+		return slices.DeleteFunc(candidates, func(o candidate) bool { return o.placement != scarcity.Urgent })
+	}
+	return candidates
 }
 
 // sampleWeighted returns a random candidate, with probabilities in proportion to the
@@ -171,7 +194,7 @@
 	c.handler.countRefusal(c)
 	switch outcome {
 	case someBusy:
-		c.refuse(refusal{reason: "all backend servers are busy", retryAfter: busyRetryAfter})
+		c.refuse(refusal{reason: "all backend servers are busy", retryAfter: c.returnAfter(busyRetryAfter)})
 	case someCold:
 		c.refuse(refusal{reason: "all backend servers are cold", retryAfter: busyRetryAfter})
 	case someLimited:
--- a/forward/call.go
+++ b/forward/call.go
@@ -51,6 +51,8 @@
 	prompt     Prompt
 	// traits is what the request may have in common with others.
 	traits []quarantine.Trait
+	// scarce is nil unless the service defers requests.
+	scarce *scarce
 	// body is the request body, which bodyHold counts.
 	body     []byte
 	bodyHold hold
@@ -124,6 +126,7 @@
 	}
 	c.traits = c.traitsOf(c.prompt)
 	h.countRequest(c)
+	c.classify()
 	return c, 0
 }
 
@@ -196,6 +199,9 @@
 	if c.account != nil {
 		writeHeader(&b, names.Account, string(c.account.Name))
 	}
+	if c.scarce != nil {
+		writeHeader(&b, names.Priority, c.scarce.priority)
+	}
 	if c.lastEventID != "" {
 		writeHeader(&b, headerLastEvent, c.lastEventID)
 	}
@@ -282,6 +288,11 @@
 		f["route"], f["service"], f["model"] = c.route.Name, c.service, c.model
 		f["config_version"] = c.view.Routes.Version
 	}
+	if c.scarce != nil {
+		f["urgency"], f["placement"], f["priority"], f["age_ms"] = c.scarce.request.Urgency, c.scarce.placement.String(), c.scarce.priority, c.scarce.request.Age.Milliseconds()
+		f["goal"] = c.route.LatencyGoal.Milliseconds()
+		f["dl"] = (c.deadline - c.start).Milliseconds()
+	}
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -58,6 +58,8 @@
 	SharedParts []string
 	// Content identifies the prompt as a whole.
 	Content string
+	// Tokens is the number of its tokens, or 0 if it is not known.
+	Tokens int
 }
 
 // traitsOf returns the traits of a request: its content and the shared parts of its prompt.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -124,9 +124,10 @@
 	crashes  *crashes
 	limits   *limits
 	// departures are the backend servers that get no new requests because they leave.
-	departures *departures
-	pauses     *requestedPauses
-	memory     *memory
+	departures  *departures
+	pauses      *requestedPauses
+	memory      *memory
+	calibration *calibration
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -144,6 +145,7 @@
 		departures:  newDepartures(opts.DrainTime),
 		pauses:      newRequestedPauses(),
 		memory:      newMemory(opts.HeldBytes, opts.Metrics),
+		calibration: newCalibration(),
 		backends:    make(map[backendKey]*Backend),
 		demands:     make(map[modelKey]*demand),
 		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -93,8 +93,10 @@
 func (a *attempt) recordEvents(now time.Duration) {
 	if a.eventReceived {
 		a.backend.eventGaps.record(now - a.lastProgress)
+		a.recordPauseForecast(now)
 	} else {
 		a.firstEventAt = now
+		a.recordFirstForecast(now)
 	}
 	a.recordAnswering(now)
 	a.recordResumed()
--- a/forward/view.go
+++ b/forward/view.go
@@ -23,6 +23,8 @@
 	plainServers map[ident.ServiceName][]*fleet.Server
 	// heads are the heads of the open groups of each model.
 	heads map[modelKey][]*fleet.Server
+	// scarce holds the models of services that defer requests.
+	scarce map[modelKey]*scarceModel
 }
 
 // NewView selects the backend servers that requests may be sent to: those that are
@@ -33,6 +35,7 @@
 		Routes: routes, servers: servers,
 		plainServers: make(map[ident.ServiceName][]*fleet.Server),
 		heads:        make(map[modelKey][]*fleet.Server),
+		scarce:       scarceModels(routes),
 	}
 	for _, s := range servers.Servers {
 		if s.Draining || slices.Contains(evacuated, s.DataCentre) {
--- a/route/engine.go
+++ b/route/engine.go
@@ -43,7 +43,7 @@
 		step += chunk / e.ReadRate * float64(time.Second)
 		step += chunk * (e.UsualPrompt + chunk/2) / pairsPerUnit * float64(e.PairTime)
 	}
-	return time.Duration(step * float64(e.StepsPerPass) * s.timeFactor(model))
+	return time.Duration(step * float64(e.StepsPerPass) * s.TimeFactor(model))
 }
 
 // QueueTime returns how long a new request may wait for its first event at a group with
@@ -54,7 +54,7 @@
 	if e.ReadRate <= 0 || e.StepsPerPass <= 0 || s.Slots <= 0 {
 		return 0
 	}
-	wait := float64(min(others, s.Slots)) * e.UsualPrompt / e.ReadRate * float64(time.Second) * s.timeFactor(model)
+	wait := float64(min(others, s.Slots)) * e.UsualPrompt / e.ReadRate * float64(time.Second) * s.TimeFactor(model)
 	if excess := others - s.Slots + 1; excess > 0 {
 		passes := e.UsualAnswer / float64(e.StepsPerPass)
 		wait += float64(excess) / float64(s.Slots) * passes * float64(s.LongestPass(model))
@@ -62,7 +62,8 @@
 	return time.Duration(wait)
 }
 
-func (s *Service) timeFactor(model string) float64 {
+// TimeFactor returns the factor for all durations of a group of a model.
+func (s *Service) TimeFactor(model string) float64 {
 	for _, m := range s.Models {
 		if m.Name == model && m.TimeFactor > 0 {
 			return m.TimeFactor
