Lots decide which fresh requests a group takes, and in which order it runs them

Counts of requests at a group are 0.2 to 0.5 s old, so a limit on them makes all entry instances send and stop together. Late requests run after all others.

--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Passes returns the number of passes in which a usual request writes, and so of its events.
+func (e Engine) Passes() float64 { return e.passes }
+
 // Known reports whether the engine's figures are known.
 func (e Engine) Known() bool { return e.slots > 0 }
 
--- a/forecast/pace.go
+++ b/forecast/pace.go
@@ -15,8 +15,6 @@
 	// silenceFactor is the number of predicted pauses of silence from which the silence
 	// itself counts as a pause.
 	silenceFactor = 2
-	// overheadWeight is the weight of a new first event in the overhead of a model.
-	overheadWeight = 1.0 / 32
 )
 
 // Pace is the measured pace of a group: the ratio of its pauses to the predicted ones. The
@@ -57,26 +55,3 @@
 	}
 	return pace
 }
-
-// Overhead is the time to a first event besides what the engine's figures explain: the network
-// and the engine's own start of a request.
-type Overhead struct {
-	mean  time.Duration
-	known bool
-}
-
-// Mean returns the overhead.
-func (o *Overhead) Mean() time.Duration { return o.mean }
-
-// RecordFirst records the time to a first event for which another one was predicted without the
-// overhead.
-func (o *Overhead) RecordFirst(predicted, actual time.Duration) {
-	over := max(0, actual-predicted)
-	if !o.known {
-		o.mean, o.known = over, true
-		return
-	}
-	// Bounded steps keep a few requests that waited long from dominating the mean.
-	step := min(float64(over-o.mean), float64(o.mean)+float64(10*time.Millisecond))
-	o.mean += time.Duration(overheadWeight * step)
-}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -101,6 +101,8 @@
 	// runs behind all others.
 	forecastAt, predicted time.Duration
 	deferred              bool
+	dbg                   [2]int
+	dbgp                  float64
 }
 
 // progressCheckInterval is how often a waiting request checks its deadline and the
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -57,6 +57,7 @@
 	// load is the fraction of the slots in use, weight the weight in random sampling.
 	load, weight float64
 	placement    scarcity.Placement
+	room         scarcity.Room
 	// failsAll marks a server that fails all requests.
 	failsAll bool
 	// leaving marks a server that leaves and is used only if there are no others.
@@ -75,7 +76,7 @@
 		}
 		if c.handler.limits.take(now, best.server.ID, c.handler.opts.Peers) {
 			if c.scarce != nil {
-				c.scarce.setPriority(best.placement)
+				c.scarce.setPlacement(best.placement, best.room)
 			}
 			return best.server, best.backend, picked
 		}
@@ -118,9 +119,9 @@
 			continue
 		}
 		load := float64(int(b.inFlight.Load())+c.handler.opts.Peers.InFlight(s.ID)) / float64(max(1, s.Slots))
-		placement := scarcity.Urgent
+		placement, room := scarcity.Urgent, scarcity.Room{}
 		if c.scarce != nil {
-			room := c.room(s, b, now)
+			room = c.room(s, b, now)
 			placement = scarcity.Place(c.scarceRequest(now), room)
 			load = room.FirstEvent.Seconds()
 			if placement == scarcity.Deferred {
@@ -131,7 +132,7 @@
 			outcome = max(outcome, someBusy)
 			continue
 		}
-		o := candidate{placement: placement, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
+		o := candidate{placement: placement, room: room, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
 		anyWorking = anyWorking || !o.failsAll
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
--- a/forward/call.go
+++ b/forward/call.go
@@ -200,7 +200,7 @@
 		writeHeader(&b, names.Account, string(c.account.Name))
 	}
 	if c.scarce != nil {
-		writeHeader(&b, names.Priority, c.scarce.priority)
+		writeHeader(&b, names.Priority, c.scarce.priorityHeader())
 	}
 	if c.lastEventID != "" {
 		writeHeader(&b, headerLastEvent, c.lastEventID)
@@ -289,7 +289,7 @@
 		f["config_version"] = c.view.Routes.Version
 	}
 	if c.scarce != nil {
-		f["urgency"], f["placement"], f["priority"], f["age_ms"] = c.scarce.request.Urgency, c.scarce.placement.String(), c.scarce.priority, c.scarce.request.Age.Milliseconds()
+		f["urgency"], f["placement"], f["priority"], f["age_ms"] = route.UrgencyOf(c.route, c.account), c.scarce.placement.String(), c.scarce.priority, c.scarce.request.Age.Milliseconds()
 		f["goal"] = c.route.LatencyGoal.Milliseconds()
 		f["dl"] = (c.deadline - c.start).Milliseconds()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -124,10 +124,10 @@
 	crashes  *crashes
 	limits   *limits
 	// departures are the backend servers that get no new requests because they leave.
-	departures  *departures
-	pauses      *requestedPauses
-	memory      *memory
-	calibration *calibration
+	departures   *departures
+	pauses       *requestedPauses
+	memory       *memory
+	observations *observations
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -139,16 +139,16 @@
 // called.
 func New(opts Options) *Handler {
 	return &Handler{
-		opts:        opts,
-		crashes:     newCrashes(),
-		limits:      newLimits(),
-		departures:  newDepartures(opts.DrainTime),
-		pauses:      newRequestedPauses(),
-		memory:      newMemory(opts.HeldBytes, opts.Metrics),
-		calibration: newCalibration(),
-		backends:    make(map[backendKey]*Backend),
-		demands:     make(map[modelKey]*demand),
-		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
+		opts:         opts,
+		crashes:      newCrashes(),
+		limits:       newLimits(),
+		departures:   newDepartures(opts.DrainTime),
+		pauses:       newRequestedPauses(),
+		memory:       newMemory(opts.HeldBytes, opts.Metrics),
+		observations: newObservations(),
+		backends:     make(map[backendKey]*Backend),
+		demands:      make(map[modelKey]*demand),
+		retryBudget:  admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
 	}
 }
 
--- a/forward/scarcity.go
+++ b/forward/scarcity.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -29,7 +30,7 @@
 	out := make(map[modelKey]*scarceModel)
 	for i := range t.Services {
 		s := &t.Services[i]
-		classes, on := scarcity.ClassesOf(t, s)
+		classes, on := scarcity.ClassesOf(t, s.Name)
 		if !on {
 			continue
 		}
@@ -42,53 +43,77 @@
 	return out
 }
 
-// calibration is what requests have shown of the times of groups.
-type calibration struct {
+// observations is what this entry instance has seen of the requests for models whose services
+// defer requests.
+type observations struct {
 	mu        sync.Mutex
-	overheads map[modelKey]*forecast.Overhead
+	models    map[modelKey]*modelObservations
 	deadlines map[string]*scarcity.Deadlines
-	errors    map[modelKey]*forecast.Errors
 }
 
-func newCalibration() *calibration {
-	return &calibration{
-		overheads: make(map[modelKey]*forecast.Overhead), deadlines: make(map[string]*scarcity.Deadlines),
-		errors: make(map[modelKey]*forecast.Errors),
+type modelObservations struct {
+	model  forecast.Model
+	lots   scarcity.Lots
+	errors forecast.Errors
+}
+
+func newObservations() *observations {
+	return &observations{models: make(map[modelKey]*modelObservations), deadlines: make(map[string]*scarcity.Deadlines)}
+}
+
+// model returns the observations of a model. o.mu must be locked.
+func (o *observations) model(key modelKey) *modelObservations {
+	m := o.models[key]
+	if m == nil {
+		m = &modelObservations{}
+		o.models[key] = m
 	}
+	return m
 }
 
 // scarce is the state of a request to a service that defers requests.
 type scarce struct {
-	model     *scarceModel
+	key     modelKey
+	classes *scarcity.Classes
+	// engine predicts the times of the model's groups, without the overhead.
+	engine    forecast.Engine
+	overhead  time.Duration
 	request   scarcity.Request
 	usual     time.Duration
 	placement scarcity.Placement
-	priority  string
+	priority  int
 }
 
 // classify prepares the placement of a request, if its service defers requests.
 func (c *call) classify() {
-	m := c.view.scarce[modelKey{c.service, c.model}]
+	key := modelKey{c.service, c.model}
+	m := c.view.scarce[key]
 	if m == nil || !c.route.UsesGroups {
 		return
 	}
 	stated := c.deadline - c.start
-	k := c.handler.calibration
-	k.mu.Lock()
-	d := k.deadlines[c.route.Name]
+	s := &scarce{key: key, classes: &m.classes, placement: scarcity.Refused}
+	s.request = scarcity.Request{Goal: c.route.LatencyGoal}
+	rank, ranks := m.classes.Rank(route.UrgencyOf(c.route, c.account), c.route.Urgency)
+	o := c.handler.observations
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	d := o.deadlines[c.route.Name]
 	if d == nil {
 		d = &scarcity.Deadlines{}
-		k.deadlines[c.route.Name] = d
+		o.deadlines[c.route.Name] = d
 	}
-	usual := d.Observe(c.start, stated)
-	k.mu.Unlock()
-	s := &scarce{model: m, usual: usual, request: scarcity.Request{Urgency: route.UrgencyOf(c.route, c.account), Goal: c.route.LatencyGoal}}
-	s.request.Age, s.request.CameBack = scarcity.Age(usual, stated)
+	s.usual = d.Observe(c.start, stated)
+	s.request.Age, s.request.CameBack = scarcity.Age(s.usual, stated)
+	seen := o.model(key)
+	seen.model.RecordPrompt(c.prompt.Tokens)
+	s.engine, s.overhead = seen.model.Apply(m.engine), seen.model.Overhead()
+	s.request.Lot = seen.lots.Draw(rank, ranks, rand.Float64(), rand.Float64())
 	c.scarce = s
 }
 
 // deferredKey names the count of deferred requests at a backend server that it has not begun to
-// answer, among the loads that entry instances tell each other.
+// answer, among the loads that entry instances send each other.
 func deferredKey(id ident.InstanceID) ident.InstanceID { return id + "/deferred" }
 
 // groupLoad returns the load of a group: all requests in flight, and those that run before a
@@ -103,27 +128,21 @@
 
 // room returns what a group can do for the request.
 func (c *call) room(s *fleet.Server, b *Backend, now time.Duration) scarcity.Room {
-	e := &c.scarce.model.engine
+	e := &c.scarce.engine
 	all, urgent := c.handler.groupLoad(s.ID, b)
-	pace := b.paceAt(now, e.Pause(all))
-	k := c.handler.calibration
-	k.mu.Lock()
-	overhead := k.overhead(modelKey{c.service, c.model}).Mean()
-	k.mu.Unlock()
+	pause := e.Pause(all)
+	pace := b.paceAt(now, pause)
+	scaled := func(d time.Duration) time.Duration { return time.Duration(pace * float64(d)) }
 	return scarcity.Room{
-		FirstEvent:   overhead + time.Duration(pace*float64(e.FirstEvent(urgent, float64(c.prompt.Tokens)))),
-		DeferredWait: time.Duration(pace * float64(e.PlaceWait(all.Ahead))),
+		FirstEvent:   c.scarce.overhead + scaled(e.FirstEvent(urgent, float64(c.prompt.Tokens))),
+		UrgentWait:   scaled(e.PlaceWait(urgent.Ahead)),
+		DeferredWait: scaled(e.PlaceWait(all.Ahead)),
+		Stream:       time.Duration(pace * float64(pause) * c.expectedEvents()),
 	}
 }
 
-func (k *calibration) overhead(key modelKey) *forecast.Overhead {
-	o := k.overheads[key]
-	if o == nil {
-		o = &forecast.Overhead{}
-		k.overheads[key] = o
-	}
-	return o
-}
+// expectedEvents returns the expected number of events of the answer.
+func (c *call) expectedEvents() float64 { return c.scarce.engine.Passes() }
 
 // paceAt returns the pace of the group. Silence counts only while it works for requests of this
 // entry instance.
@@ -143,7 +162,6 @@
 	if s == nil {
 		return
 	}
-	e := &s.model.engine
 	all, urgent := a.req.handler.groupLoad(a.server.ID, a.backend)
 	l := urgent
 	if s.placement == scarcity.Deferred {
@@ -151,8 +169,11 @@
 		a.deferred = true
 		a.backend.deferred.Add(1)
 	}
-	a.predicted = time.Duration(a.backend.paceAt(now, e.Pause(all)) * float64(e.FirstEvent(l, float64(a.req.prompt.Tokens))))
+	pace := a.backend.paceAt(now, s.engine.Pause(all))
+	a.predicted = time.Duration(pace * float64(s.engine.FirstEvent(l, float64(a.req.prompt.Tokens))))
 	a.forecastAt = now
+	a.dbg = [2]int{urgent.Ahead, all.Ahead}
+	a.dbgp = pace
 	a.backend.unanswered.Add(1)
 	a.backend.unansweredTokens.Add(int64(a.req.prompt.Tokens))
 }
@@ -176,30 +197,27 @@
 		return
 	}
 	actual := now - a.forecastAt
+	_, u := a.req.handler.groupLoad(a.server.ID, a.backend)
+	a.req.addStep(fmt.Sprintf("fc p=%d a=%d ahead=%d/%d now=%d pace=%.2f", a.predicted.Milliseconds(), actual.Milliseconds(), a.dbg[0], a.dbg[1], u.Ahead, a.dbgp))
 	a.endWaiting()
-	if a.req.scarce.placement == scarcity.Deferred {
+	s := a.req.scarce
+	if s.placement == scarcity.Deferred {
 		return
 	}
-	key := modelKey{a.req.service, a.req.model}
-	k := a.req.handler.calibration
-	k.mu.Lock()
-	o := k.overhead(key)
-	r := k.errors[key]
-	if r == nil {
-		r = &forecast.Errors{}
-		k.errors[key] = r
-	}
-	r.Record(a.predicted+o.Mean(), actual)
-	o.RecordFirst(a.predicted, actual)
-	var log forecast.Errors
-	if r.Total() >= forecastLogCount {
-		log, *r = *r, forecast.Errors{}
-	}
-	overhead := o.Mean()
-	k.mu.Unlock()
-	if log.Total() > 0 && a.req.handler.opts.Log != nil {
+	o := a.req.handler.observations
+	o.mu.Lock()
+	seen := o.model(s.key)
+	seen.errors.Record(a.predicted+seen.model.Overhead(), actual)
+	seen.model.RecordFirst(a.predicted, actual)
+	var sum forecast.Errors
+	if seen.errors.Total() >= forecastLogCount {
+		sum, seen.errors = seen.errors, forecast.Errors{}
+	}
+	overhead := seen.model.Overhead()
+	o.mu.Unlock()
+	if sum.Total() > 0 && a.req.handler.opts.Log != nil {
 		a.req.handler.opts.Log.WithFields(logrus.Fields{
-			"model": key.model, "within": log.Within, "more": log.More, "overhead_ms": overhead.Milliseconds(),
+			"service": s.key.service, "model": s.key.model, "within": sum.Within, "more": sum.More, "overhead_ms": overhead.Milliseconds(),
 		}).Info("forecast of first events")
 	}
 }
@@ -212,12 +230,23 @@
 	}
 	all, _ := a.req.handler.groupLoad(a.server.ID, a.backend)
 	all.Ahead--
-	predicted := s.model.engine.Pause(all)
+	predicted := s.engine.Pause(all)
 	a.backend.paceMu.Lock()
 	a.backend.pace.RecordPause(now, predicted, now-a.lastProgress)
 	a.backend.paceMu.Unlock()
 }
 
+// recordStreamLength records the number of events of a whole stream.
+func (c *call) recordStreamLength(events int64) {
+	if c.scarce == nil {
+		return
+	}
+	o := c.handler.observations
+	o.mu.Lock()
+	o.model(c.scarce.key).model.RecordEvents(int(events))
+	o.mu.Unlock()
+}
+
 // returnAfter returns when a request that has no place is asked to come back.
 func (c *call) returnAfter(d time.Duration) time.Duration {
 	if c.scarce == nil {
@@ -226,17 +255,18 @@
 	return scarcity.ReturnAfter(c.scarce.usual, c.timeLeft(), rand.Float64())
 }
 
-// scarceRequest returns the request as it is placed at a time. One that was sent before counts as
-// one that came back.
+// scarceRequest returns the request as it is placed at a time.
 func (c *call) scarceRequest(now time.Duration) scarcity.Request {
 	r := c.scarce.request
 	r.Age += now - c.start
-	r.CameBack = r.CameBack || c.sendCount > 0
+	r.TimeLeft = c.deadline - now
 	return r
 }
 
-// setPriority fixes the placement and priority of the request for its next send.
-func (s *scarce) setPriority(p scarcity.Placement) {
-	s.placement = p
-	s.priority = strconv.Itoa(s.model.classes.Priority(s.request, p))
+// setPlacement fixes the placement and priority of the request for its next send.
+func (s *scarce) setPlacement(p scarcity.Placement, room scarcity.Room) {
+	s.placement, s.priority = p, scarcity.Priority(s.request, p, room)
 }
+
+// priorityHeader returns the value of the priority header.
+func (s *scarce) priorityHeader() string { return strconv.Itoa(s.priority) }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -158,6 +158,7 @@
 	}
 	a.backend.clearFailures()
 	a.recordWhole()
+	r.req.recordStreamLength(r.lastID)
 	c := r.req
 	now := c.now()
 	late := r.firstEventDelay > c.route.LatencyGoal || (c.route.MaxEventGap > 0 && r.longestPause > c.route.MaxEventGap)
@@ -169,7 +170,7 @@
 			m.Late.Inc(1)
 		}
 	})
-	if late || c.sendCount > 1 {
+	if late || c.sendCount > 1 || c.scarce != nil {
 		c.logOutcome("answered", map[string]any{
 			"status": a.resp.StatusCode, "late": late, "first_ms": r.firstEventDelay.Milliseconds(),
 			"pause_ms": r.longestPause.Milliseconds(), "server": a.server.ID, "group": a.server.Group,
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -10,18 +10,19 @@
 package scarcity
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
 // Parameters of deferred requests and refusals.
 const (
-	// maxDeferredWait bounds the expected wait of a deferred request, and maxReturnWait that of one
-	// that came back as told: callers give up a stream that sends nothing for 2 s.
-	maxDeferredWait = 800 * time.Millisecond
-	maxReturnWait   = 1600 * time.Millisecond
+	// maxDeferredWait bounds the expected wait of a deferred request: callers give up a stream that
+	// sends nothing for 2 s.
+	maxDeferredWait = 1600 * time.Millisecond
 	// returnShare is the share of a caller's remaining time for which it honours Retry-After, with
 	// a margin.
 	returnShare = 0.32
@@ -33,56 +34,73 @@
 	deadlineSpread = 0.16
 )
 
+// shareWait is the wait for a place at which a group takes no fresh requests.
+const shareWait = 800 * time.Millisecond
+
 // Values of the priority header. Groups run lower values first.
 const (
-	lastUrgentPriority = 5
-	returnPriority     = 6
-	deferredPriority   = 8
+	returnPriority   = 7
+	deferredPriority = 8
 )
 
+// urgentBounds divide the places of the fresh requests that a group takes into priorities. The
+// last ones are narrow: in a queue, only the requests of the last priority wait.
+var urgentBounds = [...]float64{0.25, 0.45, 0.6, 0.72, 0.82, 0.91}
+
+// rank is the urgency of a request and that of its route, which decides where accounts make requests
+// of several routes equally urgent.
+type rank struct{ own, ofRoute int }
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.own, o.own), cmp.Compare(r.ofRoute, o.ofRoute))
+}
+
 // Classes are the ranks and goals that the requests to one service have.
 type Classes struct {
-	ranks []int
-	// goal is the shortest latency goal.
-	goal time.Duration
+	ranks []rank
 }
 
 // ClassesOf returns the classes of the requests of a service, and false unless its routes differ in
 // urgency: then the service is operated without deferral. Ranks of accounts alone do not count,
 // because they say nothing of what a request is worth.
-func ClassesOf(t *route.Table, s *route.Service) (Classes, bool) {
+func ClassesOf(t *route.Table, service ident.ServiceName) (Classes, bool) {
 	var c Classes
-	differ := false
+	var urgencies []int
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		if !r.UsesGroups || !slices.ContainsFunc(r.Targets, func(to route.Target) bool { return to.Service == s.Name }) {
+		if !r.UsesGroups || !slices.ContainsFunc(r.Targets, func(to route.Target) bool { return to.Service == service }) {
 			continue
 		}
-		differ = differ || (len(c.ranks) > 0 && !slices.Contains(c.ranks, r.Urgency))
-		if !slices.Contains(c.ranks, r.Urgency) {
-			c.ranks = append(c.ranks, r.Urgency)
-		}
-		if r.LatencyGoal > 0 && (c.goal == 0 || r.LatencyGoal < c.goal) {
-			c.goal = r.LatencyGoal
+		if !slices.Contains(urgencies, r.Urgency) {
+			urgencies = append(urgencies, r.Urgency)
 		}
 	}
+	own := slices.Clone(urgencies)
 	for i := range t.Accounts {
-		if u := t.Accounts[i].Urgency; u != nil && !slices.Contains(c.ranks, *u) {
-			c.ranks = append(c.ranks, *u)
+		if u := t.Accounts[i].Urgency; u != nil && !slices.Contains(own, *u) {
+			own = append(own, *u)
+		}
+	}
+	for _, u := range own {
+		for _, of := range urgencies {
+			c.ranks = append(c.ranks, rank{u, of})
 		}
 	}
-	slices.Sort(c.ranks)
-	return c, differ
+	slices.SortFunc(c.ranks, rank.compare)
+	return c, len(urgencies) > 1
 }
 
 // Request is what a decision needs of a request.
 type Request struct {
-	Urgency int
 	// Goal is the time from the caller's first attempt to the first event, and Age the time since
 	// that attempt.
 	Goal, Age time.Duration
+	// TimeLeft is the time until the deadline.
+	TimeLeft time.Duration
 	// CameBack is set if the caller was refused before.
 	CameBack bool
+	// Lot is the request's place among those of its model, from 0 to 1, 0 being the first.
+	Lot float64
 }
 
 // Placement is how a request is sent to a group.
@@ -103,43 +121,57 @@
 
 // Room is what a group can do for a request.
 type Room struct {
-	// FirstEvent is the expected time to its first event behind the urgent requests, and
-	// DeferredWait the expected wait for a place behind all requests.
-	FirstEvent, DeferredWait time.Duration
+	// FirstEvent is the expected time to its first event behind the urgent requests, UrgentWait
+	// the part of it that is the wait for a place, and DeferredWait the wait for a place behind
+	// all requests.
+	FirstEvent, UrgentWait, DeferredWait time.Duration
+	// Stream is the expected time from the first event to the last.
+	Stream time.Duration
+}
+
+// Share returns the share of fresh requests that the group can take. It falls gradually with the
+// wait for a place: entry instances know of each other's requests with a delay, and a fixed limit
+// would have all of them send and stop at the same moments.
+func (r Room) Share() float64 {
+	return min(1, max(0, 1-float64(r.UrgentWait)/float64(shareWait)))
 }
 
 // Place returns the placement of a request at a group.
 func Place(r Request, room Room) Placement {
-	limit := maxDeferredWait
-	if r.CameBack {
-		limit = maxReturnWait
-	}
+	late := r.CameBack || r.Age >= r.Goal
 	switch {
-	case r.Age+room.FirstEvent <= r.Goal:
+	case !late && r.Lot < room.Share():
 		return Urgent
-	case room.DeferredWait <= limit:
+	case late && room.DeferredWait <= maxDeferredWait && room.DeferredWait+room.Stream < r.TimeLeft:
 		return Deferred
 	default:
 		return Refused
 	}
 }
 
+// Rank returns the index of an urgency among those of the service, and their number.
+func (c *Classes) Rank(urgency, ofRoute int) (index, ranks int) {
+	index, _ = slices.BinarySearchFunc(c.ranks, rank{urgency, ofRoute}, rank.compare)
+	return min(index, len(c.ranks)-1), len(c.ranks)
+}
+
 // Priority returns the value of the priority header: urgent requests by their rank, those of one
 // rank with more time before others behind; then returned requests, which are not asked to come back
 // again, then the others.
-func (c *Classes) Priority(r Request, p Placement) int {
-	relaxed := 0
-	if r.Goal > c.goal*3/2 {
-		relaxed = 1
-	}
+func Priority(r Request, p Placement, room Room) int {
 	switch {
 	case p == Urgent:
-		rank, _ := slices.BinarySearch(c.ranks, r.Urgency)
-		return min(lastUrgentPriority, 2*rank+relaxed)
+		part := r.Lot / room.Share()
+		for i, bound := range urgentBounds {
+			if part < bound {
+				return i
+			}
+		}
+		return len(urgentBounds)
 	case r.CameBack:
-		return returnPriority + relaxed
+		return returnPriority
 	default:
-		return deferredPriority + relaxed
+		return deferredPriority
 	}
 }
 
