--- a/forecast/errors.go
+++ b/forecast/errors.go
@@ -36,6 +36,17 @@
 	return n
 }
 
+// CountWithin returns the number of forecasts with an error of up to a bound of ErrorBounds.
+func (e *Errors) CountWithin(bound float64) int {
+	n := 0
+	for i, b := range ErrorBounds {
+		if b <= bound {
+			n += e.Within[i]
+		}
+	}
+	return n
+}
+
 // Quantile returns the bound of the error that a share of the forecasts keeps, and false if that
 // is above the last bound or there are none.
 func (e *Errors) Quantile(share float64) (float64, bool) {
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -92,6 +92,18 @@
 	return time.Duration(1.5*pause+reading*e.perToken) + e.PlaceWait(l.Ahead)
 }
 
+// FirstEventBefore returns the time to the first event of a request that runs before some of those
+// ahead of it: it has the given part of the places that the group's requests compete for, 1 being
+// the last. A request waits only for those with better places, at most as long as for all.
+func (e Engine) FirstEventBefore(l Load, promptTokens, part float64) time.Duration {
+	all := e.PlaceWait(l.Ahead)
+	if all == 0 || part >= 1 {
+		return e.FirstEvent(l, promptTokens)
+	}
+	own := time.Duration((1 + part/(2*(1-part))) / e.Turnover() * float64(time.Second))
+	return e.FirstEvent(l, promptTokens) - all + min(all, own)
+}
+
 // PlaceWait returns how long a request waits for a place behind the given number of others.
 func (e Engine) PlaceWait(ahead int) time.Duration {
 	excess := float64(ahead) + 1 - e.slots
--- a/forecast/pace.go
+++ b/forecast/pace.go
@@ -5,8 +5,8 @@
 // Parameters of the calibration.
 const (
 	// paceWeight is the weight of a new pause in the pace of a group. The events of a group
-	// that slows down by a factor of 4 show half of that after three of its pauses.
-	paceWeight = 0.25
+	// that slows down by a factor of 4 show half of that after its second pause.
+	paceWeight = 0.4
 	// minPace and maxPace bound the pace, so that a single pause has a limited effect.
 	minPace, maxPace = 0.5, 16
 	// paceHalfLife is the time in which half of a deviation of the pace expires without new
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -101,8 +101,8 @@
 	// runs behind all others.
 	forecastAt, predicted time.Duration
 	deferred              bool
-	dbg                   [2]int
-	dbgp                  float64
+	// hasPlace is true if the group had a free place when the forecast was made.
+	hasPlace bool
 }
 
 // progressCheckInterval is how often a waiting request checks its deadline and the
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -44,6 +44,8 @@
 	lastFailureAt, lastAnswerAt atomic.Int64
 
 	eventGaps gapAverage
+	// deferredID names deferred among the loads that entry instances send each other.
+	deferredID ident.InstanceID
 	// unanswered counts the requests that wait for their first event, unansweredTokens their
 	// prompt tokens, and deferred those of them that run behind all others. They are counted
 	// only for services that defer requests.
@@ -74,7 +76,7 @@
 	defer h.mu.Unlock()
 	b, ok := h.backends[key]
 	if !ok {
-		b = &Backend{key: key}
+		b = &Backend{key: key, deferredID: deferredKey(s.ID)}
 		h.backends[key] = b
 	}
 	return b
@@ -88,7 +90,7 @@
 		if n := b.inFlight.Load(); n > 0 {
 			visit(key.id, int(n))
 			if n := b.deferred.Load(); n > 0 {
-				visit(deferredKey(key.id), int(n))
+				visit(b.deferredID, int(n))
 			}
 		}
 	}
--- a/forward/scarcity.go
+++ b/forward/scarcity.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -19,6 +18,15 @@
 // forecastLogCount is the number of forecasts that a log line sums up.
 const forecastLogCount = 50
 
+// Names of the counters of deferral.
+const (
+	metricDeferred      = "requests_deferred_total"
+	metricReturnRefused = "returned_requests_refused_total"
+	metricForecasts     = "first_event_forecasts_total"
+	metricForecastsGood = "first_event_forecasts_within_10_percent_total"
+	metricForecastsFair = "first_event_forecasts_within_30_percent_total"
+)
+
 // scarceModel is how requests for a model are placed whose service defers requests.
 type scarceModel struct {
 	engine  forecast.Engine
@@ -82,6 +90,8 @@
 	usual     time.Duration
 	placement scarcity.Placement
 	priority  int
+	// part is the request's place among those that its group takes.
+	part float64
 }
 
 // classify prepares the placement of a request, if its service defers requests.
@@ -122,7 +132,7 @@
 	all.Ahead = int(b.inFlight.Load()) + h.opts.Peers.InFlight(id)
 	all.OwnUnanswered, all.OwnPromptTokens = int(b.unanswered.Load()), float64(b.unansweredTokens.Load())
 	urgent = all
-	urgent.Ahead = max(0, all.Ahead-int(b.deferred.Load())-h.opts.Peers.InFlight(deferredKey(id)))
+	urgent.Ahead = max(0, all.Ahead-int(b.deferred.Load())-h.opts.Peers.InFlight(b.deferredID))
 	return all, urgent
 }
 
@@ -137,13 +147,10 @@
 		FirstEvent:   c.scarce.overhead + scaled(e.FirstEvent(urgent, float64(c.prompt.Tokens))),
 		UrgentWait:   scaled(e.PlaceWait(urgent.Ahead)),
 		DeferredWait: scaled(e.PlaceWait(all.Ahead)),
-		Stream:       time.Duration(pace * float64(pause) * c.expectedEvents()),
+		Stream:       time.Duration(pace * float64(pause) * e.Passes()),
 	}
 }
 
-// expectedEvents returns the expected number of events of the answer.
-func (c *call) expectedEvents() float64 { return c.scarce.engine.Passes() }
-
 // paceAt returns the pace of the group. Silence counts only while it works for requests of this
 // entry instance.
 func (b *Backend) paceAt(now, pause time.Duration) float64 {
@@ -163,17 +170,15 @@
 		return
 	}
 	all, urgent := a.req.handler.groupLoad(a.server.ID, a.backend)
-	l := urgent
 	if s.placement == scarcity.Deferred {
-		l = all
 		a.deferred = true
 		a.backend.deferred.Add(1)
+		a.req.handler.count(metricDeferred)
 	}
 	pace := a.backend.paceAt(now, s.engine.Pause(all))
-	a.predicted = time.Duration(pace * float64(s.engine.FirstEvent(l, float64(a.req.prompt.Tokens))))
+	a.predicted = time.Duration(pace * float64(s.engine.FirstEventBefore(urgent, float64(a.req.prompt.Tokens), s.part)))
+	a.hasPlace = s.engine.PlaceWait(urgent.Ahead) == 0
 	a.forecastAt = now
-	a.dbg = [2]int{urgent.Ahead, all.Ahead}
-	a.dbgp = pace
 	a.backend.unanswered.Add(1)
 	a.backend.unansweredTokens.Add(int64(a.req.prompt.Tokens))
 }
@@ -197,8 +202,6 @@
 		return
 	}
 	actual := now - a.forecastAt
-	_, u := a.req.handler.groupLoad(a.server.ID, a.backend)
-	a.req.addStep(fmt.Sprintf("fc p=%d a=%d ahead=%d/%d now=%d pace=%.2f", a.predicted.Milliseconds(), actual.Milliseconds(), a.dbg[0], a.dbg[1], u.Ahead, a.dbgp))
 	a.endWaiting()
 	s := a.req.scarce
 	if s.placement == scarcity.Deferred {
@@ -208,13 +211,18 @@
 	o.mu.Lock()
 	seen := o.model(s.key)
 	seen.errors.Record(a.predicted+seen.model.Overhead(), actual)
-	seen.model.RecordFirst(a.predicted, actual)
+	if a.hasPlace {
+		seen.model.RecordFirst(a.predicted, actual)
+	}
 	var sum forecast.Errors
 	if seen.errors.Total() >= forecastLogCount {
 		sum, seen.errors = seen.errors, forecast.Errors{}
 	}
 	overhead := seen.model.Overhead()
 	o.mu.Unlock()
+	if sum.Total() > 0 {
+		a.req.handler.countForecasts(&sum)
+	}
 	if sum.Total() > 0 && a.req.handler.opts.Log != nil {
 		a.req.handler.opts.Log.WithFields(logrus.Fields{
 			"service": s.key.service, "model": s.key.model, "within": sum.Within, "more": sum.More, "overhead_ms": overhead.Milliseconds(),
@@ -222,15 +230,24 @@
 	}
 }
 
+// countForecasts adds forecasts to the metrics.
+func (h *Handler) countForecasts(e *forecast.Errors) {
+	if h.opts.Metrics == nil {
+		return
+	}
+	h.opts.Metrics.Scope.Counter(metricForecasts).Inc(int64(e.Total()))
+	h.opts.Metrics.Scope.Counter(metricForecastsGood).Inc(int64(e.CountWithin(0.1)))
+	h.opts.Metrics.Scope.Counter(metricForecastsFair).Inc(int64(e.CountWithin(0.3)))
+}
+
 // recordPauseForecast compares a pause between events with the forecast.
 func (a *attempt) recordPauseForecast(now time.Duration) {
 	s := a.req.scarce
 	if s == nil {
 		return
 	}
-	all, _ := a.req.handler.groupLoad(a.server.ID, a.backend)
-	all.Ahead--
-	predicted := s.engine.Pause(all)
+	others := int(a.backend.inFlight.Load()) - 1 + a.req.handler.opts.Peers.InFlight(a.server.ID)
+	predicted := s.engine.Pause(forecast.Load{Ahead: others})
 	a.backend.paceMu.Lock()
 	a.backend.pace.RecordPause(now, predicted, now-a.lastProgress)
 	a.backend.paceMu.Unlock()
@@ -252,6 +269,9 @@
 	if c.scarce == nil {
 		return d
 	}
+	if c.scarce.request.CameBack {
+		c.handler.count(metricReturnRefused)
+	}
 	return scarcity.ReturnAfter(c.scarce.usual, c.timeLeft(), rand.Float64())
 }
 
@@ -265,7 +285,7 @@
 
 // setPlacement fixes the placement and priority of the request for its next send.
 func (s *scarce) setPlacement(p scarcity.Placement, room scarcity.Room) {
-	s.placement, s.priority = p, scarcity.Priority(s.request, p, room)
+	s.placement, s.priority, s.part = p, scarcity.Priority(s.request, p, room), scarcity.Part(s.request, room)
 }
 
 // priorityHeader returns the value of the priority header.
--- /dev/null
+++ b/forward/scarcity_test.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/route"
+)
+
+// unequalRoutes returns the test's routes with one of another urgency, and an engine with figures.
+func unequalRoutes() *route.Table {
+	c := testRoutes().Config
+	c.Routes[0].Urgency = 1
+	c.Services[1].Slots = 6
+	c.Services[1].Engine = route.Engine{StepTime: 6 * time.Millisecond, StepTimePerRequest: time.Millisecond, ReadRate: 50000, StepsPerPass: 5, UsualPrompt: 700, UsualAnswer: 100}
+	return route.Compile(c)
+}
+
+func scarceSetup(t *testing.T, peers Peers, s fleet.Server) *testSetup {
+	t.Helper()
+	r := newTestSetup(t)
+	r.handler.opts.Peers = peers
+	l := fleet.NewList()
+	l.Put(s)
+	r.handler.SetView(NewView(unequalRoutes(), l.Snapshot(), nil))
+	return r
+}
+
+func answerStream(w io.Writer, q *http.Request) bool {
+	streamHead(w, q.Header.Get("X-Request"))
+	chunk(w, events(1, 2))
+	streamEnd(w)
+	return true
+}
+
+// A request that came back after a refusal runs after those that can be in time.
+func TestReturnedRequestIsDeferred(t *testing.T) {
+	b := startScriptedServer(t, answerStream)
+	r := scarceSetup(t, noPeers{}, b.groupHead("h"))
+	for _, deadline := range []string{"4000", "2500"} {
+		resp, _, err := r.do(r.request(http.MethodPost, "/s/1", "", "X-Deadline", deadline))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	got := b.requests()
+	fresh, err := strconv.Atoi(got[0].Header.Get("X-Priority"))
+	assert.NilError(t, err)
+	back, err := strconv.Atoi(got[1].Header.Get("X-Priority"))
+	assert.NilError(t, err)
+	assert.Assert(t, fresh < 5 && back > 5, "priorities %d and %d", fresh, back)
+}
+
+// A request without room is refused at once, and asked to come back at a time that its caller
+// honours.
+func TestRefusalNamesTimeThatCallersHonour(t *testing.T) {
+	b := startScriptedServer(t, answerStream)
+	r := scarceSetup(t, noPeers{inFlight: 500}, b.groupHead("h"))
+	resp, _, err := r.do(r.request(http.MethodPost, "/s/1", "", "X-Deadline", "3000"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after >= 0.5 && after <= 1, "%v s", after)
+	assert.Equal(t, len(b.requests()), 0)
+}
+
+// Counts of requests that wait must not remain after their answers, or the group would look full.
+func TestNothingWaitsAfterAnswers(t *testing.T) {
+	b := startScriptedServer(t, answerStream)
+	r := scarceSetup(t, noPeers{}, b.groupHead("h"))
+	for _, deadline := range []string{"4000", "2500", "4000"} {
+		_, _, err := r.do(r.request(http.MethodPost, "/s/1", "", "X-Deadline", deadline))
+		assert.NilError(t, err)
+	}
+	for _, backend := range r.handler.backends {
+		assert.Equal(t, backend.unanswered.Load(), int32(0))
+		assert.Equal(t, backend.unansweredTokens.Load(), int64(0))
+		assert.Equal(t, backend.deferred.Load(), int32(0))
+	}
+}
+
+// Services whose routes are equally urgent are operated without priorities.
+func TestEqualRoutesHaveNoPriority(t *testing.T) {
+	b := startScriptedServer(t, answerStream)
+	r := newTestSetup(t, b.groupHead("h"))
+	_, _, err := r.do(r.request(http.MethodPost, "/s/1", "", "X-Priority", "0"))
+	assert.NilError(t, err)
+	assert.Equal(t, b.requests()[0].Header.Get("X-Priority"), "")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -151,6 +151,21 @@
 	return len(a.buf) == 0 && (a.eventReceived || !a.conn.BodyUntilEnd())
 }
 
+// lateBy returns the latency goals that the stream has missed, or "".
+func (r *relay) lateBy() string {
+	first := r.firstEventDelay > r.req.route.LatencyGoal
+	pause := r.req.route.MaxEventGap > 0 && r.longestPause > r.req.route.MaxEventGap
+	switch {
+	case first && pause:
+		return "first event, pause"
+	case first:
+		return "first event"
+	case pause:
+		return "pause"
+	}
+	return ""
+}
+
 // recordComplete logs and counts a stream that was relayed to its end.
 func (r *relay) recordComplete(a *attempt) {
 	if !r.headersSent {
@@ -161,7 +176,7 @@
 	r.req.recordStreamLength(r.lastID)
 	c := r.req
 	now := c.now()
-	late := r.firstEventDelay > c.route.LatencyGoal || (c.route.MaxEventGap > 0 && r.longestPause > c.route.MaxEventGap)
+	late := r.lateBy() != ""
 	c.countOutcome(func(m outcomeMetrics) {
 		m.Answered.Inc(1)
 		m.FirstByte.RecordDuration(r.firstEventDelay)
@@ -170,10 +185,10 @@
 			m.Late.Inc(1)
 		}
 	})
-	if late || c.sendCount > 1 || c.scarce != nil {
+	if late || c.sendCount > 1 {
 		c.logOutcome("answered", map[string]any{
 			"status": a.resp.StatusCode, "late": late, "first_ms": r.firstEventDelay.Milliseconds(),
-			"pause_ms": r.longestPause.Milliseconds(), "server": a.server.ID, "group": a.server.Group,
+			"pause_ms": r.longestPause.Milliseconds(), "server": a.server.ID, "group": a.server.Group, "late_by": r.lateBy(),
 		})
 	}
 }
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -45,7 +45,7 @@
 
 // urgentBounds divide the places of the fresh requests that a group takes into priorities. The
 // last ones are narrow: in a queue, only the requests of the last priority wait.
-var urgentBounds = [...]float64{0.25, 0.45, 0.6, 0.72, 0.82, 0.91}
+var urgentBounds = [...]float64{0.35, 0.6, 0.75, 0.85, 0.92, 0.96}
 
 // rank is the urgency of a request and that of its route, which decides where accounts make requests
 // of several routes equally urgent.
@@ -155,13 +155,22 @@
 	return min(index, len(c.ranks)-1), len(c.ranks)
 }
 
+// Part returns the place of an urgent request among those that the group takes, from 0 to 1, and 1
+// for a deferred one.
+func Part(r Request, room Room) float64 {
+	if share := room.Share(); !r.CameBack && r.Lot < share {
+		return r.Lot / share
+	}
+	return 1
+}
+
 // Priority returns the value of the priority header: urgent requests by their rank, those of one
 // rank with more time before others behind; then returned requests, which are not asked to come back
 // again, then the others.
 func Priority(r Request, p Placement, room Room) int {
 	switch {
 	case p == Urgent:
-		part := r.Lot / room.Share()
+		part := Part(r, room)
 		for i, bound := range urgentBounds {
 			if part < bound {
 				return i
