--- a/forward/balance.go
+++ b/forward/balance.go
@@ -119,20 +119,14 @@
 			continue
 		}
 		load := float64(int(b.inFlight.Load())+c.handler.opts.Peers.InFlight(s.ID)) / float64(max(1, s.Slots))
-		placement, room := scarcity.Urgent, scarcity.Room{}
+		room := scarcity.Room{}
 		if c.scarce != nil {
 			room = c.room(s, b, now)
-			placement = scarcity.Place(c.scarceRequest(now), room)
-			load = room.FirstEvent.Seconds()
-			if placement == scarcity.Deferred {
-				load = room.DeferredWait.Seconds()
-			}
-		}
-		if placement == scarcity.Refused || (c.scarce == nil && load >= maxLoadFactor) {
+		} else if load >= maxLoadFactor {
 			outcome = max(outcome, someBusy)
 			continue
 		}
-		o := candidate{placement: placement, room: room, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
+		o := candidate{room: room, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
 		anyWorking = anyWorking || !o.failsAll
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
@@ -142,19 +136,43 @@
 		}
 		out = append(out, o)
 	}
+	if c.scarce != nil && len(out) > 0 {
+		if out = c.place(out, now); len(out) == 0 {
+			return nil, max(outcome, someBusy)
+		}
+	}
 	if anyWorking {
 		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
 	}
-	return preferUrgent(preferStaying(out)), outcome
+	return preferStaying(out), outcome
 }
 
-// preferUrgent returns the candidates at which the request is expected in time, or all if there are
-// none.
-func preferUrgent(candidates []candidate) []candidate {
-	if slices.ContainsFunc(candidates, func(o candidate) bool { return o.placement == scarcity.Urgent }) {
-		return slices.DeleteFunc(candidates, func(o candidate) bool { return o.placement != scarcity.Urgent })
+// place returns the candidates to which the request is sent by its placement. Urgent requests are
+// spread over groups by their shares once requests wait for places: the sooner of two groups would
+// get most requests of all entry instances until these see each other's.
+func (c *call) place(candidates []candidate, now time.Duration) []candidate {
+	mean := 0.0
+	for i := range candidates {
+		mean += candidates[i].room.Share() / float64(len(candidates))
+	}
+	r := c.scarceRequest(now)
+	best := scarcity.Refused
+	for i := range candidates {
+		o := &candidates[i]
+		o.room.ModelShare = mean
+		o.placement = scarcity.Place(r, o.room)
+		best = min(best, o.placement)
+		switch o.placement {
+		case scarcity.Urgent:
+			o.load = o.room.FirstEvent.Seconds()
+			if mean < 1 {
+				o.load, o.weight = 0, o.room.Share()
+			}
+		case scarcity.Deferred:
+			o.load = o.room.DeferredWait.Seconds()
+		}
 	}
-	return candidates
+	return slices.DeleteFunc(candidates, func(o candidate) bool { return o.placement != best || best == scarcity.Refused })
 }
 
 // sampleWeighted returns a random candidate, with probabilities in proportion to the
--- a/scarcity/load_test.go
+++ b/scarcity/load_test.go
@@ -131,6 +131,7 @@
 		age := j.at - j.first
 		r := Request{Goal: k.goal, Age: age, CameBack: j.cameBack, TimeLeft: k.limit - age, Lot: lots.Draw(k.rank, ranks, points(), points())}
 		room := Room{UrgentWait: e.PlaceWait(urgent), DeferredWait: e.PlaceWait(all), Stream: time.Second}
+		room.ModelShare = room.Share()
 		placement := Place(r, room)
 		j.priority = Priority(r, placement, room)
 		return placement != Refused, ReturnAfter(k.limit, r.TimeLeft, points())
--- a/scarcity/scarcity.go
+++ b/scarcity/scarcity.go
@@ -130,6 +130,10 @@
 	FirstEvent, UrgentWait, DeferredWait time.Duration
 	// Stream is the expected time from the first event to the last.
 	Stream time.Duration
+	// ModelShare is the mean of the shares of the model's groups. It decides about fresh requests:
+	// the largest share alone would send the requests of all entry instances to the group that
+	// seems to have most room, until they see each other's.
+	ModelShare float64
 }
 
 // Share returns the share of fresh requests that the group can take. It falls gradually with the
@@ -145,7 +149,7 @@
 	switch {
 	case r.Begun && room.UrgentWait < shareWait:
 		return Urgent
-	case !late && r.Lot < room.Share():
+	case !late && r.Lot < room.ModelShare:
 		return Urgent
 	case late && room.DeferredWait <= maxDeferredWait && room.DeferredWait+room.Stream < r.TimeLeft:
 		return Deferred
@@ -166,8 +170,8 @@
 	if r.Begun {
 		return 0
 	}
-	if share := room.Share(); !r.CameBack && r.Lot < share {
-		return r.Lot / share
+	if !r.CameBack && r.Lot < room.ModelShare {
+		return r.Lot / room.ModelShare
 	}
 	return 1
 }
