--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,6 +168,7 @@
 func (h *Handler) SetView(v *View) {
 	h.view.Store(v)
 	h.departures.updateList(h.opts.Now(), v)
+	h.observations.forget(v)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, b := range h.backends {
--- a/forward/scarcity.go
+++ b/forward/scarcity.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -79,6 +80,24 @@
 	return m
 }
 
+// forget drops the observations of routes and models that are no longer configured.
+func (o *observations) forget(v *View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.models, func(key modelKey, _ *modelObservations) bool { return v.scarce[key] == nil })
+	if len(o.deadlines) <= len(v.Routes.Routes) {
+		return
+	}
+	kept := make(map[string]*scarcity.Deadlines)
+	for i := range v.Routes.Routes {
+		name := v.Routes.Routes[i].Name
+		if d := o.deadlines[name]; d != nil {
+			kept[name] = d
+		}
+	}
+	o.deadlines = kept
+}
+
 // scarce is the state of a request to a service that defers requests.
 type scarce struct {
 	key     modelKey
@@ -280,7 +299,8 @@
 	r := c.scarce.request
 	r.Age += now - c.start
 	r.TimeLeft = c.deadline - now
-	r.CameBack = r.CameBack || c.sendCount > 0
+	// One that was sent before and is late by now has waited like one that came back.
+	r.CameBack = r.CameBack || (c.sendCount > 0 && r.Age >= r.Goal)
 	r.Begun = c.eventsSent
 	return r
 }
--- a/forward/scarcity_test.go
+++ b/forward/scarcity_test.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/route"
+	"github.com/bulrushfall/bulrushfall/scarcity"
 )
 
 // unequalRoutes returns the test's routes with one of another urgency, and an engine with figures.
@@ -95,3 +96,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, b.requests()[0].Header.Get("X-Priority"), "")
 }
+
+// Observations of routes and models that were removed from the configuration must not accumulate.
+func TestObservationsOfRemovedRoutesAreDropped(t *testing.T) {
+	h := New(Options{Headers: testHeaders(), Peers: noPeers{}, Now: func() time.Duration { return time.Second }})
+	for range 100 {
+		h.observations.deadlines[strconv.Itoa(len(h.observations.deadlines))] = &scarcity.Deadlines{}
+	}
+	h.observations.deadlines["stream"] = &scarcity.Deadlines{}
+	h.observations.model(modelKey{"gone", "m"})
+	h.SetView(NewView(unequalRoutes(), fleet.NewList().Snapshot(), nil))
+	assert.Equal(t, len(h.observations.deadlines), 1)
+	assert.Equal(t, len(h.observations.models), 0)
+}
