--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -116,3 +116,15 @@
 	assert.Assert(t, first < last-500*time.Millisecond, "%v, %v", first, last)
 	assert.Equal(t, last, e.FirstEvent(l, 900))
 }
+
+// TestReserve guards against groups without free places for requests whose goal is shorter than the
+// wait for one, and against places that are kept free for nothing.
+func TestReserve(t *testing.T) {
+	e := NewEngine(testService(), "large")
+	const overhead = 90 * time.Millisecond
+	full := Load{Ahead: 47}
+	enough := overhead + e.FirstEvent(full, 0) + e.Pause(full)
+	assert.Equal(t, e.Reserve(enough, overhead), 0)
+	assert.Equal(t, e.Reserve(enough-time.Millisecond, overhead), 8)
+	assert.Equal(t, e.Reserve(0, overhead), 0)
+}
--- a/scarcity/scarcity_test.go
+++ b/scarcity/scarcity_test.go
@@ -59,6 +59,8 @@
 	short.TimeLeft = time.Second
 	free := Room{Stream: 2 * time.Second, ModelShare: 1}
 	queue := Room{UrgentWait: shareWait / 2, DeferredWait: shareWait / 2, Stream: 2 * time.Second, ModelShare: 0.5}
+	reserve := queue
+	reserve.KeepsFree = true
 	full := Room{UrgentWait: shareWait, DeferredWait: 2 * maxDeferredWait}
 	for name, c := range map[string]struct {
 		request Request
@@ -69,6 +71,7 @@
 		"fresh, behind the share":     {fresh, queue, Refused},
 		"back, free":                  {back, free, Deferred},
 		"back, queue":                 {back, queue, Deferred},
+		"back, places kept free":      {back, reserve, Refused},
 		"back, full":                  {back, full, Refused},
 		"late by itself":              {late, free, Deferred},
 		"back, too short for streams": {short, free, Refused},
