--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
@@ -139,6 +140,10 @@
 		n.peerChanged(e.run, e.alive)
 	case addressesWritten:
 		n.handleAddressesWritten(e)
+	case dutyEvent:
+		n.stepDuties(e.Event)
+	case windowEvent:
+		n.handleWindow(e.Result)
 	case leaveEvent:
 		n.stepLease(lease.Leave{})
 	}
@@ -194,8 +199,12 @@
 	}
 	n.writeAddressList(now)
 	n.measureDemand(now)
+	n.collectActivity(now)
 	n.replaceFailingHeads(now)
 	n.stepPlanner(formation.Tick{})
+	if n.holdsLease.Load() {
+		n.stepDuties(duty.Tick{})
+	}
 }
 
 // maxLeaseContenders is the number of instances that read the lease rows from the store
--- a/edge/node.go
+++ b/edge/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/bulrushfall/bulrushfall/beacon"
+	"github.com/bulrushfall/bulrushfall/duty"
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/formation"
 	"github.com/bulrushfall/bulrushfall/forward"
@@ -73,6 +74,8 @@
 	startTime time.Time
 	self      lease.Identity
 
+	// peerNode makes calls to other entry instances. Run sets it before the control loop starts.
+	peerNode     *wire.Node
 	mirror       *mirror.Mirror
 	tableReaders []*tableReader
 	// readsStore is true while this instance reads the store itself, holdsLease while
@@ -111,7 +114,11 @@
 	viewOutdated bool
 	leaseMachine *lease.Machine
 	planner      *formation.Planner
-	leaseRank    int
+	// duties is nil if the settings ask for no duty.
+	duties *duty.Machine
+	// dutyStatus is what operators see of the duties.
+	dutyStatus atomic.Pointer[duty.Status]
+	leaseRank  int
 	// contending is true while this instance follows the lease in the store.
 	contending bool
 	// lastTickAt is when the control loop last ticked.
@@ -144,6 +151,11 @@
 	failingHeads  map[beacon.GroupEpoch]time.Duration
 	stalledGroups stalledGroupSet
 	stallReports  []stallReport
+
+	// activity counts for the duties, or is nil if there are none. It has its own mutex.
+	activity *activityState
+	// nextCollectAt is when the holder of the lease next collects the counts of the others.
+	nextCollectAt time.Duration
 }
 
 // stalledGroupSet holds the groups that requests of this entry instance found without
@@ -176,13 +188,14 @@
 	planConfig := formation.DefaultConfig()
 	planConfig.LoadWindow = settings.LoadWindow
 	n.planner = formation.New(planConfig)
+	n.duties = n.newDuties()
 	n.handler = forward.New(forward.Options{
 		Headers: platform.Headers, Now: n.now, Peers: n.peers, Log: log, Metrics: metrics,
 		DataCentre: settings.DataCentre, ColdFactor: settings.ColdFactor, ColdSlack: settings.ColdSlack,
 		RetryRatio: settings.RetryRatio, RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		DrainTime: settings.DrainTime, HeldBytes: heldBytes(settings.Memory),
 		Prompt: platform.Prompt, ConfigCurrent: n.configCurrent, OnFindings: n.requestBeacon,
-		OnStalledGroup: n.reportStall,
+		OnStalledGroup: n.reportStall, OnRun: n.startActivity(),
 	})
 	return n
 }
@@ -244,15 +257,15 @@
 		"instance": n.settings.Instance, "incarnation": n.self.Incarnation, "data_centre": n.settings.DataCentre,
 		"callers": n.settings.CallerAddress, "first_start": n.settings.FirstStart,
 	}).Info("started")
+	n.peerNode = n.newPeerNode()
 	go n.runControlLoop(workCtx)
 	go n.receiveBeacons(udp)
 	go n.sendBeacons(workCtx, udp)
 	for _, r := range n.tableReaders {
 		go r.run(workCtx)
 	}
-	peerServer := n.newPeerNode()
-	go n.servePeers(peerServer, peerListener)
-	go n.followReaders(workCtx, peerServer)
+	go n.servePeers(n.peerNode, peerListener)
+	go n.followReaders(workCtx, n.peerNode)
 	go n.register(workCtx)
 	go n.handleReloads(workCtx, reload)
 	<-ctx.Done()
@@ -297,6 +310,9 @@
 func (n *Node) startServers(server *http.Server, callers net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", n.metrics.Handler())
+	if n.duties != nil {
+		mux.HandleFunc("GET /duties", n.serveDutyStatus)
+	}
 	auxiliary := []struct {
 		address string
 		handler http.Handler
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -95,7 +95,7 @@
 				if i >= 500 {
 					errors.Record(predicted+m.Overhead(), actual)
 				}
-				m.RecordPrompt(prompt)
+				m.RecordPrompt(uint64(prompt))
 				m.RecordEvents(25 + rnd.IntN(11))
 				m.RecordFirst(predicted, actual)
 			}
--- a/forecast/model.go
+++ b/forecast/model.go
@@ -29,7 +29,7 @@
 func (m *Model) Overhead() time.Duration { return m.overhead }
 
 // RecordPrompt records the number of prompt tokens of a request, if it is known.
-func (m *Model) RecordPrompt(tokens int) { record(&m.prompt, float64(tokens)) }
+func (m *Model) RecordPrompt(tokens uint64) { record(&m.prompt, float64(tokens)) }
 
 // RecordEvents records the number of events of a whole stream. A pass sends one.
 func (m *Model) RecordEvents(n int) { record(&m.events, float64(n)) }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -100,6 +101,8 @@
 	// HeldBytes limits the memory of the request and response bodies that are held. 0 means no
 	// limit.
 	HeldBytes int64
+	// Dial, if not nil, opens the connections to backend servers.
+	Dial DialFunc
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// ConfigCurrent, if not nil, reports whether requests may be decided by the view's
@@ -108,6 +111,10 @@
 	// OnFindings, if not nil, is called when the other entry instances have to know of a crash
 	// of a backend server, of requests that are refused since, or of a request limit.
 	OnFindings func()
+	// OnRun, if not nil, is called once for each request of an account that a backend server
+	// has begun to run, with the time since then: for a stream when its first event comes, for
+	// other requests when the response comes.
+	OnRun func(account ident.Account, ago time.Duration)
 	// OnStalledGroup, if not nil, is called with each group that stops sending data to its
 	// requests.
 	OnStalledGroup func(group ident.GroupID, epoch ident.Epoch)
@@ -138,6 +145,9 @@
 // New returns a handler without a view. It refuses all requests until SetView is
 // called.
 func New(opts Options) *Handler {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	}
 	return &Handler{
 		opts:         opts,
 		crashes:      newCrashes(),
--- a/forward/progress.go
+++ b/forward/progress.go
@@ -97,6 +97,7 @@
 	} else {
 		a.firstEventAt = now
 		a.recordFirstForecast(now)
+		a.req.countRun(0)
 	}
 	a.recordAnswering(now)
 	a.recordResumed()
