A repeated request keeps its place

A caller that repeats a refused request at once drew another place each time. The place now follows from the request's content and account, so that every entry instance gives the same one.

--- a/forward/scarcity.go
+++ b/forward/scarcity.go
@@ -128,6 +128,10 @@
 	s := &scarce{key: key, classes: &m.classes, placement: scarcity.Refused}
 	s.request = scarcity.Request{Goal: c.route.LatencyGoal}
 	rank, ranks := m.classes.Rank(route.UrgencyOf(c.route, c.account), c.route.Urgency)
+	// The same request has the same place again, also at another entry instance: a caller that
+	// repeats it at once gains nothing.
+	content := rand.NewPCG(uint64(c.traits[0]), 0)
+	point, floor := fraction(content.Uint64()), fraction(content.Uint64())
 	o := c.handler.observations
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -145,10 +149,13 @@
 		seen.goal = c.route.LatencyGoal
 	}
 	s.reserve = s.engine.Reserve(seen.goal, s.overhead)
-	s.request.Lot = seen.lots.Draw(rank, ranks, rand.Float64(), rand.Float64())
+	s.request.Lot = seen.lots.Draw(rank, ranks, point, floor)
 	c.scarce = s
 }
 
+// fraction maps a number evenly to [0, 1).
+func fraction(n uint64) float64 { return float64(n>>11) / (1 << 53) }
+
 // deferredKey names the count of deferred requests at a backend server that it has not begun to
 // answer, among the loads that entry instances send each other.
 func deferredKey(id ident.InstanceID) ident.InstanceID { return id + "/deferred" }
--- a/forward/scarcity_test.go
+++ b/forward/scarcity_test.go
@@ -109,3 +109,18 @@
 	assert.Equal(t, len(h.observations.deadlines), 1)
 	assert.Equal(t, len(h.observations.models), 0)
 }
+
+// A caller that repeats a refused request at once must not gain a better place, at any entry instance.
+func TestRepeatedRequestKeepsItsPlace(t *testing.T) {
+	lots := make(map[float64]bool)
+	for range 2 {
+		r := scarceSetup(t, noPeers{}, fleet.Server{ID: "h", Service: "llm", Model: "m"})
+		for _, id := range []string{"id-1", "id-2"} {
+			q := r.request(http.MethodPost, "/s/1", "", "X-Deadline", "4000", "X-Request", id)
+			c, status := r.handler.newCall(nil, q, r.handler.View())
+			assert.Equal(t, status, 0)
+			lots[c.scarce.request.Lot] = true
+		}
+	}
+	assert.Equal(t, len(lots), 1)
+}
