--- a/forward/forward.go
+++ b/forward/forward.go
@@ -131,9 +131,10 @@
 	crashes  *crashes
 	limits   *limits
 	// departures are the backend servers that get no new requests because they leave.
-	departures *departures
-	pauses     *requestedPauses
-	memory     *memory
+	departures   *departures
+	pauses       *requestedPauses
+	memory       *memory
+	observations *observations
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -148,15 +149,16 @@
 		opts.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
 	}
 	return &Handler{
-		opts:        opts,
-		crashes:     newCrashes(),
-		limits:      newLimits(),
-		departures:  newDepartures(opts.DrainTime),
-		pauses:      newRequestedPauses(),
-		memory:      newMemory(opts.HeldBytes, opts.Metrics),
-		backends:    make(map[backendKey]*Backend),
-		demands:     make(map[modelKey]*demand),
-		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
+		opts:         opts,
+		crashes:      newCrashes(),
+		limits:       newLimits(),
+		departures:   newDepartures(opts.DrainTime),
+		pauses:       newRequestedPauses(),
+		memory:       newMemory(opts.HeldBytes, opts.Metrics),
+		observations: newObservations(),
+		backends:     make(map[backendKey]*Backend),
+		demands:      make(map[modelKey]*demand),
+		retryBudget:  admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
 	}
 }
 
@@ -176,6 +178,7 @@
 func (h *Handler) SetView(v *View) {
 	h.view.Store(v)
 	h.departures.updateList(h.opts.Now(), v)
+	h.observations.forget(v)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, b := range h.backends {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -151,6 +151,21 @@
 	return len(a.buf) == 0 && (a.eventReceived || !a.conn.BodyUntilEnd())
 }
 
+// lateBy returns the latency goals that the stream has missed, or "".
+func (r *relay) lateBy() string {
+	first := r.firstEventDelay > r.req.route.LatencyGoal
+	pause := r.req.route.MaxEventGap > 0 && r.longestPause > r.req.route.MaxEventGap
+	switch {
+	case first && pause:
+		return "first event, pause"
+	case first:
+		return "first event"
+	case pause:
+		return "pause"
+	}
+	return ""
+}
+
 // recordComplete logs and counts a stream that was relayed to its end.
 func (r *relay) recordComplete(a *attempt) {
 	if !r.headersSent {
@@ -158,9 +173,10 @@
 	}
 	a.backend.clearFailures()
 	a.recordWhole()
+	r.req.recordStreamLength(r.lastID)
 	c := r.req
 	now := c.now()
-	late := r.firstEventDelay > c.route.LatencyGoal || (c.route.MaxEventGap > 0 && r.longestPause > c.route.MaxEventGap)
+	late := r.lateBy() != ""
 	c.countOutcome(func(m outcomeMetrics) {
 		m.Answered.Inc(1)
 		m.FirstByte.RecordDuration(r.firstEventDelay)
@@ -172,7 +188,7 @@
 	if late || c.sendCount > 1 {
 		c.logOutcome("answered", map[string]any{
 			"status": a.resp.StatusCode, "late": late, "first_ms": r.firstEventDelay.Milliseconds(),
-			"pause_ms": r.longestPause.Milliseconds(), "server": a.server.ID, "group": a.server.Group,
+			"pause_ms": r.longestPause.Milliseconds(), "server": a.server.ID, "group": a.server.Group, "late_by": r.lateBy(),
 		})
 	}
 }
@@ -230,6 +246,7 @@
 		wrote = true
 		if ok {
 			r.lastID, r.hasLastID = id, true
+			r.req.eventsSent = true
 			r.req.lastEventID = strconv.FormatInt(id, 10)
 		}
 	}
