--- a/forward/balance.go
+++ b/forward/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/scarcity"
 )
 
 // Parameters of load balancing.
@@ -55,6 +56,8 @@
 	backend *Backend
 	// load is the fraction of the slots in use, weight the weight in random sampling.
 	load, weight float64
+	placement    scarcity.Placement
+	room         scarcity.Room
 	// failsAll marks a server that fails all requests.
 	failsAll bool
 	// leaving marks a server that leaves and is used only if there are no others.
@@ -72,6 +75,9 @@
 			}
 		}
 		if c.handler.limits.take(now, best.server.ID, c.handler.opts.Peers) {
+			if c.scarce != nil {
+				c.scarce.setPlacement(c.scarceRequest(now), best.placement, best.room)
+			}
 			return best.server, best.backend, picked
 		}
 		// Another request has taken the last place since.
@@ -113,11 +119,14 @@
 			continue
 		}
 		load := float64(int(b.inFlight.Load())+c.handler.opts.Peers.InFlight(s.ID)) / float64(max(1, s.Slots))
-		if load >= maxLoadFactor {
+		room := scarcity.Room{}
+		if c.scarce != nil {
+			room = c.room(s, b, now)
+		} else if load >= maxLoadFactor {
 			outcome = max(outcome, someBusy)
 			continue
 		}
-		o := candidate{server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
+		o := candidate{room: room, server: s, backend: b, load: load, weight: 1, failsAll: c.handler.failsAllRequests(s, b, now), leaving: use == fleet.UseLastResort}
 		anyWorking = anyWorking || !o.failsAll
 		if s.DataCentre == c.handler.opts.DataCentre {
 			o.weight *= sameDataCentreWeight
@@ -127,12 +136,45 @@
 		}
 		out = append(out, o)
 	}
+	if c.scarce != nil && len(out) > 0 {
+		if out = c.place(out, now); len(out) == 0 {
+			return nil, max(outcome, someBusy)
+		}
+	}
 	if anyWorking {
 		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
 	}
 	return preferStaying(out), outcome
 }
 
+// place returns the candidates to which the request is sent by its placement. Urgent requests are
+// spread over groups by their shares once requests wait for places: the sooner of two groups would
+// get most requests of all entry instances until these see each other's.
+func (c *call) place(candidates []candidate, now time.Duration) []candidate {
+	mean := 0.0
+	for i := range candidates {
+		mean += candidates[i].room.Share() / float64(len(candidates))
+	}
+	r := c.scarceRequest(now)
+	best := scarcity.Refused
+	for i := range candidates {
+		o := &candidates[i]
+		o.room.ModelShare = mean
+		o.placement = scarcity.Place(r, o.room)
+		best = min(best, o.placement)
+		switch o.placement {
+		case scarcity.Urgent:
+			o.load = o.room.FirstEvent.Seconds()
+			if mean < 1 {
+				o.load, o.weight = 0, o.room.Share()
+			}
+		case scarcity.Deferred:
+			o.load = o.room.DeferredWait.Seconds()
+		}
+	}
+	return slices.DeleteFunc(candidates, func(o candidate) bool { return o.placement != best || best == scarcity.Refused })
+}
+
 // sampleWeighted returns a random candidate, with probabilities in proportion to the
 // weights.
 func sampleWeighted(candidates []candidate) candidate {
@@ -171,7 +213,7 @@
 	c.handler.countRefusal(c)
 	switch outcome {
 	case someBusy:
-		c.refuse(refusal{reason: "all backend servers are busy", retryAfter: busyRetryAfter})
+		c.refuse(refusal{reason: "all backend servers are busy", retryAfter: c.returnAfter(busyRetryAfter)})
 	case someCold:
 		c.refuse(refusal{reason: "all backend servers are cold", retryAfter: busyRetryAfter})
 	case someLimited:
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -57,8 +57,10 @@
 	SharedParts []string
 	// Content identifies the prompt as a whole.
 	Content string
-	// Tokens is the length of the prompt.
+	// Tokens is the length of the prompt, or 0 if it is not known.
 	Tokens uint64
+	// AnswerTokens is the caller's estimate of the tokens of the answer, or 0 if it states none.
+	AnswerTokens int
 }
 
 // traitsOf returns the traits of a request: its content and the shared parts of its prompt.
