gateway: the stop of TestStopBesideSilences follows the arrival of the request

At load average 41 with -race one stop came before its request had been accepted, which was then refused (silences of [2.386s] before segments [1]: 0 attempts).

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -36,7 +36,10 @@
 			cuts[k], silences[k] = random.Intn(segments), time.Duration(900+random.Intn(1600/len(cuts)))*time.Millisecond
 		}
 		slices.Sort(cuts)
+		received := make(chan struct{})
+		receive := sync.OnceFunc(func() { close(received) })
 		s := startRawServer(t, func(c *net.TCPConn, r *http.Request) bool {
+			receive()
 			response := call.segmented(framing, attemptOf(r))
 			begin := 0
 			for k, cut := range cuts {
@@ -49,6 +52,7 @@
 		})
 		h := newRawHarness(t, s, call.kind)
 		requests.Go(func() {
+			defer receive()
 			if _, err := call.do(h, segmentDeadline); err != nil {
 				t.Errorf("seed %d, %s, %s, silences of %v before segments %v: %v", *stopSeed, call.name, framing, silences, cuts, err)
 			}
@@ -57,8 +61,9 @@
 			}
 		})
 		// As the daemon does at SIGTERM.
-		delay := 300*time.Millisecond + time.Duration(random.Intn(3000))*time.Millisecond
+		delay := time.Duration(random.Intn(3000)) * time.Millisecond
 		stops.Go(func() {
+			<-received
 			time.Sleep(delay)
 			h.gateway.SetDraining()
 			ctx, cancel := context.WithTimeout(context.Background(), segmentDeadline)
