Groups that fail all requests give no room to requests under scarcity

What callers got: while one group answered nothing but failures, fresh requests were sent to a full group and came late instead of being refused at once. The mean share of the model's groups decides about them, and the failing group's free places counted in it; only then was it left out. It is left out first now. TestFailingGroupGivesNoRoom failed before (status 200 from the full group instead of 503). Two fields of the line `request` that only served debugging are gone.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -136,14 +136,14 @@
 		}
 		out = append(out, o)
 	}
+	if anyWorking {
+		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
+	}
 	if c.scarce != nil && len(out) > 0 {
 		if out = c.place(out, now); len(out) == 0 {
 			return nil, max(outcome, someBusy)
 		}
 	}
-	if anyWorking {
-		out = slices.DeleteFunc(out, func(o candidate) bool { return o.failsAll })
-	}
 	return preferStaying(out), outcome
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -294,8 +294,6 @@
 	}
 	if c.scarce != nil {
 		f["urgency"], f["placement"], f["priority"], f["age_ms"] = route.UrgencyOf(c.route, c.account), c.scarce.placement.String(), c.scarce.priority, c.scarce.request.Age.Milliseconds()
-		f["goal"] = c.route.LatencyGoal.Milliseconds()
-		f["dl"] = (c.deadline - c.start).Milliseconds()
 	}
 	if c.account != nil {
 		f["account"] = c.account.Name
--- a/forward/scarcity_test.go
+++ b/forward/scarcity_test.go
@@ -24,12 +24,14 @@
 	return route.Compile(c)
 }
 
-func scarceSetup(t *testing.T, peers Peers, s fleet.Server) *testSetup {
+func scarceSetup(t *testing.T, peers Peers, heads ...fleet.Server) *testSetup {
 	t.Helper()
 	r := newTestSetup(t)
 	r.handler.opts.Peers = peers
 	l := fleet.NewList()
-	l.Put(s)
+	for _, s := range heads {
+		l.Put(s)
+	}
 	r.handler.SetView(NewView(unequalRoutes(), l.Snapshot(), nil))
 	return r
 }
@@ -124,3 +126,20 @@
 	}
 	assert.Equal(t, len(lots), 1)
 }
+
+// A group that fails all requests has free places, but is not used while others work. Requests
+// must not be sent to a full group because of those places.
+func TestFailingGroupGivesNoRoom(t *testing.T) {
+	full, failing := startScriptedServer(t, answerStream), startScriptedServer(t, answerStream)
+	peers := &stalePeers{
+		entries: 9, inFlight: func(id ident.InstanceID) int { return map[ident.InstanceID]int{"full": 500}[id] },
+		failureReports: map[ident.InstanceID]int{"failing": 8},
+	}
+	r := scarceSetup(t, peers, full.groupHead("full"), failing.groupHead("failing"))
+	for i := range 20 {
+		resp, _, err := r.do(r.request(http.MethodPost, "/s/1", strconv.Itoa(i), "X-Deadline", "4000"))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(full.requests())+len(failing.requests()), 0)
+}
