Servers that were to leave stay once sizes are no longer chosen

A configuration that takes the bounds of a service's size away left the planner with the servers that were to leave: their groups stayed empty for good. The decisions end with the bounds, the duty and the lease, and the planner is told so. TestServersStayOnceSizesAreFixed failed before.

--- a/edge/sizing.go
+++ b/edge/sizing.go
@@ -27,11 +27,15 @@
 // holder of the lease does, and only if the settings and the configuration ask for it.
 func (n *Node) adjustSizes(now time.Duration) {
 	if !n.settings.Duties.OrdersServers || n.routes == nil || n.handler.View() == nil || !n.holdsLease.Load() {
-		n.sizing = nil
+		n.stopSizing()
 		return
 	}
 	service := n.modelService()
-	if service == nil || service.Scaling == nil || now < n.nextSizeAt {
+	if service == nil || service.Scaling == nil {
+		n.stopSizing()
+		return
+	}
+	if now < n.nextSizeAt {
 		return
 	}
 	n.nextSizeAt = now + sizeInterval
@@ -67,6 +71,20 @@
 	}
 }
 
+// stopSizing ends the decisions about the number of servers. Those that were to leave or to
+// change their model stay as they are.
+func (n *Node) stopSizing() {
+	n.sizing = nil
+	if len(n.leavingServers) > 0 {
+		n.leavingServers = nil
+		n.stepPlanner(formation.Leaving{})
+	}
+	if len(n.reassignedServers) > 0 {
+		n.reassignedServers = nil
+		n.stepPlanner(formation.Reassigned{})
+	}
+}
+
 // sizingInput returns what this instance knows for a decision.
 func (n *Node) sizingInput(service *route.Service) sizing.Input {
 	in := sizing.Input{Service: service, Evacuated: n.evacuated}
--- a/edge/sizing_test.go
+++ b/edge/sizing_test.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushfall/bulrushfall/forward"
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/route"
+	"github.com/bulrushfall/bulrushfall/sizing"
 )
 
 // Guards against orders where the settings or the configuration ask for none, where another
@@ -58,3 +59,18 @@
 		})
 	}
 }
+
+// Guards against groups that stay empty because their servers were to leave when the
+// configuration ceased to let the service's size be chosen.
+func TestServersStayOnceSizesAreFixed(t *testing.T) {
+	n := dutyNode(t, DutySettings{OrdersServers: true}, nil)
+	n.holdsLease.Store(true)
+	n.serverSnapshot = &fleet.Snapshot{}
+	n.routes = route.Compile(route.Config{Services: []route.Service{{Name: "s", Slots: 1, Models: []route.Model{{Name: "m", Size: 2}}}}})
+	n.handler.SetView(forward.NewView(n.routes, n.serverSnapshot, nil))
+	n.sizing = sizing.New(sizing.DefaultConfig())
+	n.leavingServers = map[ident.InstanceID]bool{"i01": true}
+	n.reassignedServers = map[ident.InstanceID]string{"i02": "other"}
+	n.adjustSizes(0)
+	assert.Assert(t, n.sizing == nil && len(n.leavingServers) == 0 && len(n.reassignedServers) == 0)
+}
