--- a/duty/size.go
+++ b/duty/size.go
@@ -21,15 +21,18 @@
 // size is the state of the orders for a subject under the present lease.
 type size struct {
 	subject
-	wanted int
-	reason string
+	wanted   int
+	decision uint64
+	reason   string
 	// sent is true once an order was sent: the last one, for ordered servers, has the sequence
 	// number sequence. settled is true if the platform has done it.
 	sent, settled bool
 	ordered       int
 	sequence      uint64
-	inFlight      bool
-	retry         retry
+	// orderedDecision is the decision of the last order.
+	orderedDecision uint64
+	inFlight        bool
+	retry           retry
 	// unsettledUntil is when the last order without an answer can be done at the latest.
 	unsettledUntil time.Duration
 }
@@ -43,8 +46,8 @@
 	if !ok {
 		m.sizes = slices.Insert(m.sizes, i, &size{subject: k})
 	}
-	if s := m.sizes[i]; !ok || e.Servers != s.wanted {
-		s.wanted, s.reason = e.Servers, e.Reason
+	if s := m.sizes[i]; !ok || e.Servers != s.wanted || e.Decision != s.decision {
+		s.wanted, s.decision, s.reason = e.Servers, e.Decision, e.Reason
 	}
 }
 
@@ -54,14 +57,14 @@
 		return nil
 	}
 	for _, s := range m.sizes {
-		if s.inFlight || now < s.retry.at || (s.sent && s.settled && s.ordered == s.wanted) {
+		if s.inFlight || now < s.retry.at || (s.sent && s.settled && s.ordered == s.wanted && s.orderedDecision == s.decision) {
 			continue
 		}
 		if s.sent && s.ordered != s.wanted && m.fences(s) {
 			// An order without an answer is refused if it comes after this one.
 			s.sequence++
 		}
-		s.sent, s.settled, s.inFlight, s.ordered = true, false, true, s.wanted
+		s.sent, s.settled, s.inFlight, s.ordered, s.orderedDecision = true, false, true, s.wanted, s.decision
 		return &call{size: s, Call: Call{
 			Kind: OrderServers, Token: m.token(s.sequence),
 			Service: s.service, DataCentre: s.dataCentre, Servers: s.wanted, Reason: s.reason,
--- a/forward/call.go
+++ b/forward/call.go
@@ -51,6 +51,8 @@
 	prompt     Prompt
 	// traits is what the request may have in common with others.
 	traits []quarantine.Trait
+	// scarce is nil unless the service defers requests.
+	scarce *scarce
 	// body is the request body, which bodyHold counts.
 	body     []byte
 	bodyHold hold
@@ -71,6 +73,8 @@
 	runCounted bool
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
+	// eventsSent is true once the caller has received an event.
+	eventsSent bool
 	// steps describe the failed attempts, for the log.
 	steps []string
 	// longestDelay is the longest time by which a wait of the request ended late.
@@ -126,6 +130,7 @@
 	}
 	c.traits = c.traitsOf(c.prompt)
 	h.countRequest(c)
+	c.classify()
 	return c, 0
 }
 
@@ -198,6 +203,9 @@
 	if c.account != nil {
 		writeHeader(&b, names.Account, string(c.account.Name))
 	}
+	if c.scarce != nil {
+		writeHeader(&b, names.Priority, c.scarce.priorityHeader())
+	}
 	if c.lastEventID != "" {
 		writeHeader(&b, headerLastEvent, c.lastEventID)
 	}
@@ -284,6 +292,11 @@
 		f["route"], f["service"], f["model"] = c.route.Name, c.service, c.model
 		f["config_version"] = c.view.Routes.Version
 	}
+	if c.scarce != nil {
+		f["urgency"], f["placement"], f["priority"], f["age_ms"] = route.UrgencyOf(c.route, c.account), c.scarce.placement.String(), c.scarce.priority, c.scarce.request.Age.Milliseconds()
+		f["goal"] = c.route.LatencyGoal.Milliseconds()
+		f["dl"] = (c.deadline - c.start).Milliseconds()
+	}
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
--- a/forward/demand.go
+++ b/forward/demand.go
@@ -8,7 +8,11 @@
 
 // demand counts the requests for a model, those of them that were refused because no group
 // had capacity, and the prompt tokens of all.
-type demand struct{ requests, refused, promptTokens uint64 }
+type demand struct {
+	requests, refused, promptTokens uint64
+	// goal and gap are the shortest expected times of the requests' routes.
+	goal, gap time.Duration
+}
 
 // countRun counts the request once a backend server has begun to run it, some time ago. A run
 // after a retry or for the rest of a stream is not counted again: usage is counted by request.
@@ -51,6 +55,7 @@
 	if d := h.demandFor(c); d != nil {
 		d.requests++
 		d.promptTokens += c.prompt.Tokens
+		d.recordGoals(c.route)
 	}
 }
 
