Usage tests of edge have a loopback network of their own

127.77.42.0 is that of a cluster of TestSilentGroupAnswersItsStreams. The tests failed with "address already in use" beside another run of the package.

--- a/edge/activity_test.go
+++ b/edge/activity_test.go
@@ -32,7 +32,7 @@
 	n.collectActivity(time.Hour)
 	assert.Assert(t, n.activity == nil && n.nextCollectAt == 0 && n.modelActivity() == nil)
 
-	l, err := net.Listen("tcp", "127.77.42.1:8004")
+	l, err := net.Listen("tcp", "127.77.142.1:8004")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	go func() { _ = n.newPeerNode().Serve(l) }()
@@ -47,7 +47,7 @@
 	s := DutySettings{Address: "platform", CallRate: 1, ReportsUsage: true, UsageWindow: time.Second, UsageDelay: 10 * time.Second, UsageTolerance: 0.05}
 	relay, n := dutyNode(t, s, nil), dutyNode(t, s, nil)
 	relay.settings.Instance, relay.self.Instance, relay.settings.DataCentre = "entry-9", "entry-9", "b"
-	l, err := net.Listen("tcp", "127.77.42.2:8004")
+	l, err := net.Listen("tcp", "127.77.142.2:8004")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	go func() { _ = relay.newPeerNode().Serve(l) }()
@@ -73,7 +73,7 @@
 
 	n.collectActivity(time.Hour)
 	assert.Equal(t, n.nextCollectAt, time.Duration(0))
-	n.collectFrom(beacon.Peer{Instance: "entry-9", Address: netip.MustParseAddr("127.77.42.2")})
+	n.collectFrom(beacon.Peer{Instance: "entry-9", Address: netip.MustParseAddr("127.77.142.2")})
 	n.collect(time.Hour, map[ident.DataCentre]int{"a": 1, "b": 2})
 	counts := make(map[int64]activity.Result)
 	for len(n.events) > 0 {
