--- a/formation/form.go
+++ b/formation/form.go
@@ -34,7 +34,7 @@
 	index := make(map[ident.Domain]int)
 	var out []domain
 	for _, s := range p.servers.Servers {
-		if s.Service != p.service.Name || s.Draining {
+		if s.Service != p.service.Name || p.leaves(s) {
 			continue
 		}
 		i, ok := index[s.Domain]
@@ -155,7 +155,7 @@
 // isIdle reports whether a server can be used for a group. A server whose entry still
 // names a group cannot.
 func (p *Planner) isIdle(s *fleet.Server) bool {
-	return s.Service == p.service.Name && s.State == fleet.NoGroup && !s.Draining &&
+	return s.Service == p.service.Name && s.State == fleet.NoGroup && !p.leaves(s) &&
 		!slices.Contains(p.evacuated, s.DataCentre) && !p.isDead(s.ID, s.Incarnation)
 }
 
@@ -185,7 +185,7 @@
 	assigned := p.assignedServers()
 	var out []Member
 	for _, s := range p.servers.Servers {
-		if len(out) < count && (g.Domain == "" || s.Domain == g.Domain) && p.isIdle(s) && assigned[s.ID] == nil && s.HasStaged(g.Model) {
+		if len(out) < count && (g.Domain == "" || s.Domain == g.Domain) && p.isIdle(s) && assigned[s.ID] == nil && p.holds(s, g.Model) {
 			out = append(out, Member{ID: s.ID, Incarnation: s.Incarnation})
 		}
 	}
@@ -291,7 +291,7 @@
 			continue
 		}
 		slices.SortStableFunc(best, func(a, b *fleet.Server) int {
-			return cmp.Compare(stagedRank(a, m.Name), stagedRank(b, m.Name))
+			return p.compareForGroup(a, b, m.Name)
 		})
 		return m.Model, best[:m.Size], true
 	}
@@ -307,7 +307,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(d.idle), func(s *fleet.Server) bool {
 		_, staging := p.stagingLoads[s.ID]
-		return !s.HasStaged(m.Name) && (p.trafficStarted || staging)
+		return !p.holds(s, m.Name) && (p.trafficStarted || staging)
 	})
 }
 
