--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -483,8 +483,8 @@
 
 // grow orders servers for the groups that are missing.
 func (p *Planner) grow(now time.Duration, in *Input) []Order {
-	if now-p.startedAt < p.cfg.SettleTime {
-		return nil
+	if now-p.startedAt < p.LeadTime(in.Service)/2 {
+		return nil // A new holder cannot tell servers that will return from lost ones.
 	}
 	missing, reasons := 0, []string(nil)
 	for _, n := range p.needed {
