--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -69,7 +69,8 @@
 	// FormTime is the time from loaded weights until a group serves.
 	FormTime time.Duration
 	// SettleTime is how long after its first step, and after an order, a Planner does not
-	// shrink. It covers the update of the list and of the demand.
+	// SettleTime is how long after a decision a Planner gives up nothing more. It covers the update
+	// of the list and of the demand.
 	SettleTime time.Duration
 	// EmptyTime is how long the groups of leaving servers may take to finish their requests.
 	EmptyTime time.Duration
@@ -86,8 +87,8 @@
 
 const (
 	// shortHistoryMargin is the part of the demand that is added while demand was measured for
-	// a short time only, and may grow to. It falls to 0 over the time in which servers
-	// can be had, because by then a change of the demand is answered by orders.
+	// a short time only. It falls to minMargin over the lead time, because by then a change of
+	// the demand is answered by orders.
 	shortHistoryMargin = 0.25
 	// maxGrowth bounds the expected growth of the demand. A jump is not taken for a trend that
 	// lasts.
