--- a/forward/backend.go
+++ b/forward/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
+	"github.com/bulrushfall/bulrushfall/forecast"
 	"github.com/bulrushfall/bulrushfall/ident"
 )
 
@@ -32,9 +33,13 @@
 	incarnation ident.Incarnation
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Backend is the state that this entry instance keeps of one run of a backend server.
 type Backend struct {
 	key      backendKey
+	dial     DialFunc
 	inFlight atomic.Int32
 	// lastReceived is when the server last sent data.
 	lastReceived atomic.Int64
@@ -43,6 +48,16 @@
 	lastFailureAt, lastAnswerAt atomic.Int64
 
 	eventGaps gapAverage
+	// deferredID names deferred among the loads that entry instances send each other.
+	deferredID ident.InstanceID
+	// unanswered counts the requests that wait for their first event, unansweredTokens their
+	// prompt tokens, and deferred those of them that run behind all others. They are counted
+	// only for services that defer requests.
+	unanswered, deferred atomic.Int32
+	unansweredTokens     atomic.Int64
+	// paceMu guards pace, the pace of the group relative to the forecast.
+	paceMu sync.Mutex
+	pace   forecast.Pace
 	// stalledUntil is the end of a pause because the group made no progress. Data from
 	// the group ends it.
 	stalledUntil atomic.Int64
@@ -65,7 +80,7 @@
 	defer h.mu.Unlock()
 	b, ok := h.backends[key]
 	if !ok {
-		b = &Backend{key: key}
+		b = &Backend{key: key, dial: h.opts.Dial, deferredID: deferredKey(s.ID)}
 		h.backends[key] = b
 	}
 	return b
@@ -78,6 +93,9 @@
 	for key, b := range h.backends {
 		if n := b.inFlight.Load(); n > 0 {
 			visit(key.id, int(n))
+			if n := b.deferred.Load(); n > 0 {
+				visit(b.deferredID, int(n))
+			}
 		}
 	}
 }
@@ -191,8 +209,7 @@
 		}
 		c.close()
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := b.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -58,8 +57,10 @@
 	SharedParts []string
 	// Content identifies the prompt as a whole.
 	Content string
-	// Tokens is the length of the prompt.
+	// Tokens is the length of the prompt, or 0 if it is not known.
 	Tokens uint64
+	// AnswerTokens is the caller's estimate of the tokens of the answer, or 0 if it states none.
+	AnswerTokens int
 }
 
 // traitsOf returns the traits of a request: its content and the shared parts of its prompt.
@@ -160,8 +161,7 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := h.opts.Dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -100,6 +101,8 @@
 	// HeldBytes limits the memory of the request and response bodies that are held. 0 means no
 	// limit.
 	HeldBytes int64
+	// Dial, if not nil, opens the connections to backend servers.
+	Dial DialFunc
 	// Prompt, if not nil, describes a request's prompt.
 	Prompt func(http.Header) Prompt
 	// ConfigCurrent, if not nil, reports whether requests may be decided by the view's
@@ -128,9 +131,10 @@
 	crashes  *crashes
 	limits   *limits
 	// departures are the backend servers that get no new requests because they leave.
-	departures *departures
-	pauses     *requestedPauses
-	memory     *memory
+	departures   *departures
+	pauses       *requestedPauses
+	memory       *memory
+	observations *observations
 
 	mu          sync.Mutex
 	backends    map[backendKey]*Backend
@@ -141,16 +145,20 @@
 // New returns a handler without a view. It refuses all requests until SetView is
 // called.
 func New(opts Options) *Handler {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	}
 	return &Handler{
-		opts:        opts,
-		crashes:     newCrashes(),
-		limits:      newLimits(),
-		departures:  newDepartures(opts.DrainTime),
-		pauses:      newRequestedPauses(),
-		memory:      newMemory(opts.HeldBytes, opts.Metrics),
-		backends:    make(map[backendKey]*Backend),
-		demands:     make(map[modelKey]*demand),
-		retryBudget: admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
+		opts:         opts,
+		crashes:      newCrashes(),
+		limits:       newLimits(),
+		departures:   newDepartures(opts.DrainTime),
+		pauses:       newRequestedPauses(),
+		memory:       newMemory(opts.HeldBytes, opts.Metrics),
+		observations: newObservations(),
+		backends:     make(map[backendKey]*Backend),
+		demands:      make(map[modelKey]*demand),
+		retryBudget:  admission.NewSharedRetryBudget(opts.RetryRatio, opts.RetrySlack, opts.RetryWindow),
 	}
 }
 
@@ -170,6 +178,7 @@
 func (h *Handler) SetView(v *View) {
 	h.view.Store(v)
 	h.departures.updateList(h.opts.Now(), v)
+	h.observations.forget(v)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, b := range h.backends {
