--- a/sizing/sizing.go
+++ b/sizing/sizing.go
@@ -68,7 +68,6 @@
 type Config struct {
 	// FormTime is the time from loaded weights until a group serves.
 	FormTime time.Duration
-	// SettleTime is how long after its first step, and after an order, a Planner does not
 	// SettleTime is how long after a decision a Planner gives up nothing more. It covers the update
 	// of the list and of the demand.
 	SettleTime time.Duration
