--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*environment) (int, error){
 	"deadline": deadlineCase,
 	"leave":    leaveCase,
+	"poison":   poisonCase,
 	"extra":    extraCase,
 	"crash":    crashCase,
 }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -42,6 +42,9 @@
 	mu       sync.Mutex
 	busy     int
 	sequence int
+	listener net.Listener
+	conns    map[net.Conn]bool
+	down     bool
 }
 
 // channel is a channel to a worker.
@@ -63,46 +66,110 @@
 	}
 	w := &worker{
 		all: all, index: len(all.list), id: id, service: service, zone: zone, slots: slots,
-		born: time.Now().UnixMilli(), address: l.Addr().String(), handle: handle,
+		born: time.Now().UnixMilli(), address: l.Addr().String(), handle: handle, conns: make(map[net.Conn]bool),
 	}
 	all.list = append(all.list, w)
+	w.accept(l)
+	w.ping()
+	go func() {
+		for {
+			time.Sleep(heartbeat)
+			w.ping()
+		}
+	}()
+	return w, nil
+}
+
+// accept serves the channels of a listener.
+func (w *worker) accept(l net.Listener) {
+	w.mu.Lock()
+	w.listener = l
+	w.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go w.serve(c)
+			w.mu.Lock()
+			w.conns[c] = true
+			w.mu.Unlock()
+			go func() {
+				w.serve(c)
+				w.mu.Lock()
+				delete(w.conns, c)
+				w.mu.Unlock()
+			}()
 		}
 	}()
-	w.ping()
-	go func() {
-		for {
-			time.Sleep(heartbeat)
-			w.ping()
+}
+
+// crash ends a life of the worker: its listener and its channels are closed. After a time it starts again
+// at the same address under another id.
+// It reports whether the life has ended by this call.
+func (w *worker) crash(life string, after time.Duration, id string) bool {
+	w.mu.Lock()
+	former := w.id
+	if w.down || former != life {
+		w.mu.Unlock()
+		return false
+	}
+	w.down = true
+	w.listener.Close()
+	for c := range w.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	w.mu.Unlock()
+	w.all.rec.logf("worker %s crashes", former)
+	time.AfterFunc(3*heartbeat, func() { w.all.store.remove("servers", former) })
+	time.AfterFunc(after, func() {
+		l, err := net.Listen("tcp", w.address)
+		if err != nil {
+			w.all.rec.say("worker %s can't start again: %v", id, err)
+			return
 		}
-	}()
-	return w, nil
+		w.mu.Lock()
+		w.id, w.born, w.busy, w.sequence, w.down, w.conns = id, time.Now().UnixMilli(), 0, 0, false, make(map[net.Conn]bool)
+		w.mu.Unlock()
+		w.all.rec.logf("worker %s starts in place of %s", id, former)
+		w.accept(l)
+		w.ping()
+	})
+	return true
+}
+
+// ID returns the id of the worker's present life.
+func (w *worker) ID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
 }
 
 // ping writes the worker's entry.
 func (w *worker) ping() {
 	w.mu.Lock()
+	if w.down {
+		w.mu.Unlock()
+		return
+	}
 	w.sequence++
 	entry := map[string]any{
 		"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": w.slots,
 		"State": "ready", "ColdLeftMs": 0, "Sequence": w.sequence, "born": w.born,
 	}
+	id := w.id
 	w.mu.Unlock()
-	w.all.store.put("servers", w.id, entry)
+	w.all.store.put("servers", id, entry)
 }
 
 // recordRun records that the worker has begun to work on a request.
 func (w *worker) recordRun(id string) {
+	life := w.ID()
 	w.all.mu.Lock()
-	w.all.runs[id] = append(w.all.runs[id], run{w.id, id, w.all.rec.now()})
+	w.all.runs[id] = append(w.all.runs[id], run{life, id, w.all.rec.now()})
 	w.all.mu.Unlock()
-	w.all.rec.logf("worker %s runs %s", w.id, id)
+	w.all.rec.logf("worker %s runs %s", life, id)
 }
 
 // runsOf returns the runs of a request.
@@ -131,6 +198,7 @@
 
 func (w *worker) serve(conn net.Conn) {
 	defer conn.Close()
+	life := w.ID()
 	c := &channel{Conn: conn}
 	br := bufio.NewReader(conn)
 	for {
@@ -151,10 +219,10 @@
 		id := r.Header.Get("Request-Id")
 		switch {
 		case r.URL.Path == "/healthz":
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", life)
 			continue
-		case r.Header.Get("Expect-Instance") != w.id:
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, w.id)
+		case r.Header.Get("Expect-Instance") != life:
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, life)
 			continue
 		}
 		if !w.take() {
@@ -164,7 +232,9 @@
 		}
 		w.recordRun(id)
 		keep := w.handle(w, c, r, body)
-		w.release()
+		if w.ID() == life {
+			w.release()
+		}
 		if !keep {
 			return
 		}
