--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,12 +25,14 @@
 	workers *workers
 	sys     *system
 	trouble bool
+	// spares is the number of machines that may be added.
+	spares int
 }
 
 var cases = map[string]func(*environment) (int, error){
 	"deadline": deadlineCase,
 	"leave":    leaveCase,
-	"poison":   poisonCase,
+	"machines": machinesCase,
 	"extra":    extraCase,
 	"crash":    crashCase,
 }
@@ -108,7 +110,7 @@
 		"Tenants": []map[string]any{{"Name": "hule930", "ApiKeys": []string{tenantKey}}},
 	})
 	var err error
-	e.sys, err = startSystem(e.rec, e.dir, e.store, n)
+	e.sys, err = startSystem(e.rec, e.dir, e.store, n, e.spares)
 	return err
 }
 
