--- a/review/standin-2/case_crash.go
+++ b/review/standin-2/case_crash.go
@@ -77,6 +77,7 @@
 	born              int64
 	cmd               *exec.Cmd
 	alive             bool
+	active            int // streams that it has begun to run and not ended
 }
 
 // crashCase: workers whose answers end with their channels crash.
@@ -113,11 +114,14 @@
 		go func() {
 			for lines.Scan() {
 				e.rec.logf("worker %s: %s", id, lines.Text())
+				mu.Lock()
 				if request, ok := strings.CutPrefix(lines.Text(), "run "); ok {
-					mu.Lock()
 					runs[request] = append(runs[request], id)
-					mu.Unlock()
+					w.active++
+				} else {
+					w.active--
 				}
+				mu.Unlock()
 			}
 		}()
 		go func() {
@@ -185,8 +189,13 @@
 	for n := 0; time.Since(begin) < 10*time.Second; n++ {
 		if e.trouble && !crashed && time.Since(begin) >= 3*time.Second {
 			crashed = true
-			w := all[0]
 			mu.Lock()
+			w := all[0]
+			for _, o := range all {
+				if o.active > w.active {
+					w = o
+				}
+			}
 			w.alive = false
 			mu.Unlock()
 			e.rec.logf("worker %s crashes: SIGKILL to its process %d", w.id, w.cmd.Process.Pid)
--- a/review/standin-2/case_leave.go
+++ b/review/standin-2/case_leave.go
@@ -49,8 +49,10 @@
 			return failed, err
 		}
 	}
-	routes := []map[string]any{{"Name": "r-draft", "Host": "desk.example", "Prefix": "/draft/", "Kind": "streaming", "TimeoutMs": 8000, "GoalMs": 300, "Priority": 1, "Service": "draft-desk", "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": true, "GapAimMs": 300},
-		{"Name": "r-order", "Host": "desk.example", "Prefix": "/order/", "Kind": "non_idempotent", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 0, "Service": "draft-desk", "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": false, "GapAimMs": 0}}
+	routes := []map[string]any{
+		{"Name": "r-draft", "Host": "desk.example", "Prefix": "/draft/", "Kind": "streaming", "TimeoutMs": 8000, "GoalMs": 300, "Priority": 1, "Service": "draft-desk", "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": true, "GapAimMs": 300},
+		{"Name": "r-order", "Host": "desk.example", "Prefix": "/order/", "Kind": "non_idempotent", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 0, "Service": "draft-desk", "MaxAttempts": 2, "Public": false, "Sticky": false, "Resumable": false, "GapAimMs": 0},
+	}
 	if err := e.start(3, routes, []map[string]any{plainService("draft-desk", 334)}); err != nil {
 		return failed, err
 	}
