A response whose header has a malformed field name is no answer

What callers saw: an answer (status 200) of a backend server in trouble in whose head the name of a field held a blank. With "Transfer-Encoding : chunked" its body held the sizes of the chunks; with " Content-Length: 6" the line was passed on inside the header before it, for example the server's proof. Orders, look-ups and streams, and the product's own path (streams, completions, plain calls, status of engines).

Cause: headScanner only looked for a colon after the first byte of a line. http.ReadResponse, which parses the head, takes spaces for a part of a name, so that such a field is unknown to it (Content-Length, Transfer-Encoding), and joins a line that begins with a blank to the one before it.

Why this works: every answer of backend servers and engines on both request paths is read by httpconn.Conn, whose scanner now requires that each line begins with a token and a colon, before the whole head has arrived. The request then fails like one with any other bytes that are no response: repeated where its route allows that, otherwise 502. RFC 9112, section 5.2, lets a gateway reject continued lines, which cannot be told from a damaged name.

--- a/internal/httpconn/decoder.go
+++ b/internal/httpconn/decoder.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -16,8 +17,12 @@
 	skipped int
 }
 
-// statusLinePrefix begins each status line.
-var statusLinePrefix = []byte("HTTP/1.")
+var (
+	// statusLinePrefix begins each status line.
+	statusLinePrefix = []byte("HTTP/1.")
+	// colon ends each field name.
+	colon = []byte(":")
+)
 
 // scan returns the length of the head at the start of b, or 0 if more bytes have to arrive. The
 // bytes of an earlier call must still be at the start of b. Lines that cannot belong to a response
@@ -42,8 +47,8 @@
 		case s.lines == 1:
 		case len(line) == 0:
 			return s.lineStart, nil
-		case line[0] != ' ' && line[0] != '\t' && bytes.IndexByte(line, ':') <= 0:
-			return 0, errors.Wrapf(ErrMalformed, "header line %.40q has no field name", line)
+		case !startsWithFieldName(line):
+			return 0, errors.Wrapf(ErrMalformed, "header line %.40q does not begin with a valid field name", line)
 		}
 	}
 	if len(b)+s.skipped >= MaxHeaderBytes {
@@ -52,6 +57,26 @@
 	return 0, nil
 }
 
+// startsWithFieldName reports whether a header line begins with a field name and a colon. A line that
+// begins with a blank does not: whether it continues the line before it or its name is damaged
+// cannot be told, and RFC 9112, section 5.2, allows a gateway to reject both.
+func startsWithFieldName(line []byte) bool {
+	name, _, found := bytes.Cut(line, colon)
+	return found && isToken(name)
+}
+
+// isToken reports whether b is a token of RFC 9110, section 5.6.2, as field names are.
+// net/http accepts names that contain spaces.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		isAlphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
 // skip prepares for the head after an informational response.
 func (s *headScanner) skip() { *s = headScanner{skipped: s.skipped + s.lineStart} }
 
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/standin/malformed"
 )
 
 // piecewise is a connection on which each Read returns one piece, or the deadline between two of
@@ -142,6 +145,19 @@
 		_, _, err := readPieces(New(&piecewise{pieces: []string{text}, end: errors.New("waits for more bytes")}, 64))
 		assert.ErrorIs(t, err, ErrMalformed, "%.100q", text)
 	}
+	const header = "A: b\r\n"
+	heads := malformed.StatusZero(header, "body")
+	maps.Copy(heads, malformed.FieldNames(header, "body"))
+	for name, text := range heads {
+		var single []string
+		for i := range len(text) {
+			single = append(single, text[i:i+1])
+		}
+		for _, pieces := range [][]string{{text}, single} {
+			_, _, err := readPieces(New(&piecewise{pieces: pieces, end: io.EOF}, 64))
+			assert.ErrorIs(t, err, ErrMalformed, name)
+		}
+	}
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", MaxHeaderBytes), "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", MaxHeaderBytes/6+1),
 		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", MaxHeaderBytes/25+1),
