A request is not sent again after a response with the status 000

What backend servers saw: a GET of a plain service ran twice within one attempt when a server in trouble answered the first one with the status 000 and no body on a reused connection; the caller got the answer of the second run. Polls of an engine's status were sent twice as well. Callers never got the status 000 itself: ReadHead refused it.

Cause: ReadHead refused the status after it had taken the head out of the buffer. gateway and engine take an empty buffer after a failed read for a connection that the server had closed while it was idle, and send once more.

Evidence: gateway TestReusedPlainConnectionEnds/malformed_answer (the call succeeded, 3 requests instead of 2) and engine TestMalformedStatusOnReusedConnection (no error) failed before and pass now.

Why this works: the status is looked at before the head is taken out of the buffer, so that the buffer shows that a response has arrived, as with every other malformed one.

--- a/engine/malformed_head_test.go
+++ b/engine/malformed_head_test.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +41,23 @@
 		})
 	}
 }
+
+// TestMalformedStatusOnReusedConnection guards against a poll that is sent again after a malformed
+// response, as after a connection that the engine had closed before.
+func TestMalformedStatusOnReusedConnection(t *testing.T) {
+	var requests atomic.Int32
+	target, _ := startRawLeader(t, func(c net.Conn, _ *http.Request) bool {
+		if requests.Add(1) == 2 {
+			_, _ = io.WriteString(c, "HTTP/1.1 000 Failure\r\nContent-Length: 0\r\n\r\n")
+			return false
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(statusBody), statusBody)
+		return true
+	})
+	c := NewControl()
+	_, err := c.Status(t.Context(), target.Address)
+	assert.NilError(t, err)
+	_, err = c.Status(t.Context(), target.Address)
+	assert.ErrorContains(t, err, "malformed")
+	assert.Equal(t, requests.Load(), int32(2))
+}
--- a/gateway/plain_conn_test.go
+++ b/gateway/plain_conn_test.go
@@ -73,6 +73,7 @@
 	}{
 		{"no answer", true, "", 3, true},
 		{"part of an answer", true, "HTTP/1.1 20", 2, false},
+		{"malformed answer", true, "HTTP/1.1 000 Failure\r\nContent-Length: 0\r\n\r\n", 2, false},
 		{"not idempotent", false, "", 2, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -186,8 +186,9 @@
 
 // ReadHead decodes the status line and header of the response to a request. A nil request
 // stands for a GET request. It returns ErrIncomplete if more bytes have to arrive. Informational
-// responses are skipped. Until the body has been read to its end, ReadHead must not be called
-// again. The Body of the response reads it with waits that end at the connection's read deadline.
+// responses are skipped, and a malformed one stays buffered. Until the body has been read to its
+// end, ReadHead must not be called again. The Body of the response reads it with waits that end at
+// the connection's read deadline.
 func (c *Conn) ReadHead(to *http.Request) (*http.Response, error) {
 	for {
 		n, err := c.head.scan(c.buf[c.start:c.end])
@@ -201,10 +202,10 @@
 		if err != nil {
 			return nil, err
 		}
-		c.start += n
 		if resp.StatusCode < http.StatusContinue {
-			return nil, errors.Wrapf(ErrMalformed, "status %d", resp.StatusCode)
+			return nil, errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 		}
+		c.start += n
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			c.head.skip()
 			continue
