A malformed response to an order, a command or a call of the platform is no answer

What operators would see: an order to a backend server, a command to an engine, a call of a duty or a transaction counts as done although nothing valid was answered, when the name of a field of the response's head holds a blank. A command with the status 000 counted as done too, and a call of a duty with the status 000 as rejected, although the platform may carry it out. No answer for callers is read on these connections.

TestTransportAfterMalformedResponse fails without CloseIdleConnections.

Why this works: httpconn.Transport looks at the status and the names of each response and returns ErrMalformed. Every one of these clients takes an error for an unknown outcome. Lines that begin with a blank still continue the line before them, because net/http has joined them; of the headers, these clients read Store-Era, ETag and the framing: the era and the framing of such a response fail to parse, an ETag that differs only makes the list be read again.

--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/bulrushfall/bulrushfall/ident"
 	"github.com/bulrushfall/bulrushfall/internal/dial"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 )
 
 // Limits of the control client.
@@ -52,7 +53,7 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
 	}
-	return &Control{http: &http.Client{Transport: transport}, transport: transport, poller: newPoller()}
+	return &Control{http: &http.Client{Transport: httpconn.Transport{Transport: transport}}, transport: transport, poller: newPoller()}
 }
 
 // DialFrom sets the local address of connections. Call it before the first
--- a/engine/malformed_head_test.go
+++ b/engine/malformed_head_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,9 +16,7 @@
 // malformedResponses returns malformed responses with a header line and a body.
 func malformedResponses(body string) map[string]string {
 	const header = "Content-Type: application/json\r\n"
-	responses := malformed.StatusZero(header, body)
-	maps.Copy(responses, malformed.FieldNames(header, body))
-	return responses
+	return malformed.All(header, body)
 }
 
 // TestMalformedStatus guards against the status of an engine that is taken from a malformed response,
@@ -61,3 +58,17 @@
 	assert.ErrorContains(t, err, "malformed")
 	assert.Equal(t, requests.Load(), int32(2))
 }
+
+// TestMalformedCommandResponse guards against a command that counts as done or refused after a
+// malformed response.
+func TestMalformedCommandResponse(t *testing.T) {
+	for name, response := range malformed.Heads("Content-Type: application/json\r\n", "{}") {
+		t.Run(name, func(t *testing.T) {
+			l, err := malformed.Listen(response)
+			assert.NilError(t, err)
+			t.Cleanup(func() { assert.NilError(t, l.Close()) })
+			err = NewControl().Assign(t.Context(), l.Addr().String(), AssignCommand{})
+			assert.ErrorIs(t, err, ErrCommandOutcomeUnknown)
+		})
+	}
+}
--- a/forward/malformed_head_test.go
+++ b/forward/malformed_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -17,9 +16,7 @@
 func TestMalformedHead(t *testing.T) {
 	header := "X-Request: id-1\r\nX-Proof: p\r\n"
 	for path, body := range map[string]string{"/long-o/": "answer", "/long-l/": "answer", "/c/": events(1, 2), "/s/": events(1, 2)} {
-		responses := malformed.StatusZero(header, body)
-		maps.Copy(responses, malformed.FieldNames(header, body))
-		for name, response := range responses {
+		for name, response := range malformed.All(header, body) {
 			t.Run(name+path, func(t *testing.T) {
 				t.Parallel()
 				checkMalformedHead(t, path, response, body)
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -21,9 +20,7 @@
 	if c.kind == service.KindModel {
 		_, body, _ = strings.Cut(c.segmented("length", attempt).after(0), "\r\n\r\n")
 	}
-	responses := malformed.StatusZero(header, body)
-	maps.Copy(responses, malformed.FieldNames(header, body))
-	return responses
+	return malformed.All(header, body)
 }
 
 // TestMalformedHead guards against a malformed response that reaches the caller as an answer, and
--- a/infra/client.go
+++ b/infra/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bulrushfall/bulrushfall/internal/dial"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 )
 
 // Limits of the client.
@@ -77,7 +78,7 @@
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: requestTimeout,
 	}
-	return &Client{base: base, http: &http.Client{Transport: transport}, transport: transport}
+	return &Client{base: base, http: &http.Client{Transport: httpconn.Transport{Transport: transport}}, transport: transport}
 }
 
 // DialFrom sets the local address of connections. Call it before the first
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -202,8 +202,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusContinue {
-			return nil, errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
+		if err := checkStatus(resp); err != nil {
+			return nil, err
 		}
 		c.start += n
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -146,9 +145,7 @@
 		assert.ErrorIs(t, err, ErrMalformed, "%.100q", text)
 	}
 	const header = "A: b\r\n"
-	heads := malformed.StatusZero(header, "body")
-	maps.Copy(heads, malformed.FieldNames(header, "body"))
-	for name, text := range heads {
+	for name, text := range malformed.All(header, "body") {
 		var single []string
 		for i := range len(text) {
 			single = append(single, text[i:i+1])
--- /dev/null
+++ b/internal/httpconn/transport.go
@@ -0,0 +1,48 @@
+package httpconn
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Transport is an http.Transport that returns ErrMalformed for responses that net/http accepts
+// although their status or the name of a header field is invalid. Lines that begin with a blank
+// cannot be recognized, because net/http joins them to the value of the field before.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close()
+		// After a response without a body the connection is idle already.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// checkHead returns an error if the status or the name of a header field is invalid.
+func checkHead(resp *http.Response) error {
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
+	for name := range resp.Header {
+		if !isToken([]byte(name)) {
+			return errors.Wrapf(ErrMalformed, "field name %.40q", name)
+		}
+	}
+	return nil
+}
+
+// checkStatus returns an error if the status is invalid.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue {
+		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpconn/transport_test.go
@@ -0,0 +1,65 @@
+package httpconn
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bulrushfall/bulrushfall/standin/malformed"
+)
+
+// TestTransport guards against a malformed response that net/http accepts.
+func TestTransport(t *testing.T) {
+	client := &http.Client{Transport: Transport{&http.Transport{}}}
+	get := func(response string) error {
+		l, err := malformed.Listen(response)
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, l.Close()) }()
+		resp, err := client.Get("http://" + l.Addr().String())
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	for name, response := range malformed.Heads("A: b\r\n", "body") {
+		assert.ErrorContains(t, get(response), "malformed", name)
+	}
+	for response := range wholeResponses {
+		assert.NilError(t, get(response), response)
+	}
+}
+
+// TestTransportAfterMalformedResponse guards against a connection that carries another request
+// after a malformed response.
+func TestTransportAfterMalformedResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	conns := make(chan net.Conn, 2)
+	go func() {
+		for _, line := range []string{"X Extra: a", "X-Extra: a"} {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 0\r\n\r\n", line)
+		}
+	}()
+	url := "http://" + l.Addr().String()
+	client := &http.Client{Transport: Transport{&http.Transport{}}, Timeout: 5 * time.Second}
+	_, err = client.Get(url)
+	assert.ErrorIs(t, err, ErrMalformed)
+	resp, err := client.Get(url)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	for range 2 {
+		assert.NilError(t, (<-conns).Close())
+	}
+}
