The load tool counts malformed responses as failed

What users of the load tool saw: an order that was answered with the status 000, or with a head in which the name of a field holds a blank, counted as answered, so that a measurement could not show such answers.

Cause: the tool takes each status below 300 for an answer, and reads responses with http.Transport.

Why this works: the tool reads responses through httpconn.Transport, which returns an error for them.

--- a/load/caller.go
+++ b/load/caller.go
@@ -20,6 +20,7 @@
 	"github.com/bulrushfall/bulrushfall/engine"
 	"github.com/bulrushfall/bulrushfall/gateway"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/httpconn"
 	standin "github.com/bulrushfall/bulrushfall/standin/engine"
 )
 
@@ -79,7 +80,7 @@
 		seeds: seeds,
 		http: &http.Client{
 			Timeout:   requestTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second},
+			Transport: httpconn.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}},
 		},
 	}
 }
