A response with the status 101 is no answer

What callers saw: a plain call on the product's own path got the status 101 of a backend server in trouble as its answer. A command to an engine counted as done, a call of a duty as rejected and an order of the load tool as answered. On the users' platform the request path refused the status already.

Cause: the readers of responses took a status below 200 that is not informational for an answer; 000 was one of them, 101 the other.

Evidence: "status 101" of TestMalformedHead failed in gateway (GET and POST), platform and load, of TestMalformedStatus and TestMalformedCommandResponse in engine, of TestMalformedResponse and TestTransport in httpconn. It passed in forward and infra. All pass now.

Why this works: ReadHead and Transport accept final statuses only. No request asks for another protocol: requests are sent without Upgrade, which concerns one connection. The check in forward that the status is at least 200 can no longer fail and is gone.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -283,8 +283,7 @@
 	if a.req.route.Kind != route.Streaming {
 		a.req.countRun(a.req.now() - a.sentAt)
 	}
-	switch {
-	case a.resp.StatusCode < 200, a.resp.StatusCode/100 == 2 && !a.isAttested(), h.Get("Content-Encoding") != "":
+	if (a.resp.StatusCode/100 == 2 && !a.isAttested()) || h.Get("Content-Encoding") != "" {
 		a.req.addStep("garbled:" + string(a.server.ID))
 		return mayHaveRun
 	}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -202,14 +202,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if isInformational(resp) {
+			c.start += n
+			c.head.skip()
+			continue
+		}
 		if err := checkStatus(resp); err != nil {
 			return nil, err
 		}
 		c.start += n
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			c.head.skip()
-			continue
-		}
 		c.head = headScanner{}
 		c.body.begin(resp)
 		resp.Body = bodyReader{c}
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -7,8 +7,8 @@
 )
 
 // Transport is an http.Transport that returns ErrMalformed for responses that net/http accepts
-// although their status or the name of a header field is invalid. Lines that begin with a blank
-// cannot be recognized, because net/http joins them to the value of the field before.
+// although their status is not final or the name of a header field is invalid. Lines that begin with
+// a blank cannot be recognized, because net/http joins them to the value of the field before.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -26,7 +26,7 @@
 	return resp, nil
 }
 
-// checkHead returns an error if the status or the name of a header field is invalid.
+// checkHead returns an error if the status is not final or the name of a header field is invalid.
 func checkHead(resp *http.Response) error {
 	if err := checkStatus(resp); err != nil {
 		return err
@@ -39,9 +39,15 @@
 	return nil
 }
 
-// checkStatus returns an error if the status is invalid.
+// isInformational reports whether a response precedes the final one. Status 101 ends HTTP on the
+// connection, which no request asks for.
+func isInformational(resp *http.Response) bool {
+	return resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
+// checkStatus returns an error if the status is not that of a final response.
 func checkStatus(resp *http.Response) error {
-	if resp.StatusCode < http.StatusContinue {
+	if resp.StatusCode < http.StatusOK {
 		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 	}
 	return nil
--- a/standin/malformed/malformed.go
+++ b/standin/malformed/malformed.go
@@ -11,7 +11,7 @@
 
 const statusLine = "HTTP/1.1 200 OK\r\n"
 
-// Heads returns responses with the status 000, and responses in whose head the name of a field
+// Heads returns responses whose status is not final, and responses in whose head the name of a field
 // contains a blank or a control byte. The header holds whole lines, all of them valid.
 func Heads(header, body string) map[string]string {
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
@@ -19,6 +19,7 @@
 		"status 000":                    withLength("HTTP/1.1 000 Failure\r\n"+header, body),
 		"status 000 without a body":     withLength("HTTP/1.1 000 Failure\r\n"+header, ""),
 		"status 000 until the end":      "HTTP/1.1 000 Failure\r\n" + header + "\r\n" + body,
+		"status 101":                    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n" + header + "\r\n",
 		"blank in a name":               withLength(statusLine+"X Extra: a\r\n"+header, body),
 		"blank after a name":            withLength(statusLine+header+"X-Extra : a\r\n", body),
 		"tab after a name":              withLength(statusLine+header+"X-Extra\t: a\r\n", body),
