--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -187,6 +187,9 @@
 		f.Add([]byte(text))
 	}
 	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\nuntil the end"))
+	for _, text := range malformed.All("A: b\r\n", "body") {
+		f.Add([]byte(text))
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var single []string
 		for i := range b {
@@ -200,6 +203,10 @@
 		if err != nil {
 			return
 		}
+		assert.Assert(t, resp.StatusCode >= http.StatusOK)
+		for name := range resp.Header {
+			assert.Assert(t, !strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c == 0x7f }), "%q", name)
+		}
 		other, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
 		assert.NilError(t, err)
 		if other.StatusCode < http.StatusOK {
