--- a/engine/malformed_head_test.go
+++ b/engine/malformed_head_test.go
@@ -13,16 +13,10 @@
 	"github.com/bulrushfall/bulrushfall/standin/malformed"
 )
 
-// malformedResponses returns malformed responses with a header line and a body.
-func malformedResponses(body string) map[string]string {
-	const header = "Content-Type: application/json\r\n"
-	return malformed.All(header, body)
-}
-
 // TestMalformedStatus guards against the status of an engine that is taken from a malformed response,
 // in polls and in the check of a new connection.
 func TestMalformedStatus(t *testing.T) {
-	for name, response := range malformedResponses(statusBody) {
+	for name, response := range malformed.All("Content-Type: application/json\r\n", statusBody) {
 		t.Run(name, func(t *testing.T) {
 			target, _ := startRawLeader(t, func(c net.Conn, r *http.Request) bool {
 				if r.URL.Path != "/status" {
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -7,8 +7,9 @@
 )
 
 // Transport is an http.Transport that returns ErrMalformed for responses that net/http accepts
-// although their status is not final or the name of a header field is invalid. Lines that begin with
-// a blank cannot be recognized, because net/http joins them to the value of the field before.
+// although their status is not final or the name of a header field is invalid. It does not recognize
+// lines that begin with a blank, which net/http joins to the value of the field before, and
+// malformed informational responses, which net/http skips.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
--- a/standin/malformed/malformed.go
+++ b/standin/malformed/malformed.go
@@ -32,8 +32,8 @@
 	return r
 }
 
-// All returns the responses of Heads, those with a blank before a name, and one with a malformed
-// informational response before it. net/http accepts the latter two.
+// All returns the responses of Heads, responses with a blank before a name, and one that follows an
+// informational response with a blank in a name.
 func All(header, body string) map[string]string {
 	r := Heads(header, body)
 	r["blank before the first name"] = withLength(statusLine+" X-Extra: a\r\n"+header, body)
