--- a/internal/httpconn/decoder.go
+++ b/internal/httpconn/decoder.go
@@ -58,8 +58,8 @@
 }
 
 // startsWithFieldName reports whether a header line begins with a field name and a colon. A line that
-// begins with a blank does not: whether it continues the line before it or its name is damaged
-// cannot be told, and RFC 9112, section 5.2, allows a gateway to reject both.
+// begins with a blank does not. It may continue the line before it or have a damaged name, and
+// RFC 9112, section 5.2, allows a gateway to reject either.
 func startsWithFieldName(line []byte) bool {
 	name, _, found := bytes.Cut(line, colon)
 	return found && isToken(name)
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -20,7 +20,7 @@
 	}
 	if err := checkHead(resp); err != nil {
 		_ = resp.Body.Close()
-		// After a response without a body the connection is idle already.
+		// After a response without a body its connection is among the idle ones already.
 		t.CloseIdleConnections()
 		return nil, err
 	}
