--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -19,10 +18,7 @@
 	Body             []byte
 	Chunked          bool
 	DeadlineMs       int
-	// DeadlineText, if not empty, is the value of Deadline-Ms instead. DeadlineMs then is how long the client
-	// really waits, but for two seconds.
-	DeadlineText string
-	Key          string
+	Key              string
 }
 
 // Answer is what the client gets. Err is set if the channel ended without a whole answer.
@@ -45,11 +41,7 @@
 
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
-	deadline := r.DeadlineText
-	if deadline == "" {
-		deadline = strconv.Itoa(r.DeadlineMs)
-	}
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %s\r\n", r.Method, r.Path, host, r.ID, deadline)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", r.Method, r.Path, host, r.ID, r.DeadlineMs)
 	if r.Key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.Key)
 	}
--- a/review/standin-3/llm.go
+++ b/review/standin-3/llm.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -145,6 +146,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rec.Add("worker %s gets order %s", l.ID, body)
+	if o.Operation != "Stage" && !bytes.Contains(body, []byte(`"epoch":`)) {
+		return "400 Bad Request" // These orders specify group and epoch.
+	}
 	if o.Fence < l.fence {
 		return "412 Precondition Failed"
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -10,8 +10,6 @@
 
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
 	"refused":  caseRefused,
-	"leaves":   caseLeaves,
-	"deadline": caseDeadline,
 	"poison":   casePoison,
 }
 
