--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -9,8 +9,9 @@
 )
 
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
-	"refused":  caseRefused,
-	"poison":   casePoison,
+	"refused": caseRefused,
+	"revoke":  caseRevoke,
+	"poison":  casePoison,
 }
 
 func main() {
