--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
 	"refused": caseRefused,
 	"revoke":  caseRevoke,
+	"foreign": caseForeign,
 	"poison":  casePoison,
 }
 
