--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -9,10 +9,11 @@
 )
 
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
-	"refused": caseRefused,
-	"revoke":  caseRevoke,
-	"foreign": caseForeign,
-	"poison":  casePoison,
+	"refused":  caseRefused,
+	"revoke":   caseRevoke,
+	"foreign":  caseForeign,
+	"strayrow": caseStrayRow,
+	"poison":   casePoison,
 }
 
 func main() {
