An order that has run is not answered with a status that promises the contrary

What callers saw: a backend server ran an order, failed afterwards and answered 503 without the header that says "not run".

Cause: relayResponse relayed the status of a backend server unchanged on every route. classifyResponse, which decides whether the request may be sent again, was right: it reads the header and status 421 only.

TestServerPromisesNotRun: 6 of 16 cases failed before (408, 429 and 503 for orders and for streams that may not be resumed) and pass now.

Why this works: where a request may run only once, these statuses become 502, which promises nothing, without the proof of the server, which has given another status. Where requests may be repeated the response stays unchanged, as PROTOCOL.md asks; a repeated run does no harm there.

Related paths: refusals of the entry instance check possibleRuns, and the product's own path states the outcome in the problem document, not by a status: by reading.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/fleet"
@@ -33,6 +34,9 @@
 	maxExtraRefusals = 2
 )
 
+// metricPromisesWithheld counts the responses of withholdPromise.
+const metricPromisesWithheld = "not_run_promises_withheld_total"
+
 // plainExchange is the exchange of a request of a route that is not streaming.
 type plainExchange struct{ *call }
 
@@ -80,6 +84,10 @@
 		a.recordOutcome()
 		return retryReserved
 	}
+	if promisesNotRun(resp.StatusCode) && !c.route.Repeatable() {
+		c.withholdPromise(a)
+		return answered
+	}
 	complete, res := a.bufferBody()
 	if res != answered {
 		return res
@@ -100,6 +108,28 @@
 	return answered
 }
 
+// promisesNotRun reports whether callers take a status as the promise that their request did not run
+// and never will. Status 421 does too, and is true of each backend server: see classifyResponse.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// withholdPromise answers a request that may run only once and whose backend server has answered with
+// a status that promises callers that it did not run, without stating so. The caller gets a status
+// that promises nothing.
+func (c *call) withholdPromise(a *attempt) {
+	c.addStep("status:" + string(a.server.ID) + ":" + a.resp.Status)
+	a.drain()
+	a.runResult = quarantine.RunSucceeded
+	a.recordOutcome()
+	c.handler.count(metricPromisesWithheld)
+	c.fail(http.StatusBadGateway, "backend server answered "+strconv.Itoa(a.resp.StatusCode)+" without stating that the request did not run")
+}
+
 // bufferBody reads a response body into a.buf, up to maxBufferedBody or as far as memory allows, and
 // reports whether that is all of it. After the result stalled it can be called again.
 func (a *attempt) bufferBody() (complete bool, res sendResult) {
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -99,6 +99,34 @@
 	assert.Assert(t, resp.Header.Get("Retry-After") != "")
 }
 
+// TestServerPromisesNotRun guards against a status that promises the caller that its request did not run
+// after the backend server has run it: the caller would send the request again. A request that may be
+// repeated gets the server's response unchanged.
+func TestServerPromisesNotRun(t *testing.T) {
+	for _, path := range []string{"/o/", "/c/", "/l/", "/s/"} {
+		for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable", "500 Internal Server Error"} {
+			t.Run(path+status[:3], func(t *testing.T) {
+				b := startScriptedServer(t, func(w io.Writer, r *http.Request) bool {
+					reply(w, r.Header.Get("X-Request"), status, "booked, no receipt", "Retry-After", "0.01")
+					return true
+				})
+				r := newTestSetup(t, b.server("s1"), b.server("s2"), b.groupHead("s3"), b.groupHead("s4"))
+				resp, body, err := r.do(r.request("POST", path, "order"))
+				assert.NilError(t, err)
+				if repeatable := path == "/l/" || path == "/s/"; repeatable || status[:3] == "500" {
+					assert.Equal(t, resp.Status, status)
+					assert.Equal(t, body, "booked, no receipt")
+					assert.Equal(t, resp.Header.Get("X-Proof"), "p")
+					return
+				}
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+				assert.Equal(t, resp.Header.Get("X-Proof"), "", "the server has not given this status")
+				assert.Equal(t, len(b.requests()), 1)
+			})
+		}
+	}
+}
+
 // A non-idempotent request is sent to another server if the first accepts no
 // connections.
 func TestOrderAvoidsClosedPort(t *testing.T) {
