An empty list of client accounts opens no route

Cause: DecodeConfig put a missing list of accounts and an empty one into the same value, and NeedsKey took both for a deployment without accounts. A list whose entries all fail to decode ended the same way.

Why this works: the configuration states whether it has the list, and the routes that are not public need a key whenever it does, however many entries are left.

--- a/route/route.go
+++ b/route/route.go
@@ -147,6 +147,9 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Accounts []Account
-	Limits   Limits
+	// HasAccounts is set if the configuration has a list of client accounts, which may be empty.
+	// Requests of routes that are not public then need a key.
+	HasAccounts bool
+	Accounts    []Account
+	Limits      Limits
 }
--- a/route/table.go
+++ b/route/table.go
@@ -28,6 +28,7 @@
 		accountsByKey:  make(map[string]*Account),
 		servicesByName: make(map[ident.ServiceName]*Service, len(c.Services)),
 	}
+	t.HasAccounts = c.HasAccounts || len(c.Accounts) > 0
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -70,9 +71,9 @@
 	return a, ok && key != ""
 }
 
-// NeedsKey reports whether requests of a route must carry a key. They need none while no
-// accounts are configured.
-func (t *Table) NeedsKey(r *Route) bool { return len(t.Accounts) > 0 && !r.Public }
+// NeedsKey reports whether requests of a route must carry a key. An empty list of client accounts
+// does not open the routes: the keys have been taken away.
+func (t *Table) NeedsKey(r *Route) bool { return t.HasAccounts && !r.Public }
 
 // UnrepeatableTime returns the longest time that a request to a service may take which may be
 // executed only once, or 0 if there are none.
