A very long deadline of a caller does not remove the timeout of the route

Such requests counted as in flight all the while.

Cause: the milliseconds were converted to a time.Duration without a bound. On x86-64 a number that does not fit becomes the most negative value, which replaced the timeout because it is shorter; the time until that deadline wraps around to 292 years.

TestVeryLongDeadline: 4 of 7 values failed before (no answer within 4 s, the timeout is 1 s) and pass now.

Why this works: saturate.Duration gives the nearest time, of which the sum with the time of the request does not wrap, and the time that a caller waits only replaces a longer timeout. NaN is ignored.

--- a/forward/call.go
+++ b/forward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 	"github.com/bulrushfall/bulrushfall/quarantine"
 	"github.com/bulrushfall/bulrushfall/route"
 	"github.com/bulrushfall/bulrushfall/service"
@@ -112,13 +114,7 @@
 		c.prompt = h.opts.Prompt(r.Header)
 	}
 	c.lastEventID = r.Header.Get(headerLastEvent)
-	limit := rt.Timeout
-	if ms, err := strconv.ParseFloat(r.Header.Get(h.opts.Headers.Deadline), 64); err == nil {
-		if d := time.Duration(ms * float64(time.Millisecond)); d < limit || limit == 0 {
-			limit = d
-		}
-	}
-	c.deadline = c.start + limit
+	c.deadline = c.start + timeLimit(rt.Timeout, r.Header.Get(h.opts.Headers.Deadline))
 	if r.ContentLength != 0 {
 		max := view.Routes.Limits.BodyBytes
 		if max <= 0 {
@@ -134,6 +130,19 @@
 	return c, 0
 }
 
+// timeLimit returns how long a request may take: the route's timeout or, if that is shorter or the
+// route has none, the time that the caller waits, in milliseconds. One that is no number is ignored.
+func timeLimit(timeout time.Duration, callerWaits string) time.Duration {
+	ms, err := strconv.ParseFloat(callerWaits, 64)
+	if err != nil || math.IsNaN(ms) {
+		return timeout
+	}
+	if wait := saturate.Duration(ms, time.Millisecond); wait < timeout || timeout == 0 {
+		return wait
+	}
+	return timeout
+}
+
 func bodyStatus(err error) int {
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return http.StatusRequestEntityTooLarge
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -276,3 +277,27 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Assert(t, resp.Close)
 }
+
+// TestVeryLongDeadline guards against a request that gets no answer at its route's timeout, because the
+// time that its caller waits is beyond the range of a time or is no number.
+func TestVeryLongDeadline(t *testing.T) {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	b := startScriptedServer(t, func(io.Writer, *http.Request) bool { <-release; return false })
+	for _, waits := range []string{"9223372036854775807", "1e300", "Inf", "NaN", "soon", "9e12", "1500"} {
+		t.Run(waits, func(t *testing.T) {
+			t.Parallel()
+			r := newTestSetup(t, b.server("s1"))
+			begin := time.Now()
+			req := r.request("POST", "/o/", "order", "X-Deadline", waits)
+			ctx, cancel := context.WithTimeout(req.Context(), 4*time.Second)
+			defer cancel()
+			resp, err := r.frontend.Client().Do(req.WithContext(ctx))
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout)
+			took := time.Since(begin)
+			assert.Assert(t, took >= time.Second && took < 1500*time.Millisecond, "answered after %s, the timeout is 1s", took)
+		})
+	}
+}
