Numbers from outside do not become negative times or counts

What would be seen: a time of the configuration beyond the range of a time.Duration became negative (x86-64), so that a route refused all requests as late; a server that names a very large request limit got requests from one instance only; a forecast with a very long answer was negative, so that a request that cannot end in time was deferred instead of refused.

Keep-Alive, the forecasts and the rate of loads have no test of their own.

Why this works: saturate gives the nearest value that the type can hold, so that comparisons and sums keep their sense.

--- a/admission/named_limit.go
+++ b/admission/named_limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 )
 
 const (
@@ -54,7 +55,7 @@
 		return true
 	}
 	rate := max(minNamedRate, l.perSecond)
-	senders := min(max(1, int(rate)), max(1, instances))
+	senders := min(max(1, saturate.Int(rate)), max(1, instances))
 	if rank >= senders {
 		l.tokens, l.lastRefill = 0, now
 		return false
--- a/admission/named_limit_test.go
+++ b/admission/named_limit_test.go
@@ -66,3 +66,10 @@
 	assert.Assert(t, !l.Allows(time.Second, 0, 7))
 	assert.Assert(t, l.Allows(6*time.Second, 0, 7))
 }
+
+// Guards against a limit beyond the range of an integer that leaves a single sender.
+func TestVeryLargeNamedLimit(t *testing.T) {
+	var l NamedLimit
+	assert.Assert(t, l.Observe(0, 1, 1e19, true))
+	assert.Assert(t, l.Allows(time.Second, 9, 10) || l.Allows(2*time.Second, 9, 10))
+}
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 	"github.com/bulrushfall/bulrushfall/route"
 )
 
@@ -102,7 +103,7 @@
 	// The usual prompts of a pass are part of it; this entry instance knows its own better.
 	own := l.OwnPromptTokens - float64(l.OwnUnanswered)*e.prompt
 	reading := max(0, own) + promptTokens
-	return time.Duration(1.5*pause+reading*e.perToken) + e.PlaceWait(l.Ahead)
+	return saturate.Duration(1.5*pause+reading*e.perToken, time.Nanosecond) + e.PlaceWait(l.Ahead)
 }
 
 // FirstEventBefore returns the time to the first event of a request that runs before some of those
@@ -133,7 +134,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	return time.Duration(excess / e.Turnover() * float64(time.Second))
+	return saturate.Duration(excess/e.Turnover(), time.Second)
 }
 
 // Turnover returns the number of usual requests that a full group completes in a second.
--- a/formation/form.go
+++ b/formation/form.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 	"github.com/bulrushfall/bulrushfall/layout"
 	"github.com/bulrushfall/bulrushfall/route"
 )
@@ -227,7 +228,7 @@
 // loads of a group start together and may exceed it.
 func (p *Planner) mayStartLoads(now time.Duration, n int) bool {
 	p.loadStarts = slices.DeleteFunc(p.loadStarts, func(start time.Duration) bool { return now-start >= p.cfg.LoadWindow })
-	maxStarts := int(p.service.LoadRate * p.cfg.LoadWindow.Seconds())
+	maxStarts := saturate.Int(p.service.LoadRate * p.cfg.LoadWindow.Seconds())
 	atOnce := max(1, p.service.LoadsAtOnce)
 	if !p.trafficStarted {
 		return p.activeLoads() < preTrafficLoadFactor*atOnce
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bulrushfall/bulrushfall/internal/httpconn"
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 )
 
 // Limits of connections to backend servers.
@@ -51,7 +52,7 @@
 			continue
 		}
 		if s, err := strconv.ParseFloat(value, 64); err == nil {
-			c.idleTimeout = max(0, time.Duration(s*float64(time.Second))-idleTimeoutMargin)
+			c.idleTimeout = max(0, saturate.Duration(s, time.Second)-idleTimeoutMargin)
 		}
 	}
 }
--- a/forward/scarcity.go
+++ b/forward/scarcity.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushfall/bulrushfall/fleet"
 	"github.com/bulrushfall/bulrushfall/forecast"
 	"github.com/bulrushfall/bulrushfall/ident"
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
 	"github.com/bulrushfall/bulrushfall/route"
 	"github.com/bulrushfall/bulrushfall/scarcity"
 )
@@ -176,13 +177,13 @@
 	all, urgent := c.handler.groupLoad(s.ID, b)
 	pause := e.Pause(all)
 	pace := b.paceAt(now, pause)
-	scaled := func(d time.Duration) time.Duration { return time.Duration(pace * float64(d)) }
+	scaled := func(d time.Duration) time.Duration { return saturate.Duration(pace, d) }
 	return scarcity.Room{
 		FirstEvent:   c.scarce.overhead + scaled(e.FirstEvent(urgent, float64(c.prompt.Tokens))),
 		UrgentWait:   scaled(e.PlaceWait(urgent.Ahead + c.scarce.reserve)),
 		DeferredWait: scaled(e.PlaceWait(all.Ahead + c.scarce.reserve)),
 		KeepsFree:    c.scarce.reserve > 0,
-		Stream:       time.Duration(pace * float64(pause) * e.Events(c.prompt.AnswerTokens)),
+		Stream:       saturate.Duration(pace*e.Events(c.prompt.AnswerTokens), pause),
 	}
 }
 
@@ -211,7 +212,7 @@
 		a.req.handler.count(metricDeferred)
 	}
 	pace := a.backend.paceAt(now, s.engine.Pause(all))
-	a.predicted = time.Duration(pace * float64(s.engine.FirstEventBefore(urgent, float64(a.req.prompt.Tokens), s.part)))
+	a.predicted = saturate.Duration(pace, s.engine.FirstEventBefore(urgent, float64(a.req.prompt.Tokens), s.part))
 	a.hasPlace = s.engine.PlaceWait(urgent.Ahead) == 0
 	a.forecastAt = now
 	a.backend.unanswered.Add(1)
--- a/route/engine.go
+++ b/route/engine.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"github.com/bulrushfall/bulrushfall/internal/saturate"
+)
 
 // Engine describes how a group works: it processes all its requests in passes, each of
 // which runs several token steps and reads prompts between them. Times are those of a
@@ -43,7 +47,7 @@
 		step += chunk / e.ReadRate * float64(time.Second)
 		step += chunk * (e.UsualPrompt + chunk/2) / pairsPerUnit * float64(e.PairTime)
 	}
-	return time.Duration(step * float64(e.StepsPerPass) * s.TimeFactor(model))
+	return saturate.Duration(step*float64(e.StepsPerPass)*s.TimeFactor(model), time.Nanosecond)
 }
 
 // QueueTime returns how long a new request may wait for its first event at a group with
@@ -59,7 +63,7 @@
 		passes := e.UsualAnswer / float64(e.StepsPerPass)
 		wait += float64(excess) / float64(s.Slots) * passes * float64(s.LongestPass(model))
 	}
-	return time.Duration(wait)
+	return saturate.Duration(wait, time.Nanosecond)
 }
 
 // TimeFactor returns the factor for all durations of a group of a model.
