A Bulrush-Deadline-Ms beyond the range of a time is refused

Cause: the integer was converted to a time before it was compared with the limit; the product wrapped around to -1 ms.

Evidence: TestHostileInput "long deadline" failed before and passes now.

Why this works: the comparison is in milliseconds, and what passes it fits into a time.

--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -100,7 +100,7 @@
 	r.KeySHA256 = sum
 	if v := h.Get(HeaderDeadline); v != "" {
 		ms, err := strconv.Atoi(v)
-		if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > maxDeadline {
+		if err != nil || ms <= 0 || int64(ms) > maxDeadline.Milliseconds() {
 			return ProblemBadRequest.WithDetail("%s: %q is not a number of milliseconds up to %d", HeaderDeadline, v, maxDeadline.Milliseconds())
 		}
 		r.CallerDeadline = time.Duration(ms) * time.Millisecond
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -48,6 +48,7 @@
 		{"bad ticket", strings.Replace(post, "Key: k", "Key: bt1.x", 1) + auth + "\r\n", ProblemBadTicket},
 		{"bad JSON", "POST /v1/tickets HTTP/1.1\r\nHost: x\r\n" + auth + "Content-Length: 2\r\n\r\n{{", ProblemBadRequest},
 		{"bad deadline", post + auth + "Bulrush-Deadline-Ms: -1\r\n\r\n", ProblemBadRequest},
+		{"long deadline", post + auth + "Bulrush-Deadline-Ms: 9223372036854775807\r\n\r\n", ProblemBadRequest},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { wantRawProblem(t, addr, c.request, c.want) })
