A body that ends with a reset during the upload is not whole

What callers saw: a backend server answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was being written.

Cause: the system reports a reset once. If the write of the request receives it, a read finds only the end of the connection, which ends a body without length. Writes and reads run side by side since responses are read while the request is being written.

Why this works: connections keep the first failure of a write, and a body that ends with its connection is whole only without one. At that end a write in progress is ended first, so that its result is known.

--- a/engine/client.go
+++ b/engine/client.go
@@ -43,24 +43,25 @@
 // Control is the client for status polls, commands and cache events of engines.
 type Control struct {
 	http      *http.Client
-	transport *http.Transport
+	transport httpconn.Transport
 	poller    *poller
 }
 
 // NewControl returns a control client.
 func NewControl() *Control {
-	transport := &http.Transport{
+	transport := httpconn.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
-	}
-	return &Control{http: &http.Client{Transport: httpconn.Transport{Transport: transport}}, transport: transport, poller: newPoller()}
+	})
+	return &Control{http: &http.Client{Transport: transport}, transport: transport, poller: newPoller()}
 }
 
 // DialFrom sets the local address of connections. Call it before the first
 // call.
 func (c *Control) DialFrom(local netip.Addr) {
-	c.transport.DialContext = dial.From(local, 0)
-	c.poller.dial = c.transport.DialContext
+	from := dial.From(local, 0)
+	c.transport.DialWith(from)
+	c.poller.dial = from
 }
 
 // Status requests the status report of one engine.
--- a/gateway/plain_conn_test.go
+++ b/gateway/plain_conn_test.go
@@ -97,6 +97,38 @@
 	}
 }
 
+// TestResetDuringUpload guards against a part of an answer without length that counts as the whole one: the
+// backend server answers a large call at once and resets the connection while it is written.
+func TestResetDuringUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, 100))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(2 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	s := &rawServer{address: l.Addr().String()}
+	whole := 0
+	for i := range 80 {
+		_, err := s.sendPlain(t.Context(), newTestPlainClient(), http.MethodPost, i%2 == 0, make([]byte, 16<<20), "one")
+		if err == nil {
+			whole++
+			continue
+		}
+		assert.ErrorIs(t, err, ErrBackendOutcomeUnknown)
+	}
+	assert.Equal(t, whole, 0, "answers that look whole, of 80")
+}
+
 // TestPlainAnswerBeforeRequest guards against a call whose outcome counts as unknown although its
 // backend server has refused it before it read the whole request.
 func TestPlainAnswerBeforeRequest(t *testing.T) {
--- a/infra/client.go
+++ b/infra/client.go
@@ -59,7 +59,7 @@
 type Client struct {
 	base      string
 	http      *http.Client
-	transport *http.Transport
+	transport httpconn.Transport
 	era       atomic.Uint64
 }
 
@@ -73,17 +73,17 @@
 // NewClient returns a client for the platform at a base URL such as
 // http://127.0.0.1:7000.
 func NewClient(base string) *Client {
-	transport := &http.Transport{
+	transport := httpconn.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost:   16,
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: requestTimeout,
-	}
-	return &Client{base: base, http: &http.Client{Transport: httpconn.Transport{Transport: transport}}, transport: transport}
+	})
+	return &Client{base: base, http: &http.Client{Transport: transport}, transport: transport}
 }
 
 // DialFrom sets the local address of connections. Call it before the first
 // call.
-func (c *Client) DialFrom(local netip.Addr) { c.transport.DialContext = dial.From(local, 0) }
+func (c *Client) DialFrom(local netip.Addr) { c.transport.DialWith(dial.From(local, 0)) }
 
 // Era implements EraReporter.
 func (c *Client) Era() uint64 { return c.era.Load() }
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -58,6 +58,7 @@
 	needsMore bool
 	// endErr is the error after the last received byte: io.EOF or a failure.
 	endErr error
+	writes writes
 	head   headScanner
 	body   bodyDecoder
 	// rawConn and probe check the connection without blocking. idleAndOpen is the
@@ -91,6 +92,9 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil && c.rawConn != nil && c.Buffered() == 0 && c.endErr == nil && c.rawConn.Read(c.probe) == nil && c.idleAndOpen
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) { return c.writes.write(c.Conn, p) }
+
 // Buffered returns the number of bytes that are received and not decoded yet.
 func (c *Conn) Buffered() int { return c.end - c.start }
 
@@ -232,6 +236,10 @@
 	case len(p) == 0:
 		return 0, nil
 	case c.endErr == io.EOF && c.body.framing == untilEnd:
+		if err := c.writes.failure(c.Conn); err != nil {
+			c.endErr = err
+			return 0, err
+		}
 		c.body.connEnded = true
 		return 0, io.EOF
 	}
--- a/internal/httpconn/write.go
+++ b/internal/httpconn/write.go
@@ -10,6 +10,8 @@
 	if c.rawConn == nil {
 		return 0, nil
 	}
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
 	rawErr := c.rawConn.Write(func(fd uintptr) bool {
 		for n < len(p) {
 			k, e := syscall.Write(int(fd), p[n:])
@@ -29,5 +31,6 @@
 	if err == nil {
 		err = rawErr
 	}
+	c.writes.record(err)
 	return n, err
 }
--- a/load/caller.go
+++ b/load/caller.go
@@ -80,7 +80,7 @@
 		seeds: seeds,
 		http: &http.Client{
 			Timeout:   requestTimeout,
-			Transport: httpconn.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}},
+			Transport: httpconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}),
 		},
 	}
 }
