--- a/forward/plain.go
+++ b/forward/plain.go
@@ -109,7 +109,7 @@
 }
 
 // promisesNotRun reports whether callers take a status as the promise that their request did not run
-// and never will. Status 421 does too, and is true of each backend server: see classifyResponse.
+// and never will. They take 421 so too, with which no backend server answers a request that has run.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -118,9 +118,9 @@
 	return false
 }
 
-// withholdPromise answers a request that may run only once and whose backend server has answered with
-// a status that promises callers that it did not run, without stating so. The caller gets a status
-// that promises nothing.
+// withholdPromise answers a request that may run only once, and whose backend server has answered with
+// such a status without stating that the request did not run. The caller gets a status that promises
+// nothing.
 func (c *call) withholdPromise(a *attempt) {
 	c.addStep("status:" + string(a.server.ID) + ":" + a.resp.Status)
 	a.drain()
