--- a/forward/plain.go
+++ b/forward/plain.go
@@ -78,10 +78,7 @@
 	resp := a.resp
 	if resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() &&
 		c.sendCount < c.route.AttemptLimit && c.timeLeft() > minSendTime && c.takeRetry(c.now()) {
-		c.addStep("status:" + string(a.server.ID) + ":" + resp.Status)
-		a.drain()
-		a.runResult = quarantine.RunSucceeded
-		a.recordOutcome()
+		a.discardAnswer()
 		return retryReserved
 	}
 	if promisesNotRun(resp.StatusCode) && !c.route.Repeatable() {
@@ -109,7 +106,7 @@
 }
 
 // promisesNotRun reports whether callers take a status as the promise that their request did not run
-// and never will. They take 421 so too, with which no backend server answers a request that has run.
+// and never will. 421 is such a status too, but backend servers never answer it after a run.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -122,12 +119,17 @@
 // such a status without stating that the request did not run. The caller gets a status that promises
 // nothing.
 func (c *call) withholdPromise(a *attempt) {
-	c.addStep("status:" + string(a.server.ID) + ":" + a.resp.Status)
+	a.discardAnswer()
+	c.handler.count(metricPromisesWithheld)
+	c.fail(http.StatusBadGateway, "backend server answered "+strconv.Itoa(a.resp.StatusCode)+" without stating that the request did not run")
+}
+
+// discardAnswer ends the attempt after a failure that the caller does not get.
+func (a *attempt) discardAnswer() {
+	a.req.addStep("status:" + string(a.server.ID) + ":" + a.resp.Status)
 	a.drain()
 	a.runResult = quarantine.RunSucceeded
 	a.recordOutcome()
-	c.handler.count(metricPromisesWithheld)
-	c.fail(http.StatusBadGateway, "backend server answered "+strconv.Itoa(a.resp.StatusCode)+" without stating that the request did not run")
 }
 
 // bufferBody reads a response body into a.buf, up to maxBufferedBody or as far as memory allows, and
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -92,9 +92,6 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil && c.rawConn != nil && c.Buffered() == 0 && c.endErr == nil && c.rawConn.Read(c.probe) == nil && c.idleAndOpen
 }
 
-// Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) { return c.writes.write(c.Conn, p) }
-
 // Buffered returns the number of bytes that are received and not decoded yet.
 func (c *Conn) Buffered() int { return c.end - c.start }
 
