--- a/forward/upload_reset_test.go
+++ b/forward/upload_reset_test.go
@@ -20,10 +20,11 @@
 func TestResetDuringUpload(t *testing.T) {
 	const requests = 40
 	for _, path := range []string{"/long-o/", "/long-l/", "/s/", "/c/"} {
+		isStream := path == "/s/" || path == "/c/"
 		for _, wait := range []time.Duration{0, 2 * time.Millisecond} {
 			t.Run(fmt.Sprint(path, wait), func(t *testing.T) {
 				part := "part"
-				if isStream := path == "/s/" || path == "/c/"; isStream {
+				if isStream {
 					part = events(1, 2)
 				}
 				s := startRawServer(t, 64<<10, func(c net.Conn, br *bufio.Reader) {
@@ -39,7 +40,7 @@
 				other.ID = "s2"
 				servers := []fleet.Server{s, other}
 				for i := range servers {
-					if part != "part" {
+					if isStream {
 						servers[i].Service, servers[i].Model = "llm", "m"
 						servers[i].Membership = fleet.Membership{Group: "g", Epoch: 1, State: fleet.Open}
 					}
